--- /dev/null
+++ b/cmake/package.cmake
@@ -0,0 +1,13 @@
+# wharf_package(NAME deps...) declares one small package from its folder's sources.
+function(wharf_package name)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cpp)
+  if(sources)
+    add_library(wharf_${name} STATIC ${sources})
+    target_include_directories(wharf_${name} PUBLIC ${CMAKE_SOURCE_DIR}/packages)
+    target_link_libraries(wharf_${name} PUBLIC ${ARGN} Threads::Threads)
+  else()
+    add_library(wharf_${name} INTERFACE)
+    target_include_directories(wharf_${name} INTERFACE ${CMAKE_SOURCE_DIR}/packages)
+    target_link_libraries(wharf_${name} INTERFACE ${ARGN} Threads::Threads)
+  endif()
+endfunction()
--- /dev/null
+++ b/packages/berth/berth.cpp
@@ -0,0 +1,480 @@
+#include "berth/berth.hpp"
+
+#include <algorithm>
+
+namespace wharf {
+
+Stevedore::Stevedore(NodeId self, BerthOptions options) : self_(self), options_(options) {}
+
+NodeId Stevedore::owner_in(const std::vector<NodeId> &pilots, const std::string &service) const {
+  const auto ranked = rank_nodes(pilots, service, stevedore_salt);
+  return ranked.empty() ? 0 : ranked[0];
+}
+
+bool Stevedore::was_owner_since(Epoch epoch, const std::string &service) const {
+  bool is_found = false;
+  for (const PastRoster &past : roster_.past) {
+    if (past.epoch < epoch) continue;
+    if (past.epoch == epoch) is_found = true;
+    if (owner_in(past.pilots, service) != self_) return false;
+  }
+  return is_found;
+}
+
+void Stevedore::begin(const std::string &service, Instant now) {
+  Berth &berth = berths_[service];
+  berth = Berth{};
+  berth.since = roster_.epoch;
+  berth.high_at = now;
+  berth.boot_guess = options_.boot_guess;
+  berth.expected.insert(roster_.pilots.begin(), roster_.pilots.end());
+  if (!roster_.past.empty())
+    berth.expected.insert(roster_.past.back().pilots.begin(), roster_.past.back().pilots.end());
+  for (const RunnerView &runner : runners_) {
+    if (runner.service != service) continue;
+    Hull &hull = berth.hulls[runner.id];
+    hull.is_leaving = runner.is_leaving;
+    hull.address = runner.address;
+    hull.seal_key = runner.seal_key;
+  }
+}
+
+void Stevedore::set_plans(std::map<std::string, BerthPlan> plans, Instant now, Outbox &out) {
+  plans_ = std::move(plans);
+  for (const auto &[service, plan] : plans_) {
+    if (roster_.epoch == 0 || berths_.contains(service) || owner_in(roster_.pilots, service) != self_)
+      continue;
+    begin(service, now);
+  }
+  for (auto &[service, berth] : berths_) {
+    if (plans_.contains(service)) continue;
+    for (auto &[tenant, line] : berth.pending)
+      for (const Waiting &waiting : line)
+        refuse(waiting.ask, waiting.pilot, seconds(1), "service-removed", out);
+    berth.pending.clear();
+    berth.turns.clear();
+    berth.pending_count = 0;
+  }
+  tick(now, out);
+}
+
+void Stevedore::set_roster(const Roster &roster, Epoch settled, Instant now, Outbox &out) {
+  if (roster.epoch > roster_.epoch) {
+    const Epoch old_epoch = roster_.epoch;
+    roster_ = roster;
+    for (auto berth = berths_.begin(); berth != berths_.end();) {
+      const bool is_kept =
+          owner_in(roster_.pilots, berth->first) == self_ && was_owner_since(old_epoch, berth->first);
+      if (is_kept) {
+        ++berth;
+        continue;
+      }
+      for (auto &[tenant, line] : berth->second.pending)
+        for (const Waiting &waiting : line) {
+          SlotSay say;
+          say.errand = waiting.ask.errand;
+          say.service = berth->first;
+          say.epoch = roster_.epoch;
+          say.state = static_cast<std::uint8_t>(SlotState::not_mine);
+          out.push_back({waiting.pilot, {}, say});
+        }
+      former_[berth->first] = {old_epoch, now, std::move(berth->second)};
+      berth = berths_.erase(berth);
+    }
+    std::erase_if(former_, [now](const auto &item) { return now - item.second.lost_at > seconds(60); });
+    for (const auto &[service, plan] : plans_)
+      if (owner_in(roster_.pilots, service) == self_ && !berths_.contains(service)) begin(service, now);
+  }
+  settled_ = std::max(settled_, settled);
+  tick(now, out);
+}
+
+void Stevedore::describe_former(const std::string &service, Epoch epoch, Instant now,
+                                InventorySay &say) const {
+  const auto found = former_.find(service);
+  if (found == former_.end()) return;
+  if (found->second.berth.is_learning) {
+    for (const auto &[id, hull] : found->second.berth.hulls) say.doubtful.push_back(id);
+    return;
+  }
+  bool is_direct = false;
+  for (std::size_t at = 0; at < roster_.past.size(); ++at) {
+    const Epoch next = at + 1 < roster_.past.size() ? roster_.past[at + 1].epoch : roster_.epoch;
+    if (next == epoch && owner_in(roster_.past[at].pilots, service) == self_ &&
+        roster_.past[at].epoch >= found->second.berth.since)
+      is_direct =
+          roster_.past[at].epoch == found->second.until || was_owner_since(found->second.until, service);
+  }
+  if (!is_direct) return;
+  say.is_former_owner = true;
+  for (const auto &[id, hull] : found->second.berth.hulls) {
+    for (const auto &[errand, slot] : hull.taken)
+      say.berth_held.push_back({errand, id, slot.pilot, slot.deadline - now});
+    if (hull.must_retire) say.doubtful.push_back(id);
+  }
+}
+
+void Stevedore::set_runners(const std::vector<RunnerView> &runners, Instant now, Outbox &out) {
+  runners_ = runners;
+  std::map<std::string, std::set<std::string>> seen;
+  for (const RunnerView &runner : runners) {
+    seen[runner.service].insert(runner.id);
+    const auto found = berths_.find(runner.service);
+    if (found == berths_.end()) continue;
+    Berth &berth = found->second;
+    if (!berth.hulls.contains(runner.id) && berth.short_since != 0) {
+      berth.boot_guess = (berth.boot_guess * 3 + (now - berth.short_since)) / 4;
+      berth.short_since = 0;
+    }
+    Hull &hull = berth.hulls[runner.id];
+    hull.is_leaving = runner.is_leaving;
+    hull.address = runner.address;
+    hull.seal_key = runner.seal_key;
+  }
+  for (auto &[service, berth] : berths_) {
+    const auto &living = seen[service];
+    for (auto hull = berth.hulls.begin(); hull != berth.hulls.end();) {
+      if (living.contains(hull->first)) {
+        ++hull;
+        continue;
+      }
+      for (const auto &[errand, slot] : hull->second.taken) berth.granted.erase(errand);
+      hull = berth.hulls.erase(hull);
+    }
+  }
+  tick(now, out);
+}
+
+std::size_t Stevedore::pending(const std::string &service) const {
+  const auto found = berths_.find(service);
+  return found == berths_.end() ? 0 : found->second.pending_count;
+}
+
+std::size_t Stevedore::slots_taken(const std::string &runner) const {
+  for (const auto &[service, berth] : berths_) {
+    const auto found = berth.hulls.find(runner);
+    if (found != berth.hulls.end()) return found->second.taken.size() + found->second.unknown;
+  }
+  return 0;
+}
+
+std::uint32_t Stevedore::taken(const Berth &berth) const {
+  std::size_t count = 0;
+  for (const auto &[id, hull] : berth.hulls) count += hull.taken.size();
+  return static_cast<std::uint32_t>(count);
+}
+
+void Stevedore::step(NodeId from, const Signal &signal, Instant now, Outbox &out) {
+  if (const auto *ask = std::get_if<SlotAsk>(&signal))
+    handle(from, *ask, now, out);
+  else if (const auto *free = std::get_if<SlotFree>(&signal))
+    handle(from, *free, now, out);
+  else if (const auto *say = std::get_if<InventorySay>(&signal))
+    handle(from, *say, now, out);
+}
+
+void Stevedore::refuse(const SlotAsk &ask, NodeId pilot, Span retry_after, std::string why, Outbox &out) {
+  SlotSay say;
+  say.errand = ask.errand;
+  say.service = ask.service;
+  say.epoch = roster_.epoch;
+  say.state = static_cast<std::uint8_t>(SlotState::refused);
+  say.retry_after = retry_after;
+  say.why = std::move(why);
+  out.push_back({pilot, {}, say});
+}
+
+Span Stevedore::hopeless_for(const Berth &berth, const BerthPlan &plan, const SlotAsk &ask) const {
+  std::uint32_t usable = 0;
+  for (const auto &[id, hull] : berth.hulls)
+    if (!hull.is_leaving && !hull.must_retire) ++usable;
+  if (usable == 0) return berth.boot_guess > ask.patience ? berth.boot_guess : 0;
+  const auto ahead = static_cast<Span>(berth.pending_count);
+  const Span lanes = static_cast<Span>(std::max(usable, plan.least)) * plan.slots;
+  const Span expected = ahead * berth.serve_guess / std::max<Span>(1, lanes);
+  return expected > ask.patience ? expected : 0;
+}
+
+void Stevedore::make_room(Berth &berth, const BerthPlan &plan, const std::string &tenant, Outbox &out) {
+  if (berth.pending_count < plan.pending_most) return;
+  auto longest = berth.pending.end();
+  for (auto line = berth.pending.begin(); line != berth.pending.end(); ++line)
+    if (longest == berth.pending.end() || line->second.size() > longest->second.size()) longest = line;
+  if (longest == berth.pending.end() || longest->first == tenant ||
+      longest->second.size() <= berth.pending[tenant].size() + 1)
+    return;
+  const Waiting &last = longest->second.back();
+  refuse(last.ask, last.pilot, seconds(1), "pending-full", out);
+  longest->second.pop_back();
+  --berth.pending_count;
+}
+
+void Stevedore::handle(NodeId from, const SlotAsk &ask, Instant now, Outbox &out) {
+  const auto found = berths_.find(ask.service);
+  const auto plan = plans_.find(ask.service);
+  if (found == berths_.end() || plan == plans_.end() || now >= fresh_until_) {
+    SlotSay say;
+    say.errand = ask.errand;
+    say.service = ask.service;
+    say.epoch = roster_.epoch;
+    say.state = static_cast<std::uint8_t>(SlotState::not_mine);
+    out.push_back({from, {}, say});
+    return;
+  }
+  Berth &berth = found->second;
+  auto held = berth.granted.find(ask.errand);
+  if (held != berth.granted.end() && ask.is_second && held->second == ask.avoid) {
+    const auto hull = berth.hulls.find(held->second);
+    if (hull != berth.hulls.end()) hull->second.taken.erase(ask.errand);
+    berth.granted.erase(held);
+    held = berth.granted.end();
+  }
+  if (held != berth.granted.end()) {
+    SlotSay say;
+    say.errand = ask.errand;
+    say.service = ask.service;
+    say.runner = held->second;
+    say.address = berth.hulls[held->second].address;
+    say.seal_key = berth.hulls[held->second].seal_key;
+    say.epoch = roster_.epoch;
+    out.push_back({from, {}, say});
+    return;
+  }
+  auto &line = berth.pending[ask.tenant];
+  for (const Waiting &waiting : line)
+    if (waiting.ask.errand == ask.errand) return;
+  if (ask.is_second) {
+    if (berth.seconds_budget < 1.0) {
+      refuse(ask, from, seconds(1), "second-tries-spent", out);
+      return;
+    }
+    berth.seconds_budget -= 1.0;
+  } else {
+    berth.seconds_budget = std::min(options_.second_most, berth.seconds_budget + options_.second_share);
+  }
+  if (const Span wait = berth.is_learning ? 0 : hopeless_for(berth, plan->second, ask); wait > 0) {
+    berth.high = std::max(berth.high, 1u);
+    berth.target = std::max(berth.target, 1u);
+    berth.high_at = now;
+    refuse(ask, from, wait, "no-runner-in-time", out);
+    return;
+  }
+  make_room(berth, plan->second, ask.tenant, out);
+  if (berth.pending_count >= plan->second.pending_most) {
+    refuse(ask, from, seconds(1), "pending-full", out);
+    return;
+  }
+  if (line.empty()) berth.turns.push_back(ask.tenant);
+  line.push_back({ask, from, now + ask.patience});
+  ++berth.pending_count;
+  serve(ask.service, berth, now, out);
+  rescale(berth, plan->second, now);
+}
+
+Stevedore::Hull *Stevedore::free_hull(Berth &berth, const BerthPlan &plan, const std::string &avoid,
+                                      Instant now, std::string &id) {
+  Hull *best = nullptr;
+  std::size_t best_load = 0;
+  for (auto &[name, hull] : berth.hulls) {
+    const std::size_t load = hull.taken.size() + hull.unknown;
+    if (hull.is_leaving || hull.must_retire || load >= plan.slots || now < hull.rests_until || name == avoid)
+      continue;
+    if (best == nullptr || load < best_load) {
+      best = &hull;
+      best_load = load;
+      id = name;
+    }
+  }
+  return best;
+}
+
+void Stevedore::grant(const std::string &service, Berth &berth, Waiting waiting, const std::string &runner,
+                      Instant now, Outbox &out) {
+  berth.hulls[runner].taken[waiting.ask.errand] = {waiting.pilot, waiting.deadline, now};
+  berth.granted[waiting.ask.errand] = runner;
+  ++granted_;
+  if (waiting.ask.is_second) ++second_granted_;
+  SlotSay say;
+  say.errand = waiting.ask.errand;
+  say.service = service;
+  say.runner = runner;
+  say.address = berth.hulls[runner].address;
+  say.seal_key = berth.hulls[runner].seal_key;
+  say.epoch = roster_.epoch;
+  out.push_back({waiting.pilot, {}, say});
+}
+
+void Stevedore::serve(const std::string &service, Berth &berth, Instant now, Outbox &out) {
+  if (berth.is_learning || now >= fresh_until_) return;
+  const auto plan = plans_.find(service);
+  if (plan == plans_.end()) return;
+  std::size_t skipped = 0;
+  while (!berth.turns.empty() && skipped < berth.turns.size()) {
+    const std::string tenant = berth.turns.front();
+    berth.turns.pop_front();
+    auto &line = berth.pending[tenant];
+    while (!line.empty() && line.front().deadline <= now) {
+      line.pop_front();
+      --berth.pending_count;
+    }
+    if (line.empty()) {
+      berth.pending.erase(tenant);
+      continue;
+    }
+    std::string runner;
+    if (free_hull(berth, plan->second, line.front().ask.avoid, now, runner) == nullptr) {
+      berth.turns.push_back(tenant);
+      ++skipped;
+      continue;
+    }
+    skipped = 0;
+    Waiting waiting = std::move(line.front());
+    line.pop_front();
+    --berth.pending_count;
+    if (line.empty())
+      berth.pending.erase(tenant);
+    else
+      berth.turns.push_back(tenant);
+    grant(service, berth, std::move(waiting), runner, now, out);
+  }
+}
+
+void Stevedore::handle(NodeId from, const SlotFree &free, Instant now, Outbox &out) {
+  out.push_back({from, {}, SlotFreed{free.errand, free.service, free.runner}});
+  const auto found = berths_.find(free.service);
+  if (found == berths_.end()) return;
+  Berth &berth = found->second;
+  for (auto line = berth.pending.begin(); line != berth.pending.end(); ++line) {
+    berth.pending_count -= std::erase_if(
+        line->second, [&](const Waiting &waiting) { return waiting.ask.errand == free.errand; });
+  }
+  const auto held = berth.granted.find(free.errand);
+  if (held == berth.granted.end() || (!free.runner.empty() && held->second != free.runner)) return;
+  const auto hull = berth.hulls.find(held->second);
+  const auto end = static_cast<SlotEnd>(free.end);
+  if (hull != berth.hulls.end()) {
+    if (end == SlotEnd::lost) {
+      hull->second.must_retire = true;
+      return;
+    }
+    const auto slot = hull->second.taken.find(free.errand);
+    if (slot != hull->second.taken.end()) {
+      if (end == SlotEnd::answered)
+        berth.serve_guess = (berth.serve_guess * 7 + (now - slot->second.since)) / 8;
+      hull->second.taken.erase(slot);
+    }
+    if (end == SlotEnd::unreached) {
+      hull->second.rests_until = now + options_.unreached_rest;
+      if (++hull->second.strikes >= 3) hull->second.must_retire = true;
+    } else if (end == SlotEnd::answered) {
+      hull->second.strikes = 0;
+    }
+  }
+  berth.granted.erase(held);
+  serve(free.service, berth, now, out);
+}
+
+void Stevedore::handle(NodeId from, const InventorySay &say, Instant now, Outbox &out) {
+  const auto found = berths_.find(say.service);
+  if (found == berths_.end() || !found->second.is_learning || say.epoch < found->second.since) return;
+  Berth &berth = found->second;
+  for (const HeldSlot &held : say.held) {
+    berth.hulls[held.runner].taken[held.errand] = {from, now + held.left, now};
+    berth.granted[held.errand] = held.runner;
+  }
+  if (!roster_.past.empty() && owner_in(roster_.past.back().pilots, say.service) == from) {
+    for (const HeldSlot &held : say.berth_held) {
+      berth.hulls[held.runner].taken[held.errand] = {held.pilot, now + held.left, now};
+      berth.granted[held.errand] = held.runner;
+    }
+    for (const std::string &runner : say.doubtful) berth.hulls[runner].must_retire = true;
+    berth.is_inherited = say.is_former_owner;
+  }
+  berth.heard.insert(from);
+  tick(now, out);
+}
+
+void Stevedore::finish_learning(const std::string &service, Berth &berth, Instant now) {
+  const BerthPlan &plan = plans_.at(service);
+  berth.is_learning = false;
+  const bool is_whole =
+      std::includes(berth.heard.begin(), berth.heard.end(), berth.expected.begin(), berth.expected.end());
+  if (roster_.is_first || berth.is_inherited || is_whole) return;
+  for (auto &[id, hull] : berth.hulls) {
+    hull.unknown =
+        hull.taken.size() < plan.slots ? plan.slots - static_cast<std::uint32_t>(hull.taken.size()) : 0;
+    hull.rests_until = now;
+    hull.must_retire = true;
+  }
+}
+
+void Stevedore::tick(Instant now, Outbox &out) {
+  for (auto &[service, berth] : berths_) {
+    const auto plan = plans_.find(service);
+    if (plan == plans_.end()) continue;
+    if (berth.is_learning) {
+      if (now - berth.asked_at >= options_.inventory_again || berth.asked_at == 0) {
+        berth.asked_at = now;
+        for (NodeId pilot : berth.expected)
+          if (!berth.heard.contains(pilot)) out.push_back({pilot, {}, InventoryAsk{service, roster_.epoch}});
+      }
+      if (settled_ >= berth.since && berth.settled_at == 0) berth.settled_at = now;
+      const bool is_whole =
+          roster_.is_first || berth.is_inherited ||
+          std::includes(berth.heard.begin(), berth.heard.end(), berth.expected.begin(), berth.expected.end());
+      if (berth.settled_at != 0 && (is_whole || now - berth.settled_at >= options_.inventory_patience))
+        finish_learning(service, berth, now);
+    }
+    for (auto &[id, hull] : berth.hulls)
+      for (const auto &[errand, slot] : hull.taken)
+        if (now > slot.deadline + options_.free_grace) hull.must_retire = true;
+    serve(service, berth, now, out);
+    rescale(berth, plan->second, now);
+  }
+}
+
+void Stevedore::rescale(Berth &berth, const BerthPlan &plan, Instant now) {
+  const auto demand = static_cast<std::uint32_t>(taken(berth) + berth.pending_count);
+  std::uint32_t need = (demand + plan.slots - 1) / plan.slots;
+  if (demand * 5 >= need * plan.slots * 4 && demand > 0) ++need;
+  need = std::clamp(need, plan.least, plan.most);
+  if (need >= berth.target) {
+    if (need > berth.target && berth.short_since == 0) berth.short_since = now;
+    berth.target = need;
+    berth.high = need;
+    berth.high_at = now;
+  } else {
+    berth.high = std::max(berth.high == berth.target ? 0u : berth.high, need);
+    if (now - berth.high_at >= plan.idle) {
+      berth.target = std::max(berth.high, plan.least);
+      berth.high = berth.target;
+      berth.high_at = now;
+    }
+  }
+  berth.target = std::clamp(berth.target, plan.least, plan.most);
+}
+
+std::vector<Want> Stevedore::wants(Instant now) const {
+  std::vector<Want> list;
+  if (now >= fresh_until_) return list;
+  for (const auto &[service, berth] : berths_) {
+    if (!plans_.contains(service)) continue;
+    Want want;
+    want.service = service;
+    want.runners = berth.target;
+    want.epoch = berth.since;
+    want.pending = static_cast<std::uint32_t>(berth.pending_count);
+    want.taken = taken(berth);
+    for (const auto &[id, hull] : berth.hulls) {
+      if (hull.must_retire && !hull.is_leaving) want.retire.push_back(id);
+      const bool is_busy = std::any_of(hull.taken.begin(), hull.taken.end(), [&](const auto &slot) {
+        return now <= slot.second.deadline + options_.free_grace;
+      });
+      if (hull.is_leaving && !is_busy && !berth.is_learning) want.idle.push_back(id);
+    }
+    list.push_back(std::move(want));
+  }
+  return list;
+}
+
+} // namespace wharf
--- /dev/null
+++ b/packages/berth/berth.hpp
@@ -0,0 +1,119 @@
+#pragma once
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+
+#include "signals/signals.hpp"
+
+namespace wharf {
+
+/// What a stevedore must know of a service from the manifest in force.
+struct BerthPlan {
+  std::uint32_t slots = 1, least = 0, most = 1, worth = 1, pending_most = 256;
+  Span idle = seconds(30), wait_most = seconds(30);
+  bool operator==(const BerthPlan &) const = default;
+};
+
+struct BerthOptions {
+  Span inventory_patience = milliseconds(500);
+  Span inventory_again = milliseconds(100);
+  Span free_grace = seconds(1);
+  Span unreached_rest = milliseconds(500);
+  double second_share = 0.15;
+  double second_most = 3;
+  Span boot_guess = milliseconds(1500);
+};
+
+/// Sole owner of services' pending errands, runner slots, second-try budget and scaling; a pure state
+/// machine.
+class Stevedore {
+public:
+  Stevedore(NodeId self, BerthOptions options);
+  void set_plans(std::map<std::string, BerthPlan> plans, Instant now, Outbox &out);
+  void set_roster(const Roster &roster, Epoch settled, Instant now, Outbox &out);
+  void set_runners(const std::vector<RunnerView> &runners, Instant now, Outbox &out);
+  void set_fresh_until(Instant until) { fresh_until_ = until; }
+  void step(NodeId from, const Signal &signal, Instant now, Outbox &out);
+  void tick(Instant now, Outbox &out);
+  /// What the leader should settle for the services owned here.
+  std::vector<Want> wants(Instant now) const;
+
+  /// Adds what this node knew of a service as its owner before `epoch`, when that is whole.
+  void describe_former(const std::string &service, Epoch epoch, Instant now, InventorySay &say) const;
+  std::size_t pending(const std::string &service) const;
+  std::size_t slots_taken(const std::string &runner) const;
+  std::uint64_t granted() const { return granted_; }
+  std::uint64_t second_granted() const { return second_granted_; }
+
+private:
+  struct Slot {
+    NodeId pilot = 0;
+    Instant deadline = 0, since = 0;
+  };
+  struct Hull {
+    bool is_leaving = false, must_retire = false;
+    std::string address, seal_key;
+    std::map<std::string, Slot> taken;
+    std::uint32_t unknown = 0;
+    Instant rests_until = 0;
+    std::uint32_t strikes = 0;
+  };
+  struct Waiting {
+    SlotAsk ask;
+    NodeId pilot = 0;
+    Instant deadline = 0;
+  };
+  struct Berth {
+    Epoch since = 0;
+    bool is_learning = true;
+    Instant settled_at = 0, asked_at = 0;
+    std::set<NodeId> heard, expected;
+    bool is_inherited = false;
+    std::map<std::string, Hull> hulls;
+    std::map<std::string, std::string> granted;
+    std::map<std::string, std::deque<Waiting>> pending;
+    std::deque<std::string> turns;
+    std::size_t pending_count = 0;
+    double seconds_budget = 1;
+    std::uint32_t target = 0, high = 0;
+    Instant high_at = 0, short_since = 0;
+    Span serve_guess = milliseconds(50), boot_guess = 0;
+  };
+
+  void handle(NodeId from, const SlotAsk &ask, Instant now, Outbox &out);
+  void handle(NodeId from, const SlotFree &free, Instant now, Outbox &out);
+  void handle(NodeId from, const InventorySay &say, Instant now, Outbox &out);
+  void begin(const std::string &service, Instant now);
+  void finish_learning(const std::string &service, Berth &berth, Instant now);
+  void serve(const std::string &service, Berth &berth, Instant now, Outbox &out);
+  Hull *free_hull(Berth &berth, const BerthPlan &plan, const std::string &avoid, Instant now,
+                  std::string &id);
+  void refuse(const SlotAsk &ask, NodeId pilot, Span retry_after, std::string why, Outbox &out);
+  void grant(const std::string &service, Berth &berth, Waiting waiting, const std::string &runner,
+             Instant now, Outbox &out);
+  void make_room(Berth &berth, const BerthPlan &plan, const std::string &tenant, Outbox &out);
+  void rescale(Berth &berth, const BerthPlan &plan, Instant now);
+  Span hopeless_for(const Berth &berth, const BerthPlan &plan, const SlotAsk &ask) const;
+  std::uint32_t taken(const Berth &berth) const;
+  NodeId owner_in(const std::vector<NodeId> &pilots, const std::string &service) const;
+  bool was_owner_since(Epoch epoch, const std::string &service) const;
+
+  NodeId self_;
+  BerthOptions options_;
+  std::map<std::string, BerthPlan> plans_;
+  std::map<std::string, Berth> berths_;
+  struct Former {
+    Epoch until = 0;
+    Instant lost_at = 0;
+    Berth berth;
+  };
+  std::map<std::string, Former> former_;
+  std::vector<RunnerView> runners_;
+  Roster roster_;
+  Epoch settled_ = 0;
+  Instant fresh_until_ = 0;
+  std::uint64_t granted_ = 0, second_granted_ = 0;
+};
+
+} // namespace wharf
--- /dev/null
+++ b/packages/bosun/options.cpp
@@ -0,0 +1,199 @@
+#include "bosun/options.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <map>
+#include <popt.h>
+#include <sstream>
+
+#include "hawser/hawser.hpp"
+
+namespace wharf {
+
+namespace {
+bool is_any(std::string_view) { return true; }
+bool is_word(std::string_view text) {
+  return !text.empty() && text.size() <= 32 &&
+         std::all_of(text.begin(), text.end(), [](unsigned char letter) {
+           return std::isalnum(letter) || letter == '-' || letter == '_';
+         });
+}
+bool is_address_or_none(std::string_view text) { return text.empty() || is_address(text); }
+bool is_level(std::string_view text) {
+  return text == "trace" || text == "debug" || text == "info" || text == "warning" || text == "error";
+}
+std::vector<std::string> split_commas(std::string_view text) {
+  std::vector<std::string> parts;
+  while (!text.empty()) {
+    const auto comma = text.find(',');
+    parts.emplace_back(text.substr(0, comma));
+    if (comma == std::string_view::npos) break;
+    text.remove_prefix(comma + 1);
+  }
+  return parts;
+}
+bool is_seeds(std::string_view text) {
+  const auto parts = split_commas(text);
+  return (parts.size() == 1 || parts.size() == 3) && std::all_of(parts.begin(), parts.end(), is_address);
+}
+
+struct Given {
+  std::string value, place;
+};
+
+std::string trim(std::string_view text) {
+  const auto from = text.find_first_not_of(" \t\r");
+  if (from == std::string_view::npos) return {};
+  return std::string(text.substr(from, text.find_last_not_of(" \t\r") - from + 1));
+}
+
+void read_file(const std::string &path, std::map<std::string, Given> &given,
+               std::vector<std::string> &faults) {
+  std::ifstream file(path);
+  if (!file) {
+    faults.push_back(path + ": cannot be read");
+    return;
+  }
+  std::string line;
+  for (int number = 1; std::getline(file, line); ++number) {
+    const std::string text = trim(line);
+    if (text.empty() || text.front() == '#') continue;
+    const std::string place = path + ":" + std::to_string(number);
+    const auto equals = text.find('=');
+    if (equals == std::string::npos) {
+      faults.push_back(place + ": 'name = value' is expected");
+      continue;
+    }
+    const std::string name = trim(text.substr(0, equals));
+    if (given.contains(name)) faults.push_back(place + ": '" + name + "' is given twice");
+    given[name] = {trim(text.substr(equals + 1)), place};
+  }
+}
+
+bool fits(ProgramKind kind, std::string_view name) {
+  const bool is_harbour_only =
+      name == "data" || name == "platform" || name == "operator_token" || name == "pace";
+  return kind == ProgramKind::harbourd || !is_harbour_only;
+}
+
+struct Known {
+  std::string name, meaning, start;
+};
+
+#define WHARF_KNOWN_TEXT(name, start, check, meaning) {#name, meaning, start},
+#define WHARF_KNOWN_NUMBER(name, start, least, most, meaning) {#name, meaning, #start},
+const std::vector<Known> &known_options() {
+  static const std::vector<Known> list = {WHARF_PROCESS_OPTIONS(WHARF_KNOWN_TEXT, WHARF_KNOWN_NUMBER)};
+  return list;
+}
+} // namespace
+
+bool is_address(std::string_view text) {
+  std::string ip;
+  int port = 0;
+  return split_address(text, ip, port) && port > 0;
+}
+
+std::vector<std::string> ProcessOptions::seed_list() const { return split_commas(seeds); }
+
+std::variant<Launch, EndNow> read_launch(ProgramKind kind, int count, const char **words) {
+  const std::string program = kind == ProgramKind::pilotd ? "pilotd" : "harbourd";
+  Launch launch;
+  std::vector<std::string> faults;
+  std::map<std::string, Given> given, flags;
+
+  std::vector<Known> offered;
+  for (const Known &known : known_options())
+    if (fits(kind, known.name)) offered.push_back(known);
+  std::vector<std::string> long_names;
+  for (const Known &known : offered) {
+    long_names.push_back(known.name);
+    std::replace(long_names.back().begin(), long_names.back().end(), '_', '-');
+  }
+  std::vector<poptOption> table;
+  constexpr int first_option = 100;
+  table.push_back(
+      {"options", 'o', POPT_ARG_STRING, nullptr, 1, "Options file of 'name = value' lines", "FILE"});
+  table.push_back({"check", 0, POPT_ARG_NONE, nullptr, 2, "Check the options and end", nullptr});
+  table.push_back({"version", 0, POPT_ARG_NONE, nullptr, 3, "Print the version and end", nullptr});
+  table.push_back({"help", 'h', POPT_ARG_NONE, nullptr, 4, "Print this and end", nullptr});
+  for (std::size_t at = 0; at < offered.size(); ++at)
+    table.push_back({long_names[at].c_str(), 0, POPT_ARG_STRING, nullptr, first_option + static_cast<int>(at),
+                     offered[at].meaning.c_str(), "VALUE"});
+  table.push_back({nullptr, 0, 0, nullptr, 0, nullptr, nullptr});
+
+  poptContext context = poptGetContext(program.c_str(), count, words, table.data(), 0);
+  int code = 0;
+  bool wants_help = false, wants_version = false;
+  while ((code = poptGetNextOpt(context)) >= 0) {
+    char *argument = poptGetOptArg(context);
+    const std::string value = argument == nullptr ? "" : argument;
+    free(argument);
+    if (code == 1)
+      read_file(value, given, faults);
+    else if (code == 2)
+      launch.is_check_only = true;
+    else if (code == 3)
+      wants_version = true;
+    else if (code == 4)
+      wants_help = true;
+    else
+      flags[offered[static_cast<std::size_t>(code - first_option)].name] = {
+          value, "--" + long_names[static_cast<std::size_t>(code - first_option)]};
+  }
+  if (code < -1)
+    faults.push_back(std::string(poptBadOption(context, POPT_BADOPTION_NOALIAS)) + ": " + poptStrerror(code));
+  if (const char *rest = poptGetArg(context))
+    faults.push_back(std::string("'") + rest + "' is not an option");
+  poptFreeContext(context);
+
+  if (wants_version) return EndNow{0, program + " " WHARF_VERSION "\n"};
+  if (wants_help) {
+    std::ostringstream page;
+    page << "Usage: " << program << " [--options FILE] [--NAME VALUE ...] [--check] [--version] [--help]\n\n";
+    for (std::size_t at = 0; at < offered.size(); ++at)
+      page << "  --" << long_names[at] << "\n      " << offered[at].meaning
+           << (offered[at].start.empty() ? "" : " Default: " + offered[at].start + ".") << "\n";
+    return EndNow{0, page.str()};
+  }
+  for (const auto &[name, item] : flags) given[name] = item;
+  ProcessOptions &options = launch.options;
+#define WHARF_TAKE_TEXT(name, start, check, meaning)                                                         \
+  if (const auto found = given.find(#name); found != given.end()) {                                          \
+    if (!fits(kind, #name))                                                                                  \
+      faults.push_back(found->second.place + ": '" #name "' is not for " + program);                         \
+    else if (!check(found->second.value))                                                                    \
+      faults.push_back(found->second.place + ": '" + found->second.value +                                   \
+                       "' will not do for " #name ". " meaning);                                             \
+    options.name = found->second.value;                                                                      \
+    given.erase(found);                                                                                      \
+  } else if (fits(kind, #name) && !check(options.name)) {                                                    \
+    faults.push_back("--" #name ": is missing. " meaning);                                                   \
+  }
+#define WHARF_TAKE_NUMBER(name, start, least, most, meaning)                                                 \
+  if (const auto found = given.find(#name); found != given.end()) {                                          \
+    const std::string &text = found->second.value;                                                           \
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), options.name);                 \
+    if (read.ec != std::errc() || read.ptr != text.data() + text.size() || options.name < least ||           \
+        options.name > most)                                                                                 \
+      faults.push_back(found->second.place + ": " #name " must be from " #least " to " #most);               \
+    given.erase(found);                                                                                      \
+  }
+  WHARF_PROCESS_OPTIONS(WHARF_TAKE_TEXT, WHARF_TAKE_NUMBER)
+  for (const auto &[name, item] : given) faults.push_back(item.place + ": unknown option '" + name + "'");
+  if (kind == ProgramKind::harbourd) {
+    if (options.data.empty()) faults.push_back("--data: is missing. Data folder; harbourd only.");
+    if (options.operator_token.size() < 8)
+      faults.push_back("--operator-token: at least 8 letters are needed.");
+  }
+  if (!faults.empty()) {
+    std::string text;
+    for (const std::string &fault : faults) text += program + ": " + fault + "\n";
+    return EndNow{2, text};
+  }
+  if (launch.is_check_only) return EndNow{0, program + ": options are fine\n"};
+  return launch;
+}
+
+} // namespace wharf
--- /dev/null
+++ b/packages/bosun/options.hpp
@@ -0,0 +1,50 @@
+#pragma once
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace wharf {
+
+/// Every option of our daemons, declared once: name, default, check, meaning.
+#define WHARF_PROCESS_OPTIONS(TEXT, NUMBER)                                                                  \
+  TEXT(address, "", is_address, "Address other processes of ours reach this one at, ip:port.")               \
+  TEXT(http, "", is_address, "Address the HTTP side listens on, ip:port.")                                   \
+  TEXT(zone, "a", is_word, "Zone this machine is in.")                                                       \
+  TEXT(seeds, "", is_seeds, "One or three addresses of other processes, separated by commas.")               \
+  TEXT(data, "", is_any, "Data folder; harbourd only.")                                                      \
+  TEXT(platform, "", is_address_or_none, "Address of the platform's API, ip:port; harbourd only.")           \
+  TEXT(operator_token, "", is_any, "Token operators present; harbourd only.")                                \
+  TEXT(log_level, "info", is_level, "trace, debug, info, warning or error.")                                 \
+  NUMBER(threads, 192, 4, 4096, "Threads at the HTTP door.")                                                 \
+  NUMBER(pace, 80, 1, 10000, "Starts and stops the platform allows a second; harbourd only.")
+
+#define WHARF_OPTION_TEXT(name, start, check, meaning) std::string name = start;
+#define WHARF_OPTION_NUMBER(name, start, least, most, meaning) std::int64_t name = start;
+
+/// A daemon's options after reading file and flags.
+struct ProcessOptions {
+  WHARF_PROCESS_OPTIONS(WHARF_OPTION_TEXT, WHARF_OPTION_NUMBER)
+  std::vector<std::string> seed_list() const;
+};
+
+/// What the command line asked for.
+struct Launch {
+  ProcessOptions options;
+  bool is_check_only = false;
+};
+/// The program should end now with this code, having printed this.
+struct EndNow {
+  int code = 0;
+  std::string text;
+};
+
+enum class ProgramKind : std::uint8_t { pilotd, harbourd };
+
+/// Reads `--options FILE` and flags (flags win); names every fault with its file and line or its flag.
+std::variant<Launch, EndNow> read_launch(ProgramKind kind, int count, const char **words);
+
+bool is_address(std::string_view text);
+
+} // namespace wharf
--- /dev/null
+++ b/packages/harbour/harbour.cpp
@@ -0,0 +1,864 @@
+#include "harbour/harbour.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "seal/seal.hpp"
+
+namespace wharf {
+
+namespace {
+using Json = nlohmann::json;
+
+bool is_harbour(const Member &member) { return member.role == static_cast<std::uint8_t>(Role::harbour); }
+
+std::string faults_json(const std::vector<Fault> &faults) {
+  Json list = Json::array();
+  for (const Fault &fault : faults) list.push_back({{"path", fault.path}, {"what", fault.what}});
+  return Json{{"outcome", "not-taken"}, {"faults", list}}.dump(2) + "\n";
+}
+
+/// Reads `"v12"`, `v12` or `12`; nothing when it names no version.
+std::optional<Version> version_of_tag(std::string_view tag) {
+  while (!tag.empty() && (tag.front() == '"' || tag.front() == ' ' || tag.front() == 'v'))
+    tag.remove_prefix(1);
+  while (!tag.empty() && (tag.back() == '"' || tag.back() == ' ')) tag.remove_suffix(1);
+  if (tag.empty() || tag.size() > 18 || tag.find_first_not_of("0123456789") != std::string_view::npos)
+    return std::nullopt;
+  return std::stoull(std::string(tag));
+}
+} // namespace
+
+Harbour::Harbour(Member self, std::vector<std::string> seeds, HarbourOptions options, std::uint64_t seed,
+                 const Recovered &recovered, Instant now)
+    : self_(self), options_(options), rollcall_(self, std::move(seeds), RollcallOptions{}),
+      convoy_(self.id, options.convoy, seed, recovered, now), dice_(seed ^ (self.id * 31)) {
+  registry_.load(recovered.picture.body);
+  applied_ = recovered.picture.index;
+  if (convoy_.group() != 0) rollcall_.set_group(convoy_.group());
+}
+
+std::optional<std::uint64_t> Harbour::propose(const Command &command, Instant now, HarbourOutput &out) {
+  ConvoyOutput step;
+  const auto index = convoy_.propose(pack_command(command), now, step);
+  absorb(std::move(step), now, out);
+  return index;
+}
+
+void Harbour::absorb(ConvoyOutput &&step, Instant now, HarbourOutput &out) {
+  std::move(step.mail.begin(), step.mail.end(), std::back_inserter(out.mail));
+  std::move(step.saves.begin(), step.saves.end(), std::back_inserter(out.saves));
+  if (step.load) {
+    registry_.load(step.load->body);
+    applied_ = step.load->index;
+    charter_version_ = 0;
+  }
+  if (step.has_role_changed) lead_changed(now, out);
+  for (const Entry &entry : step.committed) apply(entry, now, out);
+  if (registry_.version() != charter_version_) {
+    charter_version_ = registry_.version();
+    auto read = read_charter(registry_.manifest());
+    if (auto *charter = std::get_if<std::shared_ptr<const Charter>>(&read)) charter_ = *charter;
+    if (convoy_.is_leader()) push_orders(now, out);
+  }
+}
+
+void Harbour::lead_changed(Instant now, HarbourOutput &out) {
+  const bool is_leader = convoy_.is_leader();
+  if (is_leader == was_leader_) return;
+  was_leader_ = is_leader;
+  seats_.clear();
+  notes_.clear();
+  views_.clear();
+  ++views_stamp_;
+  platform_ = {};
+  platform_at_ = 0;
+  is_roster_proposed_ = is_runners_proposed_ = is_secret_proposed_ = false;
+  roster_differs_since_ = 0;
+  if (is_leader) {
+    floor_ = now + options_.fresh + options_.drift;
+    clock_at_ = now;
+    pace_at_ = now;
+    pace_ = 0;
+    out.lines.push_back("leads in term " + std::to_string(convoy_.term()));
+    return;
+  }
+  out.lines.push_back("no longer leads");
+  for (const auto &[index, proposal] : proposals_)
+    if (proposal.operator_ticket != 0)
+      refuse_operator(proposal.operator_ticket, 503, "unknown",
+                      "the lead was lost before the outcome was known", out);
+  proposals_.clear();
+  for (const WaitingWrite &write : writes_)
+    refuse_operator(write.ticket, 503, "unknown", "the lead was lost before every pilot had switched", out);
+  writes_.clear();
+  for (const WaitingRead &read : reads_)
+    refuse_operator(read.ask.ticket, 503, "not-read", "the lead was lost", out);
+  reads_.clear();
+}
+
+void Harbour::apply(const Entry &entry, Instant now, HarbourOutput &out) {
+  applied_ = entry.index;
+  bytes_since_picture_ += entry.body.size() + 64;
+  Applied applied;
+  if (entry.kind == static_cast<std::uint8_t>(EntryKind::command)) {
+    Command command;
+    if (unpack_command(entry.body, command)) applied = registry_.apply(command);
+  }
+  if (entry.index == roster_index_) is_roster_proposed_ = false;
+  if (entry.index == runners_index_) is_runners_proposed_ = false;
+  const auto found = proposals_.find(entry.index);
+  if (found == proposals_.end()) return;
+  Proposal proposal = std::move(found->second);
+  proposals_.erase(found);
+  if (proposal.term != entry.term) {
+    if (proposal.operator_ticket != 0)
+      refuse_operator(proposal.operator_ticket, 503, "not-taken", "another leader's entry took its place",
+                      out);
+    return;
+  }
+  if (proposal.is_claim) out.mail.push_back({proposal.pilot, {}, applied.claim});
+  if (proposal.is_close) out.mail.push_back({proposal.pilot, {}, CloseSay{proposal.errand}});
+  if (proposal.operator_ticket == 0) return;
+  if (!applied.is_taken) {
+    if (proposal.ask.verb == OperatorVerb::patch_manifest && proposal.ask.if_match.empty()) {
+      write_manifest(std::move(proposal.ask), now, out);
+      return;
+    }
+    OperatorSay say{proposal.operator_ticket, 412, applied.version, {}, {}};
+    say.body =
+        Json{{"outcome", "not-taken"}, {"why", "another version is in force"}, {"version", applied.version}}
+            .dump(2) +
+        "\n";
+    out.answers.push_back(std::move(say));
+    return;
+  }
+  writes_.push_back({proposal.operator_ticket, applied.version});
+  push_orders(now, out);
+}
+
+void Harbour::receive(const Envelope &envelope, Instant now, HarbourOutput &out) {
+  const Signal &signal = envelope.signal;
+  if (std::holds_alternative<Muster>(signal)) {
+    rollcall_.step(envelope, now, out.mail);
+  } else if (const auto *ask = std::get_if<FoundAsk>(&signal)) {
+    FoundSay say;
+    say.nonce = ask->nonce;
+    say.group = convoy_.group();
+    say.id = self_.id;
+    say.zone = self_.zone;
+    bool knows_group = convoy_.group() != 0;
+    for (const Member &member : rollcall_.living(now)) {
+      if (member.group != 0) {
+        knows_group = true;
+        say.group = member.group;
+      }
+    }
+    say.may_found = !knows_group && ask->seeds == rollcall_.seeds();
+    out.mail.push_back({0, envelope.from_address, say});
+  } else if (const auto *heard = std::get_if<FoundSay>(&signal)) {
+    if (heard->nonce == found_nonce_) seed_says_[envelope.from_address] = {*heard, now};
+  } else if (const auto *order = std::get_if<FoundOrder>(&signal)) {
+    if (convoy_.group() == 0) {
+      ConvoyOutput step;
+      convoy_.found(order->group, order->mates, now, step);
+      rollcall_.set_group(order->group);
+      out.lines.push_back("joins the founding of group " + std::to_string(order->group));
+      absorb(std::move(step), now, out);
+    }
+  } else if (const auto *pulse = std::get_if<Pulse>(&signal)) {
+    answer_pulse(envelope.from, *pulse, now, out);
+  } else if (const auto *claim = std::get_if<ClaimAsk>(&signal)) {
+    const auto index =
+        is_leading() ? propose(PutClaim{claim->key, claim->errand, claim->digest}, now, out) : std::nullopt;
+    if (!index) {
+      out.mail.push_back({envelope.from, {}, NotLeader{convoy_.leader()}});
+      return;
+    }
+    Proposal proposal;
+    proposal.term = convoy_.term();
+    proposal.pilot = envelope.from;
+    proposal.is_claim = true;
+    if (*index > applied_) proposals_[*index] = proposal;
+  } else if (const auto *close = std::get_if<CloseAsk>(&signal)) {
+    const auto index = is_leading() ? propose(PutClose{*close}, now, out) : std::nullopt;
+    if (!index) {
+      out.mail.push_back({envelope.from, {}, NotLeader{convoy_.leader()}});
+      return;
+    }
+    Proposal proposal;
+    proposal.term = convoy_.term();
+    proposal.pilot = envelope.from;
+    proposal.is_close = true;
+    proposal.errand = close->errand;
+    if (*index > applied_) proposals_[*index] = proposal;
+  } else {
+    ConvoyOutput step;
+    convoy_.step(envelope.from, signal, now, step);
+    absorb(std::move(step), now, out);
+    if (convoy_.is_leader()) {
+      settle_reads(now, out);
+      settle_writes(now, out);
+    }
+  }
+}
+
+void Harbour::saved(std::uint64_t ticket, Instant now, HarbourOutput &out) {
+  ConvoyOutput step;
+  convoy_.saved(ticket, now, step);
+  absorb(std::move(step), now, out);
+  compact_if_due(out);
+}
+
+void Harbour::disk_failed(Instant now, HarbourOutput &out) {
+  ConvoyOutput step;
+  convoy_.disk_failed(now, step);
+  absorb(std::move(step), now, out);
+  out.lines.push_back("the disk refused a write");
+}
+
+void Harbour::set_leaving(Instant now, HarbourOutput &out) {
+  rollcall_.set_leaving();
+  ConvoyOutput step;
+  convoy_.step_down(now, step);
+  absorb(std::move(step), now, out);
+}
+
+void Harbour::answer_pulse(NodeId from, const Pulse &pulse, Instant now, HarbourOutput &out) {
+  if (!is_leading()) {
+    out.mail.push_back({from, {}, NotLeader{convoy_.leader()}});
+    return;
+  }
+  Seat &seat = seats_[from];
+  seat.last_pulse = now;
+  seat.last_sent_at = std::max(seat.last_sent_at, pulse.sent_at);
+  seat.version = std::max(seat.version, pulse.version);
+  seat.epoch = std::max(seat.epoch, pulse.epoch);
+  seat.stamp = pulse.runners_term == convoy_.term() ? pulse.runners_stamp : 0;
+  seat.is_leaving = pulse.is_leaving;
+  seat.wants.clear();
+  for (const Want &want : pulse.wants) seat.wants[want.service] = want;
+  Orders orders = orders_for(seat, now);
+  orders.sent_at = pulse.sent_at;
+  seat.permit_until = now + options_.fresh + options_.drift;
+  out.mail.push_back({from, {}, std::move(orders)});
+  settle_writes(now, out);
+}
+
+Orders Harbour::orders_for(const Seat &seat, Instant now) const {
+  Orders orders;
+  orders.age = now - std::min(now, convoy_.confirmed_at(now));
+  orders.term = convoy_.term();
+  orders.version = registry_.version();
+  if (seat.version < orders.version) {
+    orders.has_manifest = true;
+    orders.manifest = registry_.manifest();
+  }
+  orders.roster = registry_.roster();
+  orders.settled = settled_epoch(now);
+  if (platform_at_ != 0 && seat.stamp != views_stamp_) {
+    orders.has_runners = true;
+    orders.runners_stamp = views_stamp_;
+    orders.runners = views_;
+  }
+  return orders;
+}
+
+void Harbour::push_orders(Instant now, HarbourOutput &out) {
+  if (!is_leading()) return;
+  for (auto &[pilot, seat] : seats_) {
+    if (now - seat.last_pulse > options_.fresh * 2) continue;
+    out.mail.push_back({pilot, {}, orders_for(seat, now)});
+    seat.stamp = views_stamp_;
+  }
+}
+
+Version Harbour::settled_version(Instant now) const {
+  if (!is_leading() || now < floor_) return 0;
+  Version lowest = registry_.version();
+  for (const auto &[pilot, seat] : seats_)
+    if (seat.permit_until > now) lowest = std::min(lowest, seat.version);
+  return lowest;
+}
+
+Epoch Harbour::settled_epoch(Instant now) const {
+  if (!is_leading() || now < floor_) return 0;
+  Epoch lowest = registry_.roster().epoch;
+  for (const auto &[pilot, seat] : seats_)
+    if (seat.permit_until > now) lowest = std::min(lowest, seat.epoch);
+  return lowest;
+}
+
+void Harbour::settle_writes(Instant now, HarbourOutput &out) {
+  if (writes_.empty()) return;
+  const Version settled = settled_version(now);
+  std::erase_if(writes_, [&](const WaitingWrite &write) {
+    if (write.version > settled) return false;
+    OperatorSay say{write.ticket, 200, write.version, {}, {}};
+    say.body = Json{{"outcome", "taken"}, {"version", write.version}}.dump(2) + "\n";
+    out.answers.push_back(std::move(say));
+    return true;
+  });
+}
+
+void Harbour::settle_reads(Instant now, HarbourOutput &out) {
+  if (reads_.empty() || !is_leading()) return;
+  const Instant confirmed = convoy_.confirmed_at(now);
+  std::erase_if(reads_, [&](const WaitingRead &read) {
+    if (confirmed < read.asked_at) return false;
+    OperatorSay say{read.ask.ticket, 200, registry_.version(), {}, {}};
+    if (read.ask.verb == OperatorVerb::get_manifest) {
+      say.body = registry_.manifest();
+      if (registry_.version() == 0) {
+        say.status = 404;
+        say.body = "{\"why\": \"no manifest has been taken yet\"}\n";
+      }
+    } else {
+      say.body =
+          Json{{"version", registry_.version()}, {"settled_version", settled_version(now)}}.dump(2) + "\n";
+    }
+    out.answers.push_back(std::move(say));
+    return true;
+  });
+}
+
+void Harbour::refuse_operator(std::uint64_t ticket, int status, std::string outcome, std::string why,
+                              HarbourOutput &out) {
+  OperatorSay say{ticket, status, registry_.version(), {}, {}};
+  say.body = Json{{"outcome", outcome}, {"why", why}}.dump(2) + "\n";
+  out.answers.push_back(std::move(say));
+}
+
+std::string Harbour::leader_http() const {
+  const Member *member = rollcall_.find(convoy_.leader());
+  return member == nullptr || convoy_.leader() == self_.id ? std::string() : member->http;
+}
+
+void Harbour::operate(OperatorAsk ask, Instant now, HarbourOutput &out) {
+  if (!is_leading()) {
+    OperatorSay say{ask.ticket, 503, 0, {}, leader_http()};
+    say.body = Json{{"outcome", ask.verb >= OperatorVerb::put_manifest ? "not-taken" : "not-read"},
+                    {"why", "no leader is known here"}}
+                   .dump(2) +
+               "\n";
+    out.answers.push_back(std::move(say));
+    return;
+  }
+  switch (ask.verb) {
+  case OperatorVerb::get_manifest:
+  case OperatorVerb::get_version:
+    reads_.push_back({std::move(ask), now});
+    settle_reads(now, out);
+    return;
+  case OperatorVerb::get_status:
+    out.answers.push_back({ask.ticket, 200, registry_.version(), status_json(now), {}});
+    return;
+  case OperatorVerb::put_manifest:
+  case OperatorVerb::patch_manifest:
+    write_manifest(std::move(ask), now, out);
+    return;
+  }
+}
+
+void Harbour::write_manifest(OperatorAsk ask, Instant now, HarbourOutput &out) {
+  if (!ask.write_id.empty()) {
+    if (const Version earlier = registry_.version_of_write(ask.write_id); earlier != 0) {
+      writes_.push_back({ask.ticket, earlier});
+      settle_writes(now, out);
+      return;
+    }
+  }
+  PutManifest put;
+  put.write_id = ask.write_id;
+  put.base = registry_.version();
+  bool is_bound = ask.verb == OperatorVerb::patch_manifest;
+  if (!ask.if_match.empty() && ask.if_match != "*") {
+    const auto version = version_of_tag(ask.if_match);
+    if (!version || *version != registry_.version()) {
+      OperatorSay say{ask.ticket, 412, registry_.version(), {}, {}};
+      say.body = Json{{"outcome", "not-taken"},
+                      {"why", "another version is in force"},
+                      {"version", registry_.version()}}
+                     .dump(2) +
+                 "\n";
+      out.answers.push_back(std::move(say));
+      return;
+    }
+    is_bound = true;
+  }
+  put.bytes = ask.body;
+  std::optional<CharterErrors> errors;
+  if (ask.verb == OperatorVerb::patch_manifest) {
+    auto merged = merge_charter(registry_.manifest(), ask.body);
+    if (auto *faults = std::get_if<CharterErrors>(&merged))
+      errors = *faults;
+    else
+      put.bytes = std::get<std::string>(std::move(merged));
+  }
+  if (!errors) {
+    auto read = read_charter(put.bytes);
+    if (auto *faults = std::get_if<CharterErrors>(&read)) errors = *faults;
+  }
+  if (errors) {
+    out.answers.push_back(
+        {ask.ticket, errors->is_syntax ? 400 : 422, registry_.version(), faults_json(errors->faults), {}});
+    return;
+  }
+  if (!is_bound || put.base == 0) put.base = 0;
+  Proposal proposal;
+  proposal.term = convoy_.term();
+  proposal.operator_ticket = ask.ticket;
+  proposal.ask = std::move(ask);
+  const std::uint64_t expected = convoy_.last_index() + 1;
+  proposals_[expected] = proposal;
+  if (const auto index = propose(put, now, out); !index) {
+    proposals_.erase(expected);
+    refuse_operator(proposal.operator_ticket, 503, "not-taken", "this mate cannot write now", out);
+  }
+}
+
+void Harbour::tick(Instant now, HarbourOutput &out) {
+  rollcall_.tick(now, out.mail);
+  ConvoyOutput step;
+  convoy_.tick(now, step);
+  absorb(std::move(step), now, out);
+  if (convoy_.group() == 0) {
+    tend_founding(now, out);
+    return;
+  }
+  if (!founded_mates_.empty()) tend_founding(now, out);
+  if (!is_leading()) return;
+  settle_reads(now, out);
+  settle_writes(now, out);
+  if (now < settle_at_) return;
+  settle_at_ = now + options_.settle_every;
+  if (registry_.secret().empty() && !is_secret_proposed_) {
+    is_secret_proposed_ = true;
+    propose(PutSecret{digest_hex(std::to_string(dice_.next()) + std::to_string(convoy_.group()) +
+                                 std::to_string(dice_.next()))},
+            now, out);
+  }
+  if (now - clock_at_ >= options_.clock_every) {
+    propose(PutClock{(now - clock_at_) / 1'000'000}, now, out);
+    clock_at_ = now;
+  }
+  tend_mates(now, out);
+  tend_roster(now, out);
+  tend_runners(now, out);
+}
+
+void Harbour::tend_founding(Instant now, HarbourOutput &out) {
+  if (now < found_at_) return;
+  found_at_ = now + milliseconds(300);
+  const auto &seeds = rollcall_.seeds();
+  if (convoy_.group() != 0) {
+    bool is_done = true;
+    for (const Mate &mate : founded_mates_) {
+      const Member *member = rollcall_.find(mate.id);
+      if (mate.id == self_.id || (member != nullptr && member->group == convoy_.group())) continue;
+      is_done = false;
+      if (convoy_.is_disk_well(now))
+        out.mail.push_back({mate.id, {}, FoundOrder{convoy_.group(), founded_mates_}});
+    }
+    if (is_done) founded_mates_.clear();
+    return;
+  }
+  const bool is_seed = std::find(seeds.begin(), seeds.end(), self_.address) != seeds.end();
+  for (const Member &member : rollcall_.living(now)) {
+    if (member.group == 0 || !is_harbour(member)) continue;
+    ConvoyOutput step;
+    convoy_.found(member.group, {}, now, step);
+    rollcall_.set_group(member.group);
+    out.lines.push_back("joins group " + std::to_string(member.group));
+    absorb(std::move(step), now, out);
+    return;
+  }
+  if (!is_seed || seeds.front() != self_.address) return;
+  for (const Member &member : rollcall_.living(now))
+    if (member.group != 0) return;
+  if (found_nonce_ == 0) found_nonce_ = dice_.next() | 1;
+  std::vector<Mate> mates{{self_.id, true, self_.zone}};
+  for (const std::string &seed : seeds) {
+    if (seed == self_.address) continue;
+    out.mail.push_back({0, seed, FoundAsk{found_nonce_, seeds}});
+    const auto found = seed_says_.find(seed);
+    if (found == seed_says_.end() || now - found->second.at > seconds(1) || !found->second.say.may_found)
+      continue;
+    mates.push_back({found->second.say.id, true, found->second.say.zone});
+  }
+  if (mates.size() != seeds.size()) return;
+  founded_mates_ = mates;
+  ConvoyOutput step;
+  const std::uint64_t group = dice_.next() | 1;
+  convoy_.found(group, mates, now, step);
+  rollcall_.set_group(group);
+  out.lines.push_back("founds group " + std::to_string(group));
+  absorb(std::move(step), now, out);
+}
+
+void Harbour::tend_mates(Instant now, HarbourOutput &out) {
+  std::vector<Mate> mates = convoy_.mates();
+  const auto is_dead = [&](const Mate &mate, Span patience) {
+    return mate.id != self_.id && !rollcall_.is_living(mate.id, now) &&
+           now - std::max(convoy_.heard_from(mate.id), convoy_.led_since()) > patience;
+  };
+  const auto propose_change = [&](const std::vector<Mate> &changed, const std::string &why) {
+    ConvoyOutput step;
+    if (convoy_.propose_mates(changed, now, step)) out.lines.push_back(why);
+    absorb(std::move(step), now, out);
+  };
+  for (const Member &member : rollcall_.living(now)) {
+    if (!is_harbour(member) || member.is_leaving || member.group != convoy_.group()) continue;
+    if (std::any_of(mates.begin(), mates.end(), [&](const Mate &mate) { return mate.id == member.id; }))
+      continue;
+    mates.push_back({member.id, false, member.zone});
+    propose_change(mates, "enrols learner " + member.address);
+    return;
+  }
+  std::size_t living = 0, voters = 0, dead_voters = 0;
+  for (const Mate &mate : mates) {
+    if (!is_dead(mate, options_.voter_silence)) ++living;
+    if (!mate.is_voter) continue;
+    ++voters;
+    if (is_dead(mate, options_.voter_silence)) ++dead_voters;
+  }
+  const std::size_t target = living >= 5 ? 5 : living >= 3 ? 3 : 1;
+  if (voters - dead_voters < target) {
+    std::set<std::string> zones;
+    for (const Mate &mate : mates)
+      if (mate.is_voter && !is_dead(mate, options_.voter_silence)) zones.insert(mate.zone);
+    Mate *best = nullptr;
+    for (Mate &mate : mates) {
+      const bool is_ready = !mate.is_voter && !is_dead(mate, options_.voter_silence) &&
+                            convoy_.match_of(mate.id) + 200 >= convoy_.last_index() &&
+                            convoy_.match_of(mate.id) > 0;
+      if (is_ready && (best == nullptr || (zones.contains(best->zone) && !zones.contains(mate.zone))))
+        best = &mate;
+    }
+    if (best != nullptr) {
+      best->is_voter = true;
+      propose_change(mates, "promotes a learner to voter");
+      return;
+    }
+  }
+  for (auto mate = mates.begin(); mate != mates.end(); ++mate) {
+    const bool is_spare_voter = mate->is_voter && voters > target && is_dead(*mate, options_.voter_silence);
+    const bool is_lost_learner = !mate->is_voter && is_dead(*mate, options_.learner_silence);
+    if (!is_spare_voter && !is_lost_learner) continue;
+    mates.erase(mate);
+    propose_change(mates, "strikes off a lost mate");
+    return;
+  }
+}
+
+void Harbour::tend_roster(Instant now, HarbourOutput &out) {
+  if (is_roster_proposed_) return;
+  const Roster &roster = registry_.roster();
+  std::vector<NodeId> wanted;
+  for (const auto &[pilot, seat] : seats_)
+    if (!seat.is_leaving && now - seat.last_pulse < options_.pilot_silence) wanted.push_back(pilot);
+  if (now - convoy_.led_since() < options_.pilot_silence)
+    for (NodeId pilot : roster.pilots)
+      if (!seats_.contains(pilot)) wanted.push_back(pilot);
+  std::sort(wanted.begin(), wanted.end());
+  if (wanted == roster.pilots || wanted.empty()) {
+    roster_differs_since_ = 0;
+    return;
+  }
+  if (roster_differs_since_ == 0) roster_differs_since_ = now;
+  if (now - roster_differs_since_ < options_.enrol_gather) return;
+  const std::size_t count = wanted.size();
+  is_roster_proposed_ = true;
+  roster_index_ = convoy_.last_index() + 1;
+  if (!propose(PutRoster{std::move(wanted)}, now, out))
+    is_roster_proposed_ = false;
+  else
+    out.lines.push_back("roster of " + std::to_string(count) + " pilots");
+}
+
+std::string Harbour::seal_key_of(const std::string &runner) const {
+  return hmac_hex(registry_.secret(), "runner/" + runner);
+}
+
+std::optional<std::string> Harbour::elect_worker(const std::string &service, std::uint32_t memory_mb,
+                                                 const std::vector<RunnerRecord> &planned) const {
+  std::map<std::string, std::uint64_t> used;
+  std::map<std::string, int> mine, zone_mine;
+  std::map<std::string, std::string> zone_of;
+  for (const WorkerSeen &worker : platform_.workers) zone_of[worker.id] = worker.zone;
+  const auto note = [&](const RunnerRecord &record) {
+    used[record.worker] += record.memory_mb;
+    if (record.service != service || record.is_leaving) return;
+    ++mine[record.worker];
+    ++zone_mine[zone_of[record.worker]];
+  };
+  for (const auto &[id, record] : registry_.runners()) note(record);
+  for (const RunnerRecord &record : planned) note(record);
+  const WorkerSeen *best = nullptr;
+  const auto rank = [&](const WorkerSeen &worker) {
+    return std::make_tuple(zone_mine[worker.zone], mine[worker.id],
+                           used[worker.id] * 1000 / std::max(1u, worker.memory_mb), worker.id);
+  };
+  for (const WorkerSeen &worker : platform_.workers) {
+    if (worker.is_draining || used[worker.id] + memory_mb > worker.memory_mb) continue;
+    if (best == nullptr || rank(worker) < rank(*best)) best = &worker;
+  }
+  if (best == nullptr) return std::nullopt;
+  return best->id;
+}
+
+void Harbour::platform_seen(PlatformPicture picture, Instant now, HarbourOutput &out) {
+  platform_ = std::move(picture);
+  platform_at_ = now;
+  if (!is_leading()) return;
+  refresh_views(now);
+  tend_runners(now, out);
+}
+
+void Harbour::refresh_views(Instant) {
+  std::map<std::string, const RunnerSeen *> seen;
+  for (const RunnerSeen &runner : platform_.runners) seen[runner.id] = &runner;
+  std::map<std::string, const WorkerSeen *> workers;
+  for (const WorkerSeen &worker : platform_.workers) workers[worker.id] = &worker;
+  std::vector<RunnerView> views;
+  for (const auto &[id, record] : registry_.runners()) {
+    const auto found = seen.find(id);
+    if (found == seen.end() || found->second->phase == RunnerPhase::booting || found->second->address.empty())
+      continue;
+    const auto worker = workers.find(record.worker);
+    RunnerView view;
+    view.id = id;
+    view.service = record.service;
+    view.address = found->second->address;
+    view.worker = record.worker;
+    view.zone = worker == workers.end() ? std::string() : worker->second->zone;
+    view.seal_key = seal_key_of(id);
+    view.is_leaving = record.is_leaving || found->second->phase == RunnerPhase::stopping ||
+                      (worker != workers.end() && worker->second->is_draining);
+    views.push_back(std::move(view));
+  }
+  const auto is_same = [](const RunnerView &left, const RunnerView &right) {
+    return left.id == right.id && left.address == right.address && left.is_leaving == right.is_leaving;
+  };
+  if (std::equal(views.begin(), views.end(), views_.begin(), views_.end(), is_same)) return;
+  views_ = std::move(views);
+  ++views_stamp_;
+}
+
+void Harbour::tend_runners(Instant now, HarbourOutput &out) {
+  if (platform_at_ == 0 || registry_.secret().empty() || !charter_) return;
+  pace_ = std::min(options_.platform_pace / 4,
+                   pace_ + options_.platform_pace * static_cast<double>(now - pace_at_) / 1e9);
+  pace_at_ = now;
+  std::map<std::string, const RunnerSeen *> seen;
+  for (const RunnerSeen &runner : platform_.runners) seen[runner.id] = &runner;
+  std::set<std::string> draining;
+  for (const WorkerSeen &worker : platform_.workers)
+    if (worker.is_draining) draining.insert(worker.id);
+  std::set<std::string> worker_ids;
+  for (const WorkerSeen &worker : platform_.workers) worker_ids.insert(worker.id);
+
+  PutRunners put;
+  std::map<std::string, std::vector<const RunnerRecord *>> active;
+  std::set<std::string> idle, retire;
+  std::map<std::string, const Want *> wants;
+  for (const auto &[pilot, seat] : seats_) {
+    if (now - seat.last_pulse > options_.pilot_silence) continue;
+    for (const auto &[service, want] : seat.wants) {
+      const auto ranked = rank_nodes(registry_.roster().pilots, service, stevedore_salt);
+      if (ranked.empty() || ranked[0] != pilot) continue;
+      wants[service] = &want;
+      idle.insert(want.idle.begin(), want.idle.end());
+      retire.insert(want.retire.begin(), want.retire.end());
+    }
+  }
+  for (const auto &[id, record] : registry_.runners()) {
+    RunnerNote &note = notes_[id];
+    const auto found = seen.find(id);
+    if (found != seen.end()) {
+      note.was_listed = true;
+      note.absent = 0;
+    }
+    const bool is_lost = found == seen.end() && note.was_listed && note.started_at < platform_at_;
+    const bool is_unwanted = !worker_ids.contains(record.worker) && !note.was_listed &&
+                             now - note.started_at > seconds(10) && note.started_at != 0;
+    if (is_lost || is_unwanted || (found == seen.end() && record.is_leaving && !note.was_listed)) {
+      put.gone.push_back(id);
+      continue;
+    }
+    if (record.is_leaving) {
+      if (note.leaving_since == 0) note.leaving_since = now;
+      const bool is_known_service = wants.contains(record.service);
+      const bool may_stop =
+          idle.contains(id) ||
+          (now - note.leaving_since > (is_known_service ? options_.leave_most : seconds(6)) &&
+           charter_->service_named(record.service) == nullptr) ||
+          now - note.leaving_since > options_.leave_most;
+      if (may_stop && pace_ >= 1 && now - note.stopped_at > options_.start_again) {
+        pace_ -= 1;
+        note.stopped_at = now;
+        out.orders.push_back({false, record, {}, options_.stop_grace});
+      }
+      continue;
+    }
+    const bool must_leave = retire.contains(id) || draining.contains(record.worker) ||
+                            (found != seen.end() && found->second->phase == RunnerPhase::stopping) ||
+                            charter_->service_named(record.service) == nullptr;
+    if (must_leave) {
+      put.leaving.push_back(id);
+      continue;
+    }
+    active[record.service].push_back(&record);
+    if (found == seen.end() && pace_ >= 1 &&
+        (note.started_at == 0 || now - note.started_at > options_.start_again)) {
+      pace_ -= 1;
+      note.started_at = now;
+      out.orders.push_back({true, record, seal_key_of(id), 0});
+    }
+  }
+  for (const RunnerSeen &runner : platform_.runners) {
+    if (registry_.runners().contains(runner.id) || runner.phase == RunnerPhase::stopping) continue;
+    RunnerNote &note = notes_[runner.id];
+    if (pace_ < 1 || now - note.stopped_at < options_.start_again || now < floor_) continue;
+    pace_ -= 1;
+    note.stopped_at = now;
+    RunnerRecord record;
+    record.id = runner.id;
+    out.orders.push_back({false, record, {}, options_.stop_grace});
+  }
+  std::vector<const Service *> services;
+  for (const Service &service : charter_->services) services.push_back(&service);
+  std::stable_sort(services.begin(), services.end(),
+                   [](const Service *left, const Service *right) { return left->worth > right->worth; });
+  std::uint64_t next = registry_.next_runner();
+  for (const Service *service : services) {
+    auto &list = active[service->name];
+    std::size_t target =
+        std::max<std::size_t>(static_cast<std::size_t>(service->least),
+                              std::min<std::size_t>(list.size(), static_cast<std::size_t>(service->most)));
+    if (const auto want = wants.find(service->name); want != wants.end())
+      target = std::clamp<std::size_t>(want->second->runners, static_cast<std::size_t>(service->least),
+                                       static_cast<std::size_t>(service->most));
+    for (std::size_t extra = target; extra < list.size(); ++extra) put.leaving.push_back(list[extra]->id);
+    for (std::size_t missing = list.size(); missing < target && put.add.size() < 64; ++missing) {
+      const auto worker =
+          elect_worker(service->name, static_cast<std::uint32_t>(service->memory_mb), put.add);
+      if (!worker) break;
+      RunnerRecord record;
+      record.id = "r" + std::to_string(convoy_.term()) + "-" + std::to_string(next++);
+      record.service = service->name;
+      record.worker = *worker;
+      record.image = service->image;
+      record.memory_mb = static_cast<std::uint32_t>(service->memory_mb);
+      record.slots = static_cast<std::uint32_t>(service->slots);
+      put.add.push_back(std::move(record));
+    }
+  }
+  std::erase_if(notes_, [&](const auto &item) {
+    return !registry_.runners().contains(item.first) && !seen.contains(item.first);
+  });
+  if (is_runners_proposed_ || (put.add.empty() && put.leaving.empty() && put.gone.empty())) return;
+  is_runners_proposed_ = true;
+  runners_index_ = convoy_.last_index() + 1;
+  if (!propose(put, now, out)) is_runners_proposed_ = false;
+  refresh_views(now);
+}
+
+void Harbour::compact_if_due(HarbourOutput &out) {
+  const bool is_due = applied_ > convoy_.first_index() + options_.compact_entries ||
+                      bytes_since_picture_ > options_.compact_bytes;
+  if (!is_due || applied_ < convoy_.first_index()) return;
+  bytes_since_picture_ = 0;
+  ConvoyOutput step;
+  convoy_.compact(applied_, registry_.picture(), step);
+  std::move(step.saves.begin(), step.saves.end(), std::back_inserter(out.saves));
+}
+
+std::map<std::string, std::uint64_t> Harbour::gauges(Instant now) const {
+  std::map<std::string, std::uint64_t> values;
+  values["term"] = convoy_.term();
+  values["commit"] = convoy_.commit();
+  values["log_entries"] = convoy_.log().size();
+  values["is_leader"] = convoy_.is_leader() ? 1 : 0;
+  values["manifest_version"] = registry_.version();
+  values["settled_version"] = settled_version(now);
+  values["roster_epoch"] = registry_.roster().epoch;
+  values["settled_epoch"] = settled_epoch(now);
+  values["claims"] = registry_.claims().size();
+  values["runners"] = registry_.runners().size();
+  values["runners_ready"] = views_.size();
+  values["seats"] = seats_.size();
+  values["members_living"] = rollcall_.living(now).size();
+  values["mates"] = convoy_.mates().size();
+  values["is_disk_well"] = convoy_.is_disk_well(now) ? 1 : 0;
+  return values;
+}
+
+std::string Harbour::status_json(Instant now) const {
+  Json root;
+  root["version"] = registry_.version();
+  root["settled_version"] = settled_version(now);
+  root["roster_epoch"] = registry_.roster().epoch;
+  root["settled_epoch"] = settled_epoch(now);
+  root["term"] = convoy_.term();
+  root["group"] = std::to_string(convoy_.group());
+  root["mates"] = Json::array();
+  for (const Mate &mate : convoy_.mates()) {
+    const Member *member = rollcall_.find(mate.id);
+    root["mates"].push_back({{"id", std::to_string(mate.id)},
+                             {"address", member == nullptr ? "" : member->address},
+                             {"zone", mate.zone},
+                             {"is_voter", mate.is_voter},
+                             {"is_leader", mate.id == convoy_.leader()},
+                             {"is_living", rollcall_.is_living(mate.id, now)}});
+  }
+  root["pilots"] = Json::array();
+  for (const auto &[pilot, seat] : seats_) {
+    const Member *member = rollcall_.find(pilot);
+    const auto &roster = registry_.roster().pilots;
+    root["pilots"].push_back(
+        {{"id", std::to_string(pilot)},
+         {"http", member == nullptr ? "" : member->http},
+         {"zone", member == nullptr ? "" : member->zone},
+         {"version", seat.version},
+         {"epoch", seat.epoch},
+         {"is_fresh", seat.permit_until > now},
+         {"is_enrolled", std::find(roster.begin(), roster.end(), pilot) != roster.end()}});
+  }
+  if (charter_) {
+    for (const Tenant &tenant : charter_->tenants) {
+      const auto ranked = rank_nodes(registry_.roster().pilots, tenant.name, purser_salt);
+      root["pursers"][tenant.name] = {{"owner", ranked.empty() ? "" : std::to_string(ranked[0])},
+                                      {"replica", ranked.size() < 2 ? "" : std::to_string(ranked[1])}};
+    }
+    for (const Service &service : charter_->services) {
+      const auto ranked = rank_nodes(registry_.roster().pilots, service.name, stevedore_salt);
+      Json item = {{"stevedore", ranked.empty() ? "" : std::to_string(ranked[0])},
+                   {"runners", Json::array()}};
+      for (const auto &[id, record] : registry_.runners()) {
+        if (record.service != service.name) continue;
+        const bool is_ready =
+            std::any_of(views_.begin(), views_.end(), [&](const RunnerView &view) { return view.id == id; });
+        item["runners"].push_back({{"id", id},
+                                   {"worker", record.worker},
+                                   {"is_ready", is_ready},
+                                   {"is_leaving", record.is_leaving}});
+      }
+      if (!ranked.empty()) {
+        const auto seat = seats_.find(ranked[0]);
+        if (seat != seats_.end()) {
+          const auto want = seat->second.wants.find(service.name);
+          if (want != seat->second.wants.end()) {
+            item["wanted"] = want->second.runners;
+            item["pending"] = want->second.pending;
+            item["slots_taken"] = want->second.taken;
+          }
+        }
+      }
+      root["services"][service.name] = std::move(item);
+    }
+  }
+  return root.dump(2) + "\n";
+}
+
+} // namespace wharf
--- /dev/null
+++ b/packages/harbour/harbour.hpp
@@ -0,0 +1,203 @@
+#pragma once
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "charter/charter.hpp"
+#include "convoy/convoy.hpp"
+#include "harbour/registry.hpp"
+#include "rollcall/rollcall.hpp"
+
+namespace wharf {
+
+enum class OperatorVerb : std::uint8_t {
+  get_manifest,
+  get_version,
+  get_status,
+  put_manifest,
+  patch_manifest
+};
+
+/// One call of the operators' API, already read.
+struct OperatorAsk {
+  std::uint64_t ticket = 0;
+  OperatorVerb verb = OperatorVerb::get_status;
+  std::string body, if_match, write_id;
+};
+struct OperatorSay {
+  std::uint64_t ticket = 0;
+  int status = 200;
+  Version version = 0;
+  std::string body;
+  /// Where the leader's API is, when this mate cannot answer.
+  std::string leader_http;
+};
+
+struct WorkerSeen {
+  std::string id, zone;
+  std::uint32_t memory_mb = 0;
+  bool is_draining = false;
+};
+enum class RunnerPhase : std::uint8_t { booting, ready, stopping };
+struct RunnerSeen {
+  std::string id, service, worker, address;
+  RunnerPhase phase = RunnerPhase::booting;
+};
+/// What the platform listed, late as it may be.
+struct PlatformPicture {
+  std::vector<WorkerSeen> workers;
+  std::vector<RunnerSeen> runners;
+};
+/// One start or stop for the platform.
+struct PlatformOrder {
+  bool is_start = true;
+  RunnerRecord runner;
+  std::string seal_key;
+  Span grace = 0;
+};
+
+struct HarbourOutput {
+  Outbox mail;
+  std::vector<Save> saves;
+  std::vector<OperatorSay> answers;
+  std::vector<PlatformOrder> orders;
+  std::vector<std::string> lines;
+};
+
+struct HarbourOptions {
+  ConvoyOptions convoy;
+  Span fresh = seconds(2);
+  Span drift = milliseconds(100);
+  Span pilot_silence = milliseconds(1500);
+  Span enrol_gather = milliseconds(300);
+  Span voter_silence = seconds(3);
+  Span learner_silence = seconds(15);
+  Span settle_every = milliseconds(100);
+  Span start_again = seconds(3);
+  Span leave_most = seconds(35);
+  Span stop_grace = seconds(5);
+  Span clock_every = seconds(5);
+  double platform_pace = 80;
+  std::uint64_t compact_entries = 20'000;
+  std::size_t compact_bytes = 16u << 20;
+};
+
+/// A mate of the control group: replicated state, permits, operators' writes and placements; pure.
+class Harbour {
+public:
+  Harbour(Member self, std::vector<std::string> seeds, HarbourOptions options, std::uint64_t seed,
+          const Recovered &recovered, Instant now);
+
+  void receive(const Envelope &envelope, Instant now, HarbourOutput &out);
+  void tick(Instant now, HarbourOutput &out);
+  void saved(std::uint64_t ticket, Instant now, HarbourOutput &out);
+  void disk_failed(Instant now, HarbourOutput &out);
+  void operate(OperatorAsk ask, Instant now, HarbourOutput &out);
+  void platform_seen(PlatformPicture picture, Instant now, HarbourOutput &out);
+  void set_leaving(Instant now, HarbourOutput &out);
+
+  const Convoy &convoy() const { return convoy_; }
+  const Registry &registry() const { return registry_; }
+  Rollcall &rollcall() { return rollcall_; }
+  /// True when this mate leads and its reads are of the newest state.
+  bool is_leading() const { return convoy_.is_settled(); }
+  std::map<std::string, std::uint64_t> gauges(Instant now) const;
+  std::string status_json(Instant now) const;
+
+private:
+  struct Seat {
+    Instant permit_until = 0, last_pulse = 0, last_sent_at = 0;
+    Version version = 0;
+    Epoch epoch = 0;
+    std::uint64_t stamp = 0;
+    bool is_leaving = false;
+    std::map<std::string, Want> wants;
+  };
+  struct Proposal {
+    std::uint64_t term = 0;
+    std::uint64_t operator_ticket = 0;
+    OperatorAsk ask;
+    NodeId pilot = 0;
+    bool is_claim = false, is_close = false;
+    std::string errand;
+  };
+  struct WaitingWrite {
+    std::uint64_t ticket = 0;
+    Version version = 0;
+  };
+  struct WaitingRead {
+    OperatorAsk ask;
+    Instant asked_at = 0;
+  };
+  struct RunnerNote {
+    Instant started_at = 0, leaving_since = 0, stopped_at = 0;
+    bool was_listed = false;
+    int absent = 0;
+  };
+
+  void absorb(ConvoyOutput &&step, Instant now, HarbourOutput &out);
+  void apply(const Entry &entry, Instant now, HarbourOutput &out);
+  std::optional<std::uint64_t> propose(const Command &command, Instant now, HarbourOutput &out);
+  void lead_changed(Instant now, HarbourOutput &out);
+  void answer_pulse(NodeId from, const Pulse &pulse, Instant now, HarbourOutput &out);
+  Orders orders_for(const Seat &seat, Instant now) const;
+  void push_orders(Instant now, HarbourOutput &out);
+  Version settled_version(Instant now) const;
+  Epoch settled_epoch(Instant now) const;
+  void settle_writes(Instant now, HarbourOutput &out);
+  void settle_reads(Instant now, HarbourOutput &out);
+  void write_manifest(OperatorAsk ask, Instant now, HarbourOutput &out);
+  void refuse_operator(std::uint64_t ticket, int status, std::string outcome, std::string why,
+                       HarbourOutput &out);
+  void tend_founding(Instant now, HarbourOutput &out);
+  void tend_mates(Instant now, HarbourOutput &out);
+  void tend_roster(Instant now, HarbourOutput &out);
+  void tend_runners(Instant now, HarbourOutput &out);
+  void refresh_views(Instant now);
+  void compact_if_due(HarbourOutput &out);
+  std::optional<std::string> elect_worker(const std::string &service, std::uint32_t memory_mb,
+                                          const std::vector<RunnerRecord> &planned) const;
+  std::string seal_key_of(const std::string &runner) const;
+  std::string leader_http() const;
+
+  Member self_;
+  HarbourOptions options_;
+  Rollcall rollcall_;
+  Convoy convoy_;
+  Registry registry_;
+  Dice dice_;
+  std::shared_ptr<const Charter> charter_;
+  Version charter_version_ = 0;
+  std::uint64_t applied_ = 0;
+
+  bool was_leader_ = false;
+  Instant floor_ = 0;
+  std::map<NodeId, Seat> seats_;
+  std::map<std::uint64_t, Proposal> proposals_;
+  std::vector<WaitingWrite> writes_;
+  std::vector<WaitingRead> reads_;
+  bool is_roster_proposed_ = false, is_runners_proposed_ = false, is_secret_proposed_ = false;
+  std::uint64_t roster_index_ = 0, runners_index_ = 0;
+  Instant roster_differs_since_ = 0, settle_at_ = 0, clock_at_ = 0, found_at_ = 0;
+  PlatformPicture platform_;
+  Instant platform_at_ = 0;
+  std::map<std::string, RunnerNote> notes_;
+  std::vector<RunnerView> views_;
+  std::uint64_t views_stamp_ = 0;
+  double pace_ = 0;
+  Instant pace_at_ = 0;
+  std::size_t bytes_since_picture_ = 0;
+
+  std::uint64_t found_nonce_ = 0;
+  struct SeedSay {
+    FoundSay say;
+    Instant at = 0;
+  };
+  std::map<std::string, SeedSay> seed_says_;
+  std::vector<Mate> founded_mates_;
+};
+
+} // namespace wharf
--- /dev/null
+++ b/packages/harbour/registry.cpp
@@ -0,0 +1,207 @@
+#include "harbour/registry.hpp"
+
+#include <algorithm>
+
+#include "charter/charter.hpp"
+#include "seal/seal.hpp"
+#include "signals/pack.hpp"
+
+namespace wharf {
+
+namespace {
+constexpr std::size_t writes_kept = 256;
+constexpr std::size_t past_kept = 12;
+constexpr std::size_t claims_most = 400'000;
+constexpr std::int64_t release_keep_ms = 120'000;
+
+struct PackCommand {
+  template <typename One> std::string operator()(const One &command) const { return pack(command); }
+};
+
+struct State {
+  std::string secret, manifest;
+  Version version = 0;
+  std::vector<std::string> write_ids;
+  std::vector<Version> write_versions;
+  Roster roster;
+  std::map<std::string, RunnerRecord> runners;
+  std::map<std::string, ClaimRecord> claims;
+  std::map<std::string, std::int64_t> released;
+  std::int64_t clock_ms = 0, claim_keep_ms = 0;
+  std::uint64_t next_runner = 1;
+  WHARF_CARRY(secret, manifest, version, write_ids, write_versions, roster, runners, claims, released,
+              clock_ms, claim_keep_ms, next_runner)
+};
+} // namespace
+
+std::string pack_command(const Command &command) {
+  return std::string(1, static_cast<char>(command.index())) + std::visit(PackCommand{}, command);
+}
+
+bool unpack_command(std::string_view bytes, Command &command) {
+  return !bytes.empty() && unpack_choice(static_cast<unsigned char>(bytes[0]), bytes.substr(1), command);
+}
+
+Applied Registry::apply(const Command &command) {
+  return std::visit([this](const auto &one) { return apply_one(one); }, command);
+}
+
+Version Registry::version_of_write(const std::string &write_id) const {
+  for (const auto &[id, version] : writes_)
+    if (id == write_id) return version;
+  return 0;
+}
+
+Applied Registry::apply_one(const PutSecret &command) {
+  if (secret_.empty()) secret_ = command.secret;
+  return {};
+}
+
+Applied Registry::apply_one(const PutManifest &command) {
+  Applied applied;
+  if (!command.write_id.empty()) {
+    if (const Version earlier = version_of_write(command.write_id); earlier != 0) {
+      applied.version = earlier;
+      return applied;
+    }
+  }
+  if (command.base != 0 && command.base != version_) {
+    applied.is_taken = false;
+    applied.version = version_;
+    return applied;
+  }
+  manifest_ = command.bytes;
+  applied.version = ++version_;
+  if (auto read = read_charter(manifest_); auto *charter = std::get_if<std::shared_ptr<const Charter>>(&read))
+    claim_keep_ms_ = (*charter)->limits.claim_keep_s * 1000;
+  if (!command.write_id.empty()) {
+    writes_.emplace_back(command.write_id, version_);
+    if (writes_.size() > writes_kept) writes_.pop_front();
+  }
+  return applied;
+}
+
+Applied Registry::apply_one(const PutRoster &command) {
+  if (roster_.epoch != 0) {
+    roster_.past.push_back({roster_.epoch, roster_.pilots});
+    if (roster_.past.size() > past_kept) roster_.past.erase(roster_.past.begin());
+  }
+  roster_.is_first = roster_.epoch == 0;
+  ++roster_.epoch;
+  roster_.pilots = command.pilots;
+  return {};
+}
+
+Applied Registry::apply_one(const PutRunners &command) {
+  for (const RunnerRecord &record : command.add) {
+    runners_.emplace(record.id, record);
+    ++next_runner_;
+  }
+  for (const std::string &id : command.leaving) {
+    const auto found = runners_.find(id);
+    if (found != runners_.end()) found->second.is_leaving = true;
+  }
+  for (const std::string &id : command.gone) runners_.erase(id);
+  return {};
+}
+
+Applied Registry::apply_one(const PutClaim &command) {
+  Applied applied;
+  ClaimSay &say = applied.claim;
+  say.errand = command.errand;
+  if (released_.contains(command.errand)) {
+    say.state = static_cast<std::uint8_t>(ClaimState::refused);
+    return applied;
+  }
+  const auto found = claims_.find(command.key);
+  if (found == claims_.end()) {
+    if (claims_.size() >= claims_most) {
+      say.state = static_cast<std::uint8_t>(ClaimState::refused);
+      return applied;
+    }
+    ClaimRecord record;
+    record.errand = command.errand;
+    record.digest = command.digest;
+    record.touched_ms = clock_ms_;
+    record.state = static_cast<std::uint8_t>(ClaimState::in_flight);
+    claims_.emplace(command.key, std::move(record));
+    say.state = static_cast<std::uint8_t>(ClaimState::first);
+    return applied;
+  }
+  const ClaimRecord &record = found->second;
+  say.first_errand = record.errand;
+  if (record.errand == command.errand && record.state == static_cast<std::uint8_t>(ClaimState::in_flight))
+    say.state = static_cast<std::uint8_t>(ClaimState::first);
+  else if (record.digest != command.digest)
+    say.state = static_cast<std::uint8_t>(ClaimState::mismatch);
+  else {
+    say.state = record.state;
+    say.status = record.status;
+    say.type = record.type;
+    say.body = record.body;
+  }
+  return applied;
+}
+
+Applied Registry::apply_one(const PutClose &command) {
+  const CloseAsk &close = command.close;
+  const auto found = claims_.find(close.key);
+  const auto closed_as = static_cast<ClosedAs>(close.closed_as);
+  const bool is_ours = found != claims_.end() && found->second.errand == close.errand &&
+                       found->second.state == static_cast<std::uint8_t>(ClaimState::in_flight);
+  if (closed_as == ClosedAs::not_run) {
+    if (is_ours) claims_.erase(found);
+    released_[close.errand] = clock_ms_;
+    return {};
+  }
+  if (!is_ours) return {};
+  ClaimRecord &record = found->second;
+  record.state =
+      static_cast<std::uint8_t>(closed_as == ClosedAs::run ? ClaimState::recorded : ClaimState::unknown);
+  record.status = close.status;
+  record.type = close.type;
+  record.body = close.body;
+  record.touched_ms = clock_ms_;
+  return {};
+}
+
+Applied Registry::apply_one(const PutClock &command) {
+  clock_ms_ += std::max<std::int64_t>(0, command.elapsed_ms);
+  std::erase_if(claims_,
+                [this](const auto &item) { return clock_ms_ - item.second.touched_ms > claim_keep_ms_; });
+  std::erase_if(released_, [this](const auto &item) { return clock_ms_ - item.second > release_keep_ms; });
+  return {};
+}
+
+std::string Registry::picture() const {
+  State state{secret_,   manifest_, version_,       {},          {}, roster_, runners_, claims_,
+              released_, clock_ms_, claim_keep_ms_, next_runner_};
+  for (const auto &[id, version] : writes_) {
+    state.write_ids.push_back(id);
+    state.write_versions.push_back(version);
+  }
+  return pack(state);
+}
+
+bool Registry::load(std::string_view picture) {
+  State state;
+  if (!picture.empty() && !unpack(picture, state)) return false;
+  secret_ = state.secret;
+  manifest_ = state.manifest;
+  version_ = state.version;
+  writes_.clear();
+  for (std::size_t at = 0; at < state.write_ids.size(); ++at)
+    writes_.emplace_back(state.write_ids[at], state.write_versions[at]);
+  roster_ = state.roster;
+  runners_ = state.runners;
+  claims_ = state.claims;
+  released_ = state.released;
+  clock_ms_ = state.clock_ms;
+  if (state.claim_keep_ms != 0) claim_keep_ms_ = state.claim_keep_ms;
+  next_runner_ = state.next_runner;
+  return true;
+}
+
+std::string Registry::fingerprint() const { return digest_hex(picture()); }
+
+} // namespace wharf
--- /dev/null
+++ b/packages/harbour/registry.hpp
@@ -0,0 +1,111 @@
+#pragma once
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "signals/signals.hpp"
+
+namespace wharf {
+
+struct PutSecret {
+  std::string secret;
+  WHARF_CARRY(secret)
+};
+/// Takes a manifest; `base` is the version it must replace, or 0 for whichever.
+struct PutManifest {
+  std::string bytes, write_id;
+  Version base = 0;
+  WHARF_CARRY(bytes, write_id, base)
+};
+struct PutRoster {
+  std::vector<NodeId> pilots;
+  WHARF_CARRY(pilots)
+};
+/// A runner as the group has decided on it.
+struct RunnerRecord {
+  std::string id, service, worker, image;
+  std::uint32_t memory_mb = 0, slots = 1;
+  bool is_leaving = false;
+  WHARF_CARRY(id, service, worker, image, memory_mb, slots, is_leaving)
+};
+struct PutRunners {
+  std::vector<RunnerRecord> add;
+  std::vector<std::string> leaving, gone;
+  WHARF_CARRY(add, leaving, gone)
+};
+struct PutClaim {
+  std::string key, errand, digest;
+  WHARF_CARRY(key, errand, digest)
+};
+struct PutClose {
+  CloseAsk close;
+  WHARF_CARRY(close)
+};
+/// Moves the group's own clock, which no machine's clock can make jump.
+struct PutClock {
+  std::int64_t elapsed_ms = 0;
+  WHARF_CARRY(elapsed_ms)
+};
+
+using Command = std::variant<PutSecret, PutManifest, PutRoster, PutRunners, PutClaim, PutClose, PutClock>;
+std::string pack_command(const Command &command);
+bool unpack_command(std::string_view bytes, Command &command);
+
+/// What applying a command came to.
+struct Applied {
+  bool is_taken = true;
+  Version version = 0;
+  ClaimSay claim;
+};
+
+struct ClaimRecord {
+  std::string errand, digest, type, body;
+  std::uint8_t state = 0;
+  std::int32_t status = 0;
+  std::int64_t touched_ms = 0;
+  WHARF_CARRY(errand, digest, type, body, state, status, touched_ms)
+};
+
+/// The replicated state: the same commands in the same order give the same state on every mate.
+class Registry {
+public:
+  Applied apply(const Command &command);
+  std::string picture() const;
+  bool load(std::string_view picture);
+  /// A digest of the whole state, for comparing mates.
+  std::string fingerprint() const;
+
+  const std::string &secret() const { return secret_; }
+  Version version() const { return version_; }
+  const std::string &manifest() const { return manifest_; }
+  const Roster &roster() const { return roster_; }
+  const std::map<std::string, RunnerRecord> &runners() const { return runners_; }
+  const std::map<std::string, ClaimRecord> &claims() const { return claims_; }
+  /// The version an operator's write already became, or 0.
+  Version version_of_write(const std::string &write_id) const;
+  void set_claim_keep(std::int64_t keep_ms) { claim_keep_ms_ = keep_ms; }
+  std::uint64_t next_runner() const { return next_runner_; }
+
+private:
+  Applied apply_one(const PutSecret &command);
+  Applied apply_one(const PutManifest &command);
+  Applied apply_one(const PutRoster &command);
+  Applied apply_one(const PutRunners &command);
+  Applied apply_one(const PutClaim &command);
+  Applied apply_one(const PutClose &command);
+  Applied apply_one(const PutClock &command);
+
+  std::string secret_, manifest_;
+  Version version_ = 0;
+  std::deque<std::pair<std::string, Version>> writes_;
+  Roster roster_;
+  std::map<std::string, RunnerRecord> runners_;
+  std::map<std::string, ClaimRecord> claims_;
+  std::map<std::string, std::int64_t> released_;
+  std::int64_t clock_ms_ = 0, claim_keep_ms_ = 900'000;
+  std::uint64_t next_runner_ = 1;
+};
+
+} // namespace wharf
--- /dev/null
+++ b/packages/hawser/hawser.hpp
@@ -0,0 +1,58 @@
+#pragma once
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "capstan/duty.hpp"
+#include "signals/signals.hpp"
+
+namespace wharf {
+
+/// Splits "ip:port"; false when it is not one.
+bool split_address(std::string_view address, std::string &ip, int &port);
+
+/// Carries frames between our processes over TCP, one duty for all links. Frames that cannot go are
+/// dropped and counted: every protocol above bears loss.
+class Hawser {
+public:
+  using Sink = std::function<void(Envelope &&)>;
+  /// Listens on `address` ("ip:port"); throws when it cannot.
+  Hawser(std::string address, Sink sink);
+  ~Hawser();
+  /// Queues one frame for an address.
+  void send(const std::string &address, std::string bytes);
+  /// Frames dropped because a link was away or full.
+  std::uint64_t dropped() const { return dropped_; }
+
+private:
+  struct Link {
+    int descriptor = -1;
+    std::string address, incoming, outgoing;
+    bool is_ours = false, is_up = false;
+    Instant retry_at = 0;
+  };
+  void run();
+  void open_link(Link &link);
+  void close_link(Link &link);
+  bool read_link(Link &link);
+  bool write_link(Link &link);
+  void take_queued();
+
+  std::string address_;
+  Sink sink_;
+  SteadyTide tide_;
+  int listener_ = -1, bell_ = -1;
+  std::mutex mutex_;
+  std::vector<std::pair<std::string, std::string>> queued_;
+  std::map<std::string, Link> ours_;
+  std::vector<std::unique_ptr<Link>> theirs_;
+  std::atomic<bool> is_stopping_{false};
+  std::atomic<std::uint64_t> dropped_{0};
+  std::unique_ptr<Duty> duty_;
+};
+
+} // namespace wharf
--- /dev/null
+++ b/packages/hold/shelf.cpp
@@ -0,0 +1,250 @@
+#include "hold/shelf.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <sstream>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "signals/pack.hpp"
+
+namespace wharf {
+
+namespace {
+namespace fs = std::filesystem;
+constexpr std::string_view segment_mark = "WHJSEG01";
+constexpr std::string_view file_mark = "WHJFIL01";
+constexpr std::size_t segment_limit = 8u << 20;
+
+std::string record(char kind, std::string_view body) {
+  std::string payload(1, kind);
+  payload += body;
+  std::string whole(8, '\0');
+  const auto size = static_cast<std::uint32_t>(payload.size());
+  const std::uint32_t sum = checksum(payload);
+  std::memcpy(whole.data(), &size, 4);
+  std::memcpy(whole.data() + 4, &sum, 4);
+  return whole + payload;
+}
+
+/// The payload of the record at `at`, or nothing when none is whole there.
+std::optional<std::string_view> record_at(std::string_view bytes, std::size_t at) {
+  if (bytes.size() < at + 8) return std::nullopt;
+  std::uint32_t size = 0, sum = 0;
+  std::memcpy(&size, bytes.data() + at, 4);
+  std::memcpy(&sum, bytes.data() + at + 4, 4);
+  if (size == 0 || bytes.size() - at - 8 < size) return std::nullopt;
+  const std::string_view payload = bytes.substr(at + 8, size);
+  if (checksum(payload) != sum) return std::nullopt;
+  return payload;
+}
+
+bool write_all(int descriptor, std::string_view bytes) {
+  while (!bytes.empty()) {
+    const ssize_t count = ::write(descriptor, bytes.data(), bytes.size());
+    if (count < 0) {
+      if (errno == EINTR) continue;
+      return false;
+    }
+    bytes.remove_prefix(static_cast<std::size_t>(count));
+  }
+  return true;
+}
+
+HoldError trouble(const std::string &what) { return {what + ": " + std::strerror(errno)}; }
+
+std::optional<std::string> slurp(const fs::path &path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return std::nullopt;
+  std::ostringstream bytes;
+  bytes << file.rdbuf();
+  return bytes.str();
+}
+
+std::vector<std::uint64_t> numbers(const std::string &folder, std::string_view prefix) {
+  std::vector<std::uint64_t> found;
+  for (const auto &item : fs::directory_iterator(folder)) {
+    const std::string name = item.path().filename().string();
+    if (!name.starts_with(prefix) || name.ends_with(".new")) continue;
+    found.push_back(std::strtoull(name.c_str() + prefix.size(), nullptr, 10));
+  }
+  std::sort(found.begin(), found.end());
+  return found;
+}
+
+bool finds_record_after(std::string_view bytes, std::size_t at) {
+  for (std::size_t next = at + 1; next + 8 < bytes.size(); ++next)
+    if (record_at(bytes, next)) return true;
+  return false;
+}
+} // namespace
+
+DiskShelf::DiskShelf(std::string folder) : folder_(std::move(folder)) {}
+
+DiskShelf::~DiskShelf() {
+  if (segment_ >= 0) close(segment_);
+}
+
+bool DiskShelf::sync_folder() {
+  const int descriptor = ::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (descriptor < 0) return false;
+  const bool is_synced = fsync(descriptor) == 0;
+  close(descriptor);
+  return is_synced;
+}
+
+std::variant<std::monostate, HoldError> DiskShelf::write_file(const std::string &name,
+                                                              std::string_view bytes) {
+  const std::string path = folder_ + "/" + name, fresh = path + ".new";
+  const int descriptor = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (descriptor < 0) return trouble("cannot open " + fresh);
+  const bool is_written =
+      write_all(descriptor, file_mark) && write_all(descriptor, record('F', bytes)) && fsync(descriptor) == 0;
+  close(descriptor);
+  if (!is_written) return trouble("cannot write " + fresh);
+  if (rename(fresh.c_str(), path.c_str()) != 0 || !sync_folder()) return trouble("cannot place " + path);
+  return std::monostate{};
+}
+
+namespace {
+std::variant<std::string, HoldError> read_file(const std::string &path) {
+  const auto bytes = slurp(path);
+  if (!bytes) return HoldError{"cannot read " + path};
+  if (!bytes->starts_with(file_mark))
+    return HoldError{path + ": not a wharfjunction file, or of another format"};
+  const auto payload = record_at(*bytes, file_mark.size());
+  if (!payload) return HoldError{path + ": damaged (checksum)"};
+  return std::string(payload->substr(1));
+}
+} // namespace
+
+std::variant<NodeId, HoldError> DiskShelf::identity() {
+  std::error_code fault;
+  fs::create_directories(folder_, fault);
+  if (fault) return HoldError{"cannot make " + folder_ + ": " + fault.message()};
+  const std::string path = folder_ + "/identity";
+  if (fs::exists(path)) {
+    auto read = read_file(path);
+    if (auto *error = std::get_if<HoldError>(&read)) return *error;
+    NodeId id = 0;
+    if (!unpack(std::get<std::string>(read), id) || id == 0) return HoldError{path + ": holds no identity"};
+    return id;
+  }
+  std::random_device source;
+  const NodeId id = ((static_cast<NodeId>(source()) << 32) | source()) | 1;
+  auto written = write_file("identity", pack(id));
+  if (auto *error = std::get_if<HoldError>(&written)) return *error;
+  return id;
+}
+
+std::variant<Recovered, HoldError> DiskShelf::open() {
+  if (segment_ >= 0) close(segment_);
+  segment_ = -1;
+  Recovered recovered;
+  std::error_code fault;
+  fs::create_directories(folder_, fault);
+  if (fault) return HoldError{"cannot make " + folder_ + ": " + fault.message()};
+  if (fs::exists(folder_ + "/hard")) {
+    auto read = read_file(folder_ + "/hard");
+    if (auto *error = std::get_if<HoldError>(&read)) return *error;
+    if (!unpack(std::get<std::string>(read), recovered.hard))
+      return HoldError{folder_ + "/hard: cannot be read"};
+  }
+  const auto pictures = numbers(folder_, "pic-");
+  if (!pictures.empty()) {
+    const std::string path = folder_ + "/pic-" + std::to_string(pictures.back());
+    auto read = read_file(path);
+    if (auto *error = std::get_if<HoldError>(&read)) return *error;
+    if (!unpack(std::get<std::string>(read), recovered.picture)) return HoldError{path + ": cannot be read"};
+  }
+  const auto segments = numbers(folder_, "seg-");
+  for (std::size_t which = 0; which < segments.size(); ++which) {
+    const std::string path = folder_ + "/seg-" + std::to_string(segments[which]);
+    const bool is_last = which + 1 == segments.size();
+    const auto bytes = slurp(path);
+    if (!bytes) return HoldError{"cannot read " + path};
+    if (!bytes->starts_with(segment_mark)) {
+      if (is_last && bytes->size() < segment_mark.size()) continue;
+      return HoldError{path + ": not a wharfjunction segment, or of another format"};
+    }
+    std::size_t at = segment_mark.size();
+    while (at < bytes->size()) {
+      const auto payload = record_at(*bytes, at);
+      if (!payload) {
+        if (!is_last || finds_record_after(*bytes, at))
+          return HoldError{path + ": damaged record at byte " + std::to_string(at)};
+        if (truncate(path.c_str(), static_cast<off_t>(at)) != 0) return trouble("cannot cut " + path);
+        break;
+      }
+      at += 8 + payload->size();
+      const std::string_view body = payload->substr(1);
+      if (payload->front() == 'C') {
+        std::uint64_t cut_from = 0;
+        if (!unpack(body, cut_from)) return HoldError{path + ": damaged cut"};
+        std::erase_if(recovered.entries, [cut_from](const Entry &entry) { return entry.index >= cut_from; });
+        continue;
+      }
+      Entry entry;
+      if (payload->front() != 'E' || !unpack(body, entry)) return HoldError{path + ": damaged entry"};
+      if (entry.index <= recovered.picture.index) continue;
+      std::erase_if(recovered.entries, [&entry](const Entry &older) { return older.index >= entry.index; });
+      recovered.entries.push_back(std::move(entry));
+    }
+  }
+  std::uint64_t expected = recovered.picture.index + 1;
+  for (const Entry &entry : recovered.entries)
+    if (entry.index != expected++)
+      return HoldError{folder_ + ": entry " + std::to_string(expected - 1) + " is missing"};
+  segment_number_ = segments.empty() ? 0 : segments.back();
+  auto started = start_segment();
+  if (auto *error = std::get_if<HoldError>(&started)) return *error;
+  return recovered;
+}
+
+std::variant<std::monostate, HoldError> DiskShelf::start_segment() {
+  if (segment_ >= 0) close(segment_);
+  const std::string path = folder_ + "/seg-" + std::to_string(++segment_number_);
+  segment_ = ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (segment_ < 0) return trouble("cannot open " + path);
+  if (!write_all(segment_, segment_mark) || fsync(segment_) != 0 || !sync_folder())
+    return trouble("cannot write " + path);
+  segment_size_ = segment_mark.size();
+  return std::monostate{};
+}
+
+std::variant<std::monostate, HoldError> DiskShelf::write(const Save &save) {
+  if (save.hard) {
+    auto written = write_file("hard", pack(*save.hard));
+    if (std::holds_alternative<HoldError>(written)) return written;
+  }
+  if (save.picture) {
+    auto written = write_file("pic-" + std::to_string(save.picture->index), pack(*save.picture));
+    if (std::holds_alternative<HoldError>(written)) return written;
+  }
+  if (segment_ < 0 || save.picture || segment_size_ > segment_limit) {
+    auto started = start_segment();
+    if (std::holds_alternative<HoldError>(started)) return started;
+  }
+  std::string bytes;
+  if (save.cut_from != 0) bytes += record('C', pack(save.cut_from));
+  for (const Entry &entry : save.append) bytes += record('E', pack(entry));
+  if (!bytes.empty()) {
+    if (!write_all(segment_, bytes) || fdatasync(segment_) != 0)
+      return trouble("cannot write the log in " + folder_);
+    segment_size_ += bytes.size();
+  }
+  if (save.picture) {
+    for (std::uint64_t number : numbers(folder_, "seg-"))
+      if (number < segment_number_) unlink((folder_ + "/seg-" + std::to_string(number)).c_str());
+    for (std::uint64_t number : numbers(folder_, "pic-"))
+      if (number < save.picture->index) unlink((folder_ + "/pic-" + std::to_string(number)).c_str());
+  }
+  return std::monostate{};
+}
+
+} // namespace wharf
--- /dev/null
+++ b/packages/hold/shelf.hpp
@@ -0,0 +1,46 @@
+#pragma once
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "convoy/convoy.hpp"
+
+namespace wharf {
+
+/// Why a data folder cannot be used.
+struct HoldError {
+  std::string what;
+};
+
+/// The seam between the Raft machine and a disk.
+class Shelf {
+public:
+  virtual ~Shelf() = default;
+  /// Reads back all that was synced.
+  virtual std::variant<Recovered, HoldError> open() = 0;
+  /// Writes one batch and syncs it; an error leaves the shelf unusable until opened again.
+  virtual std::variant<std::monostate, HoldError> write(const Save &save) = 0;
+};
+
+/// A data folder: segments `seg-N`, pictures `pic-N`, the hard state `hard`, the node's own `identity`.
+class DiskShelf final : public Shelf {
+public:
+  explicit DiskShelf(std::string folder);
+  ~DiskShelf() override;
+  std::variant<Recovered, HoldError> open() override;
+  std::variant<std::monostate, HoldError> write(const Save &save) override;
+  /// The identity kept in the folder; made and synced when there is none.
+  std::variant<NodeId, HoldError> identity();
+
+private:
+  std::variant<std::monostate, HoldError> write_file(const std::string &name, std::string_view bytes);
+  std::variant<std::monostate, HoldError> start_segment();
+  bool sync_folder();
+
+  std::string folder_;
+  int segment_ = -1;
+  std::uint64_t segment_number_ = 0;
+  std::size_t segment_size_ = 0;
+};
+
+} // namespace wharf
--- /dev/null
+++ b/packages/pilot/pilot.cpp
@@ -0,0 +1,721 @@
+#include "pilot/pilot.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wharf {
+
+namespace {
+std::string fate_counter(Fate fate) {
+  const Outcome outcome = outcome_of(fate);
+  return "errands_" + std::string(outcome.reason);
+}
+} // namespace
+
+Pilot::Pilot(Member self, std::vector<std::string> seeds, PilotOptions options, Instant)
+    : self_(self), options_(options), rollcall_(self, std::move(seeds), RollcallOptions{}),
+      purser_(self.id, PurserOptions{}), stevedore_(self.id, BerthOptions{}) {}
+
+InForce Pilot::in_force() const {
+  std::lock_guard guard(in_force_mutex_);
+  return in_force_;
+}
+
+std::uint32_t Pilot::tenant_index(const std::string &name) {
+  std::lock_guard guard(in_force_mutex_);
+  const auto [found, is_new] = tenant_index_.emplace(name, static_cast<std::uint32_t>(tenant_index_.size()));
+  return found->second;
+}
+
+std::variant<Waybill, Fate> Pilot::front(const ErrandHead &head, Instant now) {
+  const InForce force = in_force();
+  if (!force.charter) return Fate::stale;
+  auto planned = plan_errand(*force.charter, force.version, head, now);
+  if (auto *bill = std::get_if<Waybill>(&planned)) {
+    if (const auto purse = rack_.find(tenant_index(bill->tenant))) bill->is_paid = purse->spend(now);
+  }
+  return planned;
+}
+
+bool Pilot::is_settled(Instant now) const {
+  return is_fresh(now) && roster_.epoch != 0 && settled_ >= roster_.epoch;
+}
+
+std::map<std::string, std::uint64_t> Pilot::gauges(Instant now) const {
+  std::map<std::string, std::uint64_t> values;
+  values["afloat"] = afloat_.size();
+  values["manifest_version"] = in_force().version;
+  values["roster_epoch"] = roster_.epoch;
+  values["settled_epoch"] = settled_;
+  values["is_fresh"] = is_fresh(now) ? 1 : 0;
+  values["purses"] = rack_.size();
+  values["members_living"] = rollcall_.living(now).size();
+  values["permits_granted"] = purser_.granted();
+  values["permits_denied"] = purser_.denied();
+  values["ledger_unknown_starts"] = purser_.unknown_starts();
+  values["slots_granted"] = stevedore_.granted();
+  values["second_tries_granted"] = stevedore_.second_granted();
+  values["runners_known"] = runners_.size();
+  return values;
+}
+
+void Pilot::set_leaving() {
+  is_leaving_ = true;
+  pulse_at_ = 0;
+  rollcall_.set_leaving();
+}
+
+bool Pilot::is_quiet(Instant now) const {
+  const auto living = rollcall_.living(now);
+  const bool has_successor = std::any_of(living.begin(), living.end(), [](const Member &member) {
+    return member.role == static_cast<std::uint8_t>(Role::pilot) && !member.is_leaving;
+  });
+  const bool is_counted_on = has_successor && std::find(roster_.pilots.begin(), roster_.pilots.end(),
+                                                        self_.id) != roster_.pilots.end();
+  return afloat_.empty() && freeing_.empty() && closing_.empty() && !is_counted_on;
+}
+
+NodeId Pilot::owner_of(const std::string &name, std::uint64_t salt) const {
+  const auto ranked = rank_nodes(roster_.pilots, name, salt);
+  return ranked.empty() ? 0 : ranked[0];
+}
+
+double Pilot::capacity_of(const std::string &tenant) const {
+  const Tenant *found = in_force_.charter ? in_force_.charter->tenant_named(tenant) : nullptr;
+  return found == nullptr ? 0 : static_cast<double>(found->base + found->burst);
+}
+
+void Pilot::receive(const Envelope &envelope, Instant now, PilotOutput &out) {
+  dispatch(envelope, now, out);
+  loop_back(now, out);
+}
+
+void Pilot::loop_back(Instant now, PilotOutput &out) {
+  for (int round = 0; round < 64; ++round) {
+    Outbox own;
+    for (auto item = out.mail.begin(); item != out.mail.end();) {
+      if (item->to != self_.id) {
+        ++item;
+        continue;
+      }
+      own.push_back(std::move(*item));
+      item = out.mail.erase(item);
+    }
+    if (own.empty()) return;
+    for (Posted &posted : own) dispatch({self_.id, self_.address, std::move(posted.signal)}, now, out);
+  }
+}
+
+void Pilot::dispatch(const Envelope &envelope, Instant now, PilotOutput &out) {
+  const Signal &signal = envelope.signal;
+  if (std::holds_alternative<Muster>(signal)) {
+    rollcall_.step(envelope, now, out.mail);
+  } else if (const auto *orders = std::get_if<Orders>(&signal)) {
+    handle(envelope.from, *orders, now, out);
+  } else if (const auto *other = std::get_if<NotLeader>(&signal)) {
+    if (leader_ == envelope.from || leader_ == 0) leader_ = other->leader;
+  } else if (const auto *permit = std::get_if<PermitSay>(&signal)) {
+    handle(*permit, envelope.from, now, out);
+  } else if (const auto *claim = std::get_if<ClaimSay>(&signal)) {
+    handle(*claim, now, out);
+  } else if (const auto *closed = std::get_if<CloseSay>(&signal)) {
+    std::erase_if(closing_, [&](const Closing &item) { return item.close.errand == closed->errand; });
+  } else if (const auto *slot = std::get_if<SlotSay>(&signal)) {
+    handle(envelope.from, *slot, now, out);
+  } else if (const auto *freed = std::get_if<SlotFreed>(&signal)) {
+    if (owner_of(freed->service, stevedore_salt) == envelope.from)
+      std::erase_if(freeing_, [&](const Freeing &item) {
+        return item.free.errand == freed->errand && item.free.runner == freed->runner;
+      });
+  } else if (const auto *inventory = std::get_if<InventoryAsk>(&signal)) {
+    handle(envelope.from, *inventory, now, out);
+  } else if (std::holds_alternative<PermitAsk>(signal) || std::holds_alternative<LedgerCopy>(signal) ||
+             std::holds_alternative<LedgerAck>(signal)) {
+    purser_.step(envelope.from, signal, now, out.mail);
+  } else if (std::holds_alternative<SlotAsk>(signal) || std::holds_alternative<SlotFree>(signal) ||
+             std::holds_alternative<InventorySay>(signal)) {
+    stevedore_.step(envelope.from, signal, now, out.mail);
+  }
+}
+
+void Pilot::send_leader(const Signal &signal, PilotOutput &out) {
+  if (leader_ != 0) out.mail.push_back({leader_, {}, signal});
+}
+
+void Pilot::send_pulse(Instant now, PilotOutput &out) {
+  pulse_at_ = now + options_.pulse;
+  Pulse pulse;
+  pulse.sent_at = now;
+  pulse.version = in_force().version;
+  pulse.epoch = roster_.epoch;
+  pulse.runners_stamp = runners_stamp_;
+  pulse.runners_term = runners_term_;
+  pulse.is_leaving = is_leaving_;
+  pulse.wants = stevedore_.wants(now);
+  if (leader_ != 0 && now - heard_leader_at_ < options_.leader_silence) {
+    send_leader(pulse, out);
+    return;
+  }
+  for (const Member &member : rollcall_.living(now))
+    if (member.role == static_cast<std::uint8_t>(Role::harbour)) out.mail.push_back({member.id, {}, pulse});
+}
+
+void Pilot::handle(NodeId from, const Orders &orders, Instant now, PilotOutput &out) {
+  const Version version = in_force().version;
+  if (orders.version < version || orders.roster.epoch < roster_.epoch) return;
+  leader_ = from;
+  heard_leader_at_ = now;
+  bool is_switched = false;
+  if (orders.version > version) {
+    if (!orders.has_manifest) return;
+    switch_manifest(orders, now, out);
+    is_switched = true;
+  }
+  if (orders.has_runners) {
+    runners_.clear();
+    for (const RunnerView &runner : orders.runners) runners_[runner.id] = runner;
+    runners_stamp_ = orders.runners_stamp;
+    runners_term_ = orders.term;
+  }
+  if (orders.sent_at != 0)
+    fresh_until_ = std::max(fresh_until_, orders.sent_at + options_.fresh - orders.age);
+  purser_.set_fresh_until(fresh_until_);
+  stevedore_.set_fresh_until(fresh_until_);
+  if (orders.roster.epoch > roster_.epoch) {
+    roster_ = orders.roster;
+    is_switched = true;
+    for (auto &[id, errand] : afloat_) errand.asked_at = 0;
+    for (auto &[tenant, till] : tills_) till.asked_at = 0;
+  }
+  settled_ = std::max(settled_, orders.settled);
+  purser_.set_roster(roster_, orders.settled, now, out.mail);
+  if (orders.has_runners) stevedore_.set_runners(orders.runners, now, out.mail);
+  stevedore_.set_roster(roster_, orders.settled, now, out.mail);
+  if (is_switched) send_pulse(now, out);
+}
+
+void Pilot::switch_manifest(const Orders &orders, Instant now, PilotOutput &out) {
+  auto read = read_charter(orders.manifest);
+  std::shared_ptr<const Charter> charter;
+  if (auto *whole = std::get_if<std::shared_ptr<const Charter>>(&read)) charter = *whole;
+  if (!charter) {
+    count("manifest_unreadable");
+    return;
+  }
+  {
+    std::lock_guard guard(in_force_mutex_);
+    in_force_ = {orders.version, charter};
+  }
+  count("manifest_switches");
+  out.lines.push_back("manifest " + std::to_string(orders.version) + " in force");
+  std::map<std::string, Allowance> allowances;
+  for (const Tenant &tenant : charter->tenants)
+    allowances[tenant.name] = {static_cast<double>(tenant.base), static_cast<double>(tenant.burst)};
+  purser_.set_allowances(std::move(allowances), now);
+  std::map<std::string, BerthPlan> plans;
+  for (const Service &service : charter->services) {
+    BerthPlan plan;
+    plan.slots = static_cast<std::uint32_t>(service.slots);
+    plan.least = static_cast<std::uint32_t>(service.least);
+    plan.most = static_cast<std::uint32_t>(service.most);
+    plan.worth = static_cast<std::uint32_t>(service.worth);
+    plan.pending_most = static_cast<std::uint32_t>(charter->limits.pending_most);
+    plan.idle = seconds(service.idle_s);
+    plan.wait_most = milliseconds(charter->limits.wait_most_ms);
+    plans[service.name] = plan;
+  }
+  stevedore_.set_plans(std::move(plans), now, out.mail);
+  for (const auto &[index, till] : tills_)
+    if (const auto purse = rack_.find(index)) purse->set_capacity(capacity_of(till.name));
+  std::vector<std::pair<std::string, Fate>> ended;
+  for (const auto &[id, errand] : afloat_) {
+    if (errand.is_carrying) continue;
+    const Tenant *tenant = charter->find_tenant(errand.bill.key);
+    if (tenant == nullptr || tenant->name != errand.bill.tenant)
+      ended.emplace_back(id, Fate::unknown_key);
+    else if (charter->service_named(errand.bill.service) == nullptr)
+      ended.emplace_back(id, Fate::no_rule);
+  }
+  for (const auto &[id, fate] : ended) finish(id, fate, 0, now, out);
+}
+
+void Pilot::arrive(Waybill bill, Instant now, PilotOutput &out) {
+  const std::string id = bill.id;
+  count("errands_read");
+  Afloat errand;
+  errand.bill = std::move(bill);
+  errand.waiting_since = now;
+  const std::uint32_t tenant = tenant_index(errand.bill.tenant);
+  Till &till = tills_[tenant];
+  till.name = errand.bill.tenant;
+  ++till.recent;
+  const bool is_full = afloat_.size() >= options_.errands_most;
+  afloat_[id] = std::move(errand);
+  if (is_full)
+    finish(id, Fate::no_runner, seconds(1), now, out, nullptr, "pilot-full");
+  else if (!is_fresh(now))
+    finish(id, Fate::stale, seconds(1), now, out);
+  else
+    go_on(id, now, out);
+  tend_till(tenant, now, out);
+  loop_back(now, out);
+}
+
+void Pilot::next_step(const std::string &id, Instant now, PilotOutput &out) {
+  const auto found = afloat_.find(id);
+  if (found == afloat_.end()) return;
+  ++found->second.at;
+  go_on(id, now, out);
+}
+
+void Pilot::go_on(const std::string &id, Instant now, PilotOutput &out) {
+  const auto found = afloat_.find(id);
+  if (found == afloat_.end()) return;
+  Afloat &errand = found->second;
+  errand.waiting_since = now;
+  switch (errand.bill.steps[errand.at]) {
+  case Step::pay: {
+    if (errand.bill.is_paid) {
+      next_step(id, now, out);
+      return;
+    }
+    const std::uint32_t tenant = tenant_index(errand.bill.tenant);
+    tills_[tenant].line.push_back(id);
+    serve_line(tenant, now, out);
+    return;
+  }
+  case Step::claim:
+    ask_claim(errand, now, out);
+    return;
+  case Step::berth:
+    ask_berth(errand, now, out);
+    return;
+  case Step::carry:
+    return;
+  }
+}
+
+std::optional<Fate> Pilot::recheck(const Afloat &errand, Instant now) const {
+  if (!is_fresh(now)) return Fate::stale;
+  const InForce force = in_force();
+  const Tenant *tenant = force.charter ? force.charter->find_tenant(errand.bill.key) : nullptr;
+  if (tenant == nullptr || tenant->name != errand.bill.tenant) return Fate::unknown_key;
+  if (force.charter->service_named(errand.bill.service) == nullptr) return Fate::no_rule;
+  if (now >= errand.bill.deadline) return Fate::waited_unsent;
+  return std::nullopt;
+}
+
+void Pilot::ask_claim(Afloat &errand, Instant now, PilotOutput &out) {
+  errand.asked_at = now;
+  errand.has_claimed = true;
+  send_leader(ClaimAsk{errand.bill.claim_key, errand.bill.id, errand.bill.claim_digest}, out);
+}
+
+void Pilot::ask_berth(Afloat &errand, Instant now, PilotOutput &out) {
+  errand.asked_at = now;
+  const NodeId owner = owner_of(errand.bill.service, stevedore_salt);
+  if (owner == 0) return;
+  SlotAsk ask;
+  ask.errand = errand.bill.id;
+  ask.service = errand.bill.service;
+  ask.tenant = errand.bill.tenant;
+  ask.epoch = roster_.epoch;
+  ask.worth = errand.bill.worth;
+  ask.patience = errand.bill.deadline - now;
+  ask.is_second = errand.tries > 0;
+  ask.avoid = errand.avoid;
+  out.mail.push_back({owner, {}, ask});
+}
+
+void Pilot::handle(const ClaimSay &say, Instant now, PilotOutput &out) {
+  const auto found = afloat_.find(say.errand);
+  if (found == afloat_.end() || found->second.bill.steps[found->second.at] != Step::claim) return;
+  Afloat &errand = found->second;
+  switch (static_cast<ClaimState>(say.state)) {
+  case ClaimState::first:
+    next_step(say.errand, now, out);
+    return;
+  case ClaimState::recorded: {
+    errand.has_claimed = false;
+    CallEnd end;
+    end.status = say.status;
+    end.type = say.type;
+    end.body = say.body;
+    finish(say.errand, Fate::replayed, 0, now, out, &end, say.first_errand);
+    return;
+  }
+  case ClaimState::in_flight:
+  case ClaimState::unknown:
+    errand.has_claimed = false;
+    finish(say.errand, Fate::in_flight, seconds(1), now, out, nullptr, say.first_errand);
+    return;
+  case ClaimState::mismatch:
+    errand.has_claimed = false;
+    finish(say.errand, Fate::key_reused, 0, now, out);
+    return;
+  case ClaimState::refused:
+    finish(say.errand, Fate::no_runner, seconds(1), now, out, nullptr, "claims-full");
+    return;
+  }
+}
+
+void Pilot::handle(NodeId from, const SlotSay &say, Instant now, PilotOutput &out) {
+  const auto found = afloat_.find(say.errand);
+  const auto state = static_cast<SlotState>(say.state);
+  const bool is_owner = owner_of(say.service, stevedore_salt) == from;
+  const bool is_wanted =
+      found != afloat_.end() && found->second.bill.steps[found->second.at] == Step::berth && is_owner;
+  if (!is_wanted) {
+    const bool is_ours =
+        found != afloat_.end() && found->second.is_carrying && found->second.runner == say.runner;
+    const bool is_freeing = std::any_of(freeing_.begin(), freeing_.end(),
+                                        [&](const Freeing &item) { return item.free.errand == say.errand; });
+    if (state == SlotState::granted && is_owner && !is_ours && !is_freeing)
+      out.mail.push_back(
+          {from,
+           {},
+           SlotFree{say.errand, say.service, say.runner, static_cast<std::uint8_t>(SlotEnd::unused)}});
+    return;
+  }
+  Afloat &errand = found->second;
+  if (state == SlotState::not_mine) return;
+  if (state == SlotState::refused) {
+    if (errand.tries > 0 && errand.first_fate)
+      finish(say.errand, *errand.first_fate, say.retry_after, now, out, nullptr, say.why);
+    else
+      finish(say.errand, Fate::no_runner, say.retry_after, now, out, nullptr, say.why);
+    return;
+  }
+  errand.runner = say.runner;
+  errand.is_granted = true;
+  if (const auto fate = recheck(errand, now)) {
+    finish(say.errand, *fate, seconds(1), now, out);
+    return;
+  }
+  const auto runner = runners_.find(say.runner);
+  if (runner != runners_.end() && runner->second.is_leaving) {
+    free_slot(errand, SlotEnd::unused, now, out);
+    errand.is_granted = false;
+    errand.asked_at = 0;
+    return;
+  }
+  ++errand.at;
+  ++errand.tries;
+  errand.is_carrying = true;
+  if (errand.tries > 1) count("second_tries");
+  count("carried");
+  out.carries.push_back({say.errand, say.runner, say.address, say.seal_key, errand.bill.tenant,
+                         errand.bill.service, errand.bill.deadline});
+}
+
+void Pilot::call_ended(const CallEnd &end, Instant now, PilotOutput &out) {
+  const auto found = afloat_.find(end.errand);
+  if (found == afloat_.end()) return;
+  Afloat &errand = found->second;
+  errand.is_carrying = false;
+  switch (end.kind) {
+  case CallKind::answered:
+    free_slot(errand, SlotEnd::answered, now, out);
+    finish(end.errand, Fate::answered, 0, now, out, &end);
+    break;
+  case CallKind::refused:
+  case CallKind::unreached: {
+    const bool is_refusal = end.kind == CallKind::refused;
+    free_slot(errand, is_refusal ? SlotEnd::refused : SlotEnd::unreached, now, out);
+    errand.is_granted = false;
+    errand.first_fate = is_refusal ? Fate::refused : Fate::no_runner;
+    if (errand.tries >= options_.tries_most || errand.bill.deadline - now < milliseconds(20)) {
+      finish(end.errand, *errand.first_fate, seconds(1), now, out);
+    } else {
+      errand.avoid = errand.runner;
+      --errand.at;
+      go_on(end.errand, now, out);
+    }
+    break;
+  }
+  case CallKind::bad_seal:
+    free_slot(errand, SlotEnd::answered, now, out);
+    finish(end.errand, Fate::bad_seal, 0, now, out, &end);
+    break;
+  case CallKind::lost:
+    free_slot(errand, SlotEnd::lost, now, out);
+    finish(end.errand, Fate::link_lost, 0, now, out, &end);
+    break;
+  case CallKind::timed_out:
+    free_slot(errand, SlotEnd::lost, now, out);
+    finish(end.errand, Fate::waited_sent, seconds(1), now, out, &end);
+    break;
+  }
+  loop_back(now, out);
+}
+
+void Pilot::free_slot(const Afloat &errand, SlotEnd end, Instant now, PilotOutput &out) {
+  const bool is_cancel = end == SlotEnd::unused && !errand.is_granted;
+  SlotFree free{errand.bill.id, errand.bill.service, is_cancel ? std::string() : errand.runner,
+                static_cast<std::uint8_t>(end)};
+  if (end == SlotEnd::lost)
+    lost_.push_back({errand.bill.id, errand.bill.service, errand.runner, now + seconds(60)});
+  std::erase_if(freeing_, [&](const Freeing &item) { return item.free.errand == free.errand; });
+  const NodeId owner = owner_of(errand.bill.service, stevedore_salt);
+  if (owner != 0) out.mail.push_back({owner, {}, free});
+  freeing_.push_back({std::move(free), now + options_.free_again, now + seconds(60)});
+}
+
+void Pilot::close_claim(const Afloat &errand, ClosedAs as, const CallEnd *end, Instant now,
+                        PilotOutput &out) {
+  CloseAsk close;
+  close.key = errand.bill.claim_key;
+  close.errand = errand.bill.id;
+  close.closed_as = static_cast<std::uint8_t>(as);
+  if (as == ClosedAs::run && end != nullptr) {
+    close.status = end->status;
+    close.type = end->type;
+    close.body = end->body.size() <= options_.record_most ? end->body : std::string();
+  }
+  send_leader(close, out);
+  closing_.push_back({std::move(close), now + options_.claim_again, now + seconds(120)});
+}
+
+void Pilot::finish(const std::string &id, Fate fate, Span retry_after, Instant now, PilotOutput &out,
+                   const CallEnd *end, std::string why) {
+  const auto found = afloat_.find(id);
+  if (found == afloat_.end()) return;
+  Afloat &errand = found->second;
+  const Step step = errand.bill.steps[errand.at];
+  if (step == Step::berth) free_slot(errand, SlotEnd::unused, now, out);
+  if (errand.has_claimed) {
+    const Verdict verdict = outcome_of(fate).verdict;
+    close_claim(errand,
+                verdict == Verdict::run       ? ClosedAs::run
+                : verdict == Verdict::not_run ? ClosedAs::not_run
+                                              : ClosedAs::unknown,
+                end, now, out);
+  }
+  if (step == Step::pay) std::erase(tills_[tenant_index(errand.bill.tenant)].line, id);
+  count(fate_counter(fate));
+  Reply reply;
+  reply.errand = id;
+  reply.service = errand.bill.service;
+  reply.rule = errand.bill.rule;
+  reply.runner = errand.runner;
+  reply.version = errand.bill.version;
+  reply.fate = fate;
+  reply.retry_after = retry_after;
+  reply.why = std::move(why);
+  if (end != nullptr && fate == Fate::replayed) {
+    reply.status = end->status;
+    reply.type = end->type;
+    reply.body = end->body;
+  }
+  out.replies.push_back(std::move(reply));
+  afloat_.erase(found);
+}
+
+void Pilot::handle(NodeId from, const InventoryAsk &ask, Instant now, PilotOutput &out) {
+  if (roster_.epoch < ask.epoch) return;
+  InventorySay say;
+  say.service = ask.service;
+  say.epoch = ask.epoch;
+  for (const auto &[id, errand] : afloat_)
+    if (errand.bill.service == ask.service && errand.is_carrying)
+      say.held.push_back({id, errand.runner, self_.id, errand.bill.deadline - now});
+  for (const LostSlot &lost : lost_)
+    if (lost.service == ask.service) say.held.push_back({lost.errand, lost.runner, self_.id, 0});
+  stevedore_.describe_former(ask.service, ask.epoch, now, say);
+  out.mail.push_back({from, {}, say});
+}
+
+bool Pilot::spend_fallback(Till &till, Instant now) {
+  const Tenant *tenant = in_force_.charter ? in_force_.charter->tenant_named(till.name) : nullptr;
+  if (tenant == nullptr || roster_.pilots.empty()) return false;
+  std::size_t nodes = roster_.pilots.size();
+  for (const PastRoster &past : roster_.past) nodes = std::max(nodes, past.pilots.size());
+  const double rate = 0.1 * static_cast<double>(tenant->base) / static_cast<double>(nodes);
+  if (!till.is_fallback) {
+    till.is_fallback = true;
+    till.fallback_at = now;
+    till.fallback = 0;
+  }
+  till.fallback = std::min(1.0, till.fallback + rate * static_cast<double>(now - till.fallback_at) / 1e9);
+  till.fallback_at = now;
+  if (till.fallback < 1.0) return false;
+  till.fallback -= 1.0;
+  count("fallback_spent");
+  return true;
+}
+
+void Pilot::serve_line(std::uint32_t tenant, Instant now, PilotOutput &out) {
+  Till &till = tills_[tenant];
+  while (!till.line.empty()) {
+    const auto found = afloat_.find(till.line.front());
+    if (found == afloat_.end()) {
+      till.line.pop_front();
+      continue;
+    }
+    if (till.deny_until > now) {
+      count("denied_errands");
+      finish(std::string(till.line.front()), Fate::over_quota, till.deny_until - now, now, out);
+      continue;
+    }
+    const auto purse = rack_.obtain(tenant, capacity_of(till.name));
+    const bool is_cut_off =
+        till.unanswered_since != 0 && now - till.unanswered_since >= options_.fallback_after;
+    if (!purse->spend(now) && !(is_cut_off && spend_fallback(till, now))) break;
+    const std::string id = till.line.front();
+    till.line.pop_front();
+    found->second.bill.is_paid = true;
+    next_step(id, now, out);
+  }
+  if (!till.line.empty()) ask_permit(tenant, now, out);
+}
+
+void Pilot::ask_permit(std::uint32_t tenant, Instant now, PilotOutput &out) {
+  Till &till = tills_[tenant];
+  if (till.asked_at != 0 && now - till.asked_at < options_.permit_again) return;
+  const NodeId owner = owner_of(till.name, purser_salt);
+  if (owner == 0) return;
+  const auto purse = rack_.obtain(tenant, capacity_of(till.name));
+  PermitAsk ask;
+  ask.tenant = till.name;
+  ask.epoch = roster_.epoch;
+  ask.ask = next_ask_++;
+  ask.want = static_cast<std::uint32_t>(
+      std::max(1.0, static_cast<double>(till.line.size()) + std::ceil(till.rate * 0.15)));
+  const Spent now_spent = purse->glance();
+  if (now_spent.permit != 0) ask.returns.push_back({now_spent.permit, now_spent.spent, false});
+  for (const auto &[permit, spent] : till.finals) ask.returns.push_back({permit, spent, true});
+  till.finals.clear();
+  till.asks[ask.ask] = now;
+  while (till.asks.size() > 16) till.asks.erase(till.asks.begin());
+  till.asked_at = now;
+  if (till.unanswered_since == 0) till.unanswered_since = now;
+  count("permit_asks");
+  out.mail.push_back({owner, {}, ask});
+}
+
+void Pilot::handle(const PermitSay &say, NodeId, Instant now, PilotOutput &out) {
+  const std::uint32_t tenant = tenant_index(say.tenant);
+  const auto found = tills_.find(tenant);
+  if (found == tills_.end()) return;
+  Till &till = found->second;
+  const auto asked = till.asks.find(say.ask);
+  if (!say.is_owner) {
+    if (asked != till.asks.end()) till.asked_at = now - options_.permit_again + say.retry_after;
+    return;
+  }
+  till.unanswered_since = 0;
+  till.is_fallback = false;
+  if (asked == till.asks.end()) {
+    if (say.tokens > 0) till.finals[say.permit] = 0;
+    return;
+  }
+  const Instant sent_at = asked->second;
+  till.asks.erase(asked);
+  till.asked_at = 0;
+  if (say.tokens == 0) {
+    till.deny_until = std::max(till.deny_until, now + std::min(say.retry_after, milliseconds(250)));
+    serve_line(tenant, now, out);
+    return;
+  }
+  const Grant grant{say.permit, say.tokens, sent_at, say.window, milliseconds(250)};
+  if (now - sent_at >= grant.life) {
+    till.finals[say.permit] = 0;
+    serve_line(tenant, now, out);
+    return;
+  }
+  const Spent old = rack_.obtain(tenant, capacity_of(till.name))->install(grant, now);
+  if (old.permit != 0) till.finals[old.permit] = old.spent;
+  count("permits_received");
+  serve_line(tenant, now, out);
+}
+
+void Pilot::tend_till(std::uint32_t tenant, Instant now, PilotOutput &out) {
+  Till &till = tills_[tenant];
+  if (till.rate_at == 0) till.rate_at = now;
+  if (now - till.rate_at >= milliseconds(200)) {
+    const double fresh = static_cast<double>(till.recent) * 1e9 / static_cast<double>(now - till.rate_at);
+    till.rate = till.rate * 0.5 + fresh * 0.5;
+    till.recent = 0;
+    till.rate_at = now;
+  }
+  const auto purse = rack_.find(tenant);
+  if (purse) {
+    const Spent state = purse->glance();
+    const bool is_dead = state.permit != 0 && now >= purse->dies_at();
+    if (is_dead) {
+      const Spent old = purse->install(Grant{}, now);
+      if (old.permit != 0) till.finals[old.permit] = old.spent;
+    }
+    const bool is_low =
+        !is_dead && state.permit != 0 && state.spent > 0 &&
+        (purse->left(now) * 10 <= state.tokens * 3 || purse->dies_at() - now < milliseconds(60));
+    if (is_low && till.rate * 0.15 >= 1.0 && till.deny_until <= now) ask_permit(tenant, now, out);
+    const Span idle = std::max(options_.eviction_least, seconds(10));
+    if (state.permit == 0 && till.line.empty() && now - purse->last_used() > idle) {
+      rack_.evict(tenant);
+      count("purse_evictions");
+    }
+  }
+  if (!till.finals.empty() && till.line.empty() &&
+      (till.asked_at == 0 || now - till.asked_at > options_.permit_again)) {
+    PermitAsk report;
+    report.tenant = till.name;
+    report.epoch = roster_.epoch;
+    for (const auto &[permit, spent] : till.finals) report.returns.push_back({permit, spent, true});
+    till.finals.clear();
+    if (const NodeId owner = owner_of(till.name, purser_salt); owner != 0)
+      out.mail.push_back({owner, {}, report});
+  }
+}
+
+void Pilot::tick(Instant now, PilotOutput &out) {
+  rollcall_.tick(now, out.mail);
+  for (const Member &member : rollcall_.living(now))
+    if (member.group != 0 && member.role == static_cast<std::uint8_t>(Role::harbour))
+      rollcall_.set_group(member.group);
+  if (now >= pulse_at_) send_pulse(now, out);
+  purser_.tick(now, out.mail);
+  stevedore_.tick(now, out.mail);
+  std::vector<std::uint32_t> tenants;
+  for (const auto &[tenant, till] : tills_) tenants.push_back(tenant);
+  for (std::uint32_t tenant : tenants) {
+    if (!tills_[tenant].line.empty()) serve_line(tenant, now, out);
+    tend_till(tenant, now, out);
+  }
+  std::vector<std::string> ids;
+  for (const auto &[id, errand] : afloat_) ids.push_back(id);
+  for (const std::string &id : ids) {
+    const auto found = afloat_.find(id);
+    if (found == afloat_.end() || found->second.is_carrying) continue;
+    Afloat &errand = found->second;
+    const Step step = errand.bill.steps[errand.at];
+    if (now >= errand.bill.deadline) {
+      finish(id, errand.first_fate ? *errand.first_fate : Fate::waited_unsent, seconds(1), now, out);
+    } else if (!is_fresh(now)) {
+      finish(id, Fate::stale, seconds(1), now, out);
+    } else if (step == Step::pay && now - errand.waiting_since > options_.permit_patience) {
+      finish(id, Fate::no_permit, seconds(1), now, out);
+    } else if (step == Step::claim && now - errand.asked_at >= options_.claim_again) {
+      ask_claim(errand, now, out);
+    } else if (step == Step::berth && now - errand.asked_at >= options_.berth_again) {
+      ask_berth(errand, now, out);
+    }
+  }
+  for (Freeing &item : freeing_) {
+    if (now < item.next_at) continue;
+    item.next_at = now + options_.free_again;
+    const NodeId owner = owner_of(item.free.service, stevedore_salt);
+    if (owner != 0) out.mail.push_back({owner, {}, item.free});
+  }
+  std::erase_if(freeing_, [now](const Freeing &item) { return now > item.until; });
+  for (Closing &item : closing_) {
+    if (now < item.next_at) continue;
+    item.next_at = now + options_.claim_again;
+    send_leader(item.close, out);
+  }
+  std::erase_if(closing_, [now](const Closing &item) { return now > item.until; });
+  std::erase_if(lost_, [now](const LostSlot &item) { return now > item.until; });
+  loop_back(now, out);
+}
+
+} // namespace wharf
--- /dev/null
+++ b/packages/pilot/pilot.hpp
@@ -0,0 +1,189 @@
+#pragma once
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "berth/berth.hpp"
+#include "pilot/waybill.hpp"
+#include "purse/purse.hpp"
+#include "purser/purser.hpp"
+#include "rollcall/rollcall.hpp"
+
+namespace wharf {
+
+/// An order to call a runner for an errand.
+struct Carry {
+  std::string errand, runner, address, seal_key, tenant, service;
+  Instant deadline = 0;
+};
+
+/// The end of an errand as its caller is told it.
+struct Reply {
+  std::string errand, service, rule, runner;
+  Fate fate = Fate::answered;
+  Version version = 0;
+  Span retry_after = 0;
+  int status = 0;
+  std::string type, body, why;
+};
+
+struct PilotOutput {
+  Outbox mail;
+  std::vector<Carry> carries;
+  std::vector<Reply> replies;
+  std::vector<std::string> lines;
+};
+
+enum class CallKind : std::uint8_t { answered, refused, unreached, bad_seal, lost, timed_out };
+
+/// How a call to a runner ended; `body` only for errands that hold a claim.
+struct CallEnd {
+  std::string errand;
+  CallKind kind = CallKind::lost;
+  int status = 0;
+  std::string type, body;
+};
+
+struct PilotOptions {
+  Span pulse = milliseconds(250);
+  Span fresh = seconds(2);
+  Span leader_silence = milliseconds(600);
+  Span permit_again = milliseconds(100);
+  Span permit_patience = milliseconds(1500);
+  Span fallback_after = milliseconds(300);
+  Span claim_again = milliseconds(200);
+  Span berth_again = milliseconds(150);
+  Span free_again = milliseconds(200);
+  Span eviction_least = seconds(5);
+  std::size_t record_most = 65536;
+  std::size_t errands_most = 4096;
+  std::size_t tries_most = 2;
+};
+
+/// The manifest a pilot has in force, shared with the threads at the door.
+struct InForce {
+  Version version = 0;
+  std::shared_ptr<const Charter> charter;
+};
+
+/// All decisions of a pilot, as a pure state machine; the purses alone are shared with the door's threads.
+class Pilot {
+public:
+  Pilot(Member self, std::vector<std::string> seeds, PilotOptions options, Instant now);
+
+  void receive(const Envelope &envelope, Instant now, PilotOutput &out);
+  void tick(Instant now, PilotOutput &out);
+  void arrive(Waybill bill, Instant now, PilotOutput &out);
+  void call_ended(const CallEnd &end, Instant now, PilotOutput &out);
+  void set_leaving();
+  /// True once nothing is under way here and the roster no longer counts on this pilot.
+  bool is_quiet(Instant now) const;
+
+  /// Plans an errand and pays for it from the local purse when that can; safe from any thread.
+  std::variant<Waybill, Fate> front(const ErrandHead &head, Instant now);
+  InForce in_force() const;
+  bool is_fresh(Instant now) const { return now < fresh_until_; }
+  bool is_settled(Instant now) const;
+  std::size_t afloat() const { return afloat_.size(); }
+  const std::map<std::string, std::uint64_t> &counters() const { return counters_; }
+  std::map<std::string, std::uint64_t> gauges(Instant now) const;
+  const Roster &roster() const { return roster_; }
+  Rollcall &rollcall() { return rollcall_; }
+  Purser &purser() { return purser_; }
+  Stevedore &stevedore() { return stevedore_; }
+  /// The dense index of a tenant's name in this process.
+  std::uint32_t tenant_index(const std::string &name);
+
+private:
+  struct Afloat {
+    Waybill bill;
+    std::size_t at = 0;
+    std::string runner, avoid;
+    std::size_t tries = 0;
+    Instant asked_at = 0, waiting_since = 0;
+    bool has_claimed = false, is_granted = false, is_carrying = false;
+    std::optional<Fate> first_fate;
+  };
+  struct Till {
+    std::string name;
+    std::deque<std::string> line;
+    std::map<std::uint64_t, Instant> asks;
+    std::uint64_t recent = 0;
+    Instant asked_at = 0, unanswered_since = 0, deny_until = 0, rate_at = 0;
+    double rate = 0, fallback = 0;
+    Instant fallback_at = 0;
+    bool is_fallback = false;
+    std::map<std::uint64_t, std::uint32_t> finals;
+  };
+  struct Freeing {
+    SlotFree free;
+    Instant next_at = 0, until = 0;
+  };
+  struct Closing {
+    CloseAsk close;
+    Instant next_at = 0, until = 0;
+  };
+
+  void handle(NodeId from, const Orders &orders, Instant now, PilotOutput &out);
+  void handle(const PermitSay &say, NodeId from, Instant now, PilotOutput &out);
+  void handle(const ClaimSay &say, Instant now, PilotOutput &out);
+  void handle(NodeId from, const SlotSay &say, Instant now, PilotOutput &out);
+  void handle(NodeId from, const InventoryAsk &ask, Instant now, PilotOutput &out);
+  void dispatch(const Envelope &envelope, Instant now, PilotOutput &out);
+  void loop_back(Instant now, PilotOutput &out);
+  void switch_manifest(const Orders &orders, Instant now, PilotOutput &out);
+
+  void go_on(const std::string &errand, Instant now, PilotOutput &out);
+  void next_step(const std::string &errand, Instant now, PilotOutput &out);
+  void ask_claim(Afloat &errand, Instant now, PilotOutput &out);
+  void ask_berth(Afloat &errand, Instant now, PilotOutput &out);
+  void finish(const std::string &errand, Fate fate, Span retry_after, Instant now, PilotOutput &out,
+              const CallEnd *end = nullptr, std::string why = {});
+  void free_slot(const Afloat &errand, SlotEnd end, Instant now, PilotOutput &out);
+  void close_claim(const Afloat &errand, ClosedAs as, const CallEnd *end, Instant now, PilotOutput &out);
+  std::optional<Fate> recheck(const Afloat &errand, Instant now) const;
+  void ask_permit(std::uint32_t tenant, Instant now, PilotOutput &out);
+  void serve_line(std::uint32_t tenant, Instant now, PilotOutput &out);
+  void tend_till(std::uint32_t tenant, Instant now, PilotOutput &out);
+  bool spend_fallback(Till &till, Instant now);
+  double capacity_of(const std::string &tenant) const;
+  NodeId owner_of(const std::string &name, std::uint64_t salt) const;
+  void send_pulse(Instant now, PilotOutput &out);
+  void send_leader(const Signal &signal, PilotOutput &out);
+  void count(const std::string &name) { ++counters_[name]; }
+
+  Member self_;
+  PilotOptions options_;
+  Rollcall rollcall_;
+  Purser purser_;
+  Stevedore stevedore_;
+  PurseRack rack_;
+  mutable std::mutex in_force_mutex_;
+  InForce in_force_;
+  std::map<std::string, std::uint32_t> tenant_index_;
+  std::map<std::uint32_t, Till> tills_;
+  std::map<std::string, Afloat> afloat_;
+  std::vector<Freeing> freeing_;
+  std::vector<Closing> closing_;
+  struct LostSlot {
+    std::string errand, service, runner;
+    Instant until = 0;
+  };
+  std::vector<LostSlot> lost_;
+  Roster roster_;
+  Epoch settled_ = 0;
+  std::map<std::string, RunnerView> runners_;
+  std::uint64_t runners_stamp_ = 0, runners_term_ = 0;
+  NodeId leader_ = 0;
+  Instant fresh_until_ = 0, pulse_at_ = 0, heard_leader_at_ = 0;
+  bool is_leaving_ = false;
+  std::uint64_t next_ask_ = 1;
+  std::map<std::string, std::uint64_t> counters_;
+};
+
+} // namespace wharf
--- /dev/null
+++ b/packages/pilot/waybill.cpp
@@ -0,0 +1,61 @@
+#include "pilot/waybill.hpp"
+
+#include <algorithm>
+
+#include "seal/seal.hpp"
+
+namespace wharf {
+
+std::string_view step_name(Step step) {
+  switch (step) {
+  case Step::pay:
+    return "pay";
+  case Step::claim:
+    return "claim";
+  case Step::berth:
+    return "berth";
+  case Step::carry:
+    return "carry";
+  }
+  return "?";
+}
+
+std::variant<Waybill, Fate> plan_errand(const Charter &charter, Version version, const ErrandHead &head,
+                                        Instant now) {
+  const Tenant *tenant = charter.find_tenant(head.key);
+  if (tenant == nullptr) return Fate::unknown_key;
+  std::vector<std::string> segments;
+  if (!split_path(head.target, segments)) return Fate::malformed;
+  const Rule *rule = charter.compass.find(head.method, segments, tenant->name);
+  if (rule == nullptr) return Fate::no_rule;
+  const auto limit = static_cast<std::size_t>(charter.limits.body_most_bytes);
+  if (head.body_size > limit) return Fate::too_large;
+  Waybill bill;
+  const std::string &seed = head.idempotency_key.empty() ? head.id : head.idempotency_key;
+  const Service *service =
+      charter.service_named(elect_target(*rule, stable_hash(seed.data(), seed.size())).service);
+  if (service == nullptr) return Fate::no_rule;
+  bill.id = head.id;
+  bill.tenant = tenant->name;
+  bill.service = service->name;
+  bill.rule = rule->name;
+  bill.key = head.key;
+  bill.version = version;
+  bill.worth = static_cast<std::uint32_t>(service->worth);
+  bill.is_once = service->once;
+  const std::int64_t asked = head.wait_ms > 0 ? head.wait_ms : charter.limits.wait_default_ms;
+  const std::int64_t wait = std::min(asked, charter.limits.wait_most_ms);
+  bill.arrived = now;
+  bill.deadline = now + milliseconds(wait) - std::min(milliseconds(50), milliseconds(wait) / 10);
+  bill.steps.push_back(Step::pay);
+  if (service->once && !head.idempotency_key.empty()) {
+    bill.claim_key = tenant->name + "/" + head.idempotency_key;
+    bill.claim_digest = digest_hex(head.method + "\n" + head.target + "\n" + head.body_digest);
+    bill.steps.push_back(Step::claim);
+  }
+  bill.steps.push_back(Step::berth);
+  bill.steps.push_back(Step::carry);
+  return bill;
+}
+
+} // namespace wharf
--- /dev/null
+++ b/packages/pilot/waybill.hpp
@@ -0,0 +1,38 @@
+#pragma once
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "charter/charter.hpp"
+#include "signals/signals.hpp"
+#include "verdict/verdict.hpp"
+
+namespace wharf {
+
+/// What the door read of an errand, before anything is decided.
+struct ErrandHead {
+  std::string id, method, target, key, idempotency_key, body_digest;
+  std::int64_t wait_ms = 0;
+  std::size_t body_size = 0;
+};
+
+/// The steps an errand may go through.
+enum class Step : std::uint8_t { pay, claim, berth, carry };
+std::string_view step_name(Step step);
+
+/// The plan of an errand: data only, made before anything is done.
+struct Waybill {
+  std::string id, tenant, service, rule, key, claim_key, claim_digest;
+  Version version = 0;
+  std::uint32_t worth = 1;
+  bool is_once = false, is_paid = false;
+  Instant arrived = 0, deadline = 0;
+  std::vector<Step> steps;
+};
+
+/// Plans an errand against a manifest, or says at once why it goes nowhere.
+std::variant<Waybill, Fate> plan_errand(const Charter &charter, Version version, const ErrandHead &head,
+                                        Instant now);
+
+} // namespace wharf
--- /dev/null
+++ b/packages/purser/purser.cpp
@@ -0,0 +1,331 @@
+#include "purser/purser.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wharf {
+
+Purser::Purser(NodeId self, PurserOptions options) : self_(self), options_(options) {}
+
+NodeId Purser::owner_in(const std::vector<NodeId> &pilots, const std::string &tenant) const {
+  const auto ranked = rank_nodes(pilots, tenant, purser_salt);
+  return ranked.empty() ? 0 : ranked[0];
+}
+
+NodeId Purser::replica_in(const std::vector<NodeId> &pilots, const std::string &tenant) const {
+  const auto ranked = rank_nodes(pilots, tenant, purser_salt);
+  return ranked.size() < 2 ? 0 : ranked[1];
+}
+
+bool Purser::is_granting(const std::string &tenant, Instant now) const {
+  const auto found = ledgers_.find(tenant);
+  return found != ledgers_.end() && found->second.post == Post::ready && now < fresh_until_;
+}
+
+void Purser::set_allowances(std::map<std::string, Allowance> allowances, Instant now) {
+  const bool had_any = !allowances_.empty();
+  for (const auto &[tenant, allowance] : allowances) {
+    Ledger &ledger = ledgers_[tenant];
+    const bool is_new = !allowances_.contains(tenant);
+    const bool is_owner = roster_.epoch != 0 && owner_in(roster_.pilots, tenant) == self_;
+    if (is_new && is_owner && ledger.post == Post::none) {
+      ledger.post = Post::awaiting;
+      ledger.settled_at = settled_ >= roster_.epoch ? settled_at_ : 0;
+      if (had_any && settled_ >= roster_.epoch) {
+        ledger.post = Post::ready;
+        ledger.tokens = allowance.base + allowance.burst;
+        ledger.refilled_at = now;
+      }
+    }
+    if (ledger.post == Post::ready) {
+      const auto old = allowances_.find(tenant);
+      if (old != allowances_.end()) refill(old->second, ledger, now);
+      ledger.tokens = std::min(ledger.tokens, allowance.base + allowance.burst);
+    }
+  }
+  allowances_ = std::move(allowances);
+}
+
+bool Purser::is_copy_whole(const std::string &tenant, const Ledger &ledger) const {
+  if (!ledger.has_copy) return false;
+  bool is_found = false;
+  NodeId owner = 0;
+  for (const PastRoster &past : roster_.past) {
+    if (past.epoch < ledger.copy_epoch) continue;
+    if (past.epoch == ledger.copy_epoch) {
+      is_found = true;
+      owner = owner_in(past.pilots, tenant);
+    }
+    if (!is_found || owner_in(past.pilots, tenant) != owner || replica_in(past.pilots, tenant) != self_)
+      return false;
+  }
+  return is_found;
+}
+
+bool Purser::was_owner_since(Epoch epoch, const std::string &tenant) const {
+  bool is_found = false;
+  for (const PastRoster &past : roster_.past) {
+    if (past.epoch < epoch) continue;
+    if (past.epoch == epoch) is_found = true;
+    if (owner_in(past.pilots, tenant) != self_) return false;
+  }
+  return is_found;
+}
+
+void Purser::set_roster(const Roster &roster, Epoch settled, Instant now, Outbox &out) {
+  if (roster.epoch > roster_.epoch) {
+    const Roster old = roster_;
+    roster_ = roster;
+    for (auto &[tenant, ledger] : ledgers_) {
+      const NodeId owner = owner_in(roster_.pilots, tenant);
+      if (owner == self_) {
+        ledger.handover_to = 0;
+        if (ledger.post == Post::ready && !was_owner_since(old.epoch, tenant)) {
+          ledger.post = Post::awaiting;
+          ledger.has_copy = false;
+          ledger.settled_at = 0;
+          ledger.answers.clear();
+        } else if (ledger.post == Post::ready) {
+          ++ledger.sequence;
+          ledger.copied_at = 0;
+        } else if (ledger.post != Post::awaiting) {
+          ledger.has_copy = is_copy_whole(tenant, ledger);
+          ledger.post = Post::awaiting;
+          ledger.settled_at = 0;
+        }
+        continue;
+      }
+      if (ledger.post == Post::ready) {
+        ledger.handover_to = owner;
+        ledger.handover_until = now + seconds(4);
+        ledger.answers.clear();
+        ++ledger.sequence;
+        if (owner != 0) out.push_back({owner, {}, copy_of(tenant, ledger, now, true)});
+      }
+      ledger.post = replica_in(roster_.pilots, tenant) == self_ ? Post::replica : Post::none;
+    }
+  }
+  if (settled > settled_) {
+    settled_ = settled;
+    settled_at_ = now;
+  }
+  tick(now, out);
+}
+
+void Purser::start_unknown(const Allowance &allowance, Ledger &ledger, Instant now) {
+  ++unknown_starts_;
+  ledger.charges.clear();
+  ledger.tokens = -allowance.base;
+  ledger.refilled_at = now;
+}
+
+void Purser::begin(const std::string &tenant, Ledger &ledger, Instant now, Outbox &) {
+  const Allowance &allowance = allowances_.at(tenant);
+  if (!ledger.has_copy) {
+    if (roster_.is_first) {
+      ledger.tokens = allowance.base + allowance.burst;
+      ledger.refilled_at = now;
+    } else {
+      start_unknown(allowance, ledger, now);
+    }
+  }
+  ledger.post = Post::ready;
+  ++ledger.sequence;
+  ledger.acked = 0;
+  ledger.copied_at = 0;
+  ledger.answers.clear();
+}
+
+void Purser::tick(Instant now, Outbox &out) {
+  for (auto &[tenant, ledger] : ledgers_) {
+    if (ledger.post == Post::awaiting && settled_ >= roster_.epoch && allowances_.contains(tenant) &&
+        now < fresh_until_) {
+      if (ledger.settled_at == 0) ledger.settled_at = now;
+      if (ledger.has_copy || roster_.is_first || now - ledger.settled_at >= options_.handover_patience)
+        begin(tenant, ledger, now, out);
+    }
+    const bool must_copy = ledger.post == Post::ready && ledger.sequence > ledger.acked;
+    if (must_copy && now - ledger.copied_at >= options_.copy_again) send_copy(tenant, ledger, now, out);
+    if (ledger.handover_to != 0 && now < ledger.handover_until &&
+        now - ledger.copied_at >= options_.copy_again) {
+      ledger.copied_at = now;
+      out.push_back({ledger.handover_to, {}, copy_of(tenant, ledger, now, true)});
+    }
+  }
+}
+
+void Purser::send_copy(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out) {
+  const NodeId replica = replica_in(roster_.pilots, tenant);
+  ledger.copied_at = now;
+  if (replica == 0) {
+    ledger.acked = ledger.sequence;
+    release(ledger, out);
+    return;
+  }
+  out.push_back({replica, {}, copy_of(tenant, ledger, now, false)});
+}
+
+void Purser::release(Ledger &ledger, Outbox &out) {
+  while (!ledger.answers.empty() && ledger.answers.front().sequence <= ledger.acked) {
+    out.push_back({ledger.answers.front().to, {}, ledger.answers.front().say});
+    ledger.answers.pop_front();
+  }
+}
+
+LedgerCopy Purser::copy_of(const std::string &tenant, const Ledger &ledger, Instant now,
+                           bool is_handover) const {
+  LedgerCopy copy;
+  copy.tenant = tenant;
+  copy.epoch = roster_.epoch;
+  copy.sequence = ledger.sequence;
+  copy.next_permit = ledger.next_permit;
+  copy.tokens = ledger.tokens;
+  copy.is_handover = is_handover;
+  for (const Entry &entry : ledger.charges)
+    copy.charges.push_back({entry.permit, entry.node, entry.tokens, entry.expires - now, entry.is_open});
+  return copy;
+}
+
+void Purser::refill(const Allowance &allowance, Ledger &ledger, Instant now) {
+  const double elapsed = static_cast<double>(std::max<Span>(0, now - ledger.refilled_at)) / 1e9;
+  ledger.tokens = std::min(allowance.base + allowance.burst, ledger.tokens + elapsed * allowance.base);
+  ledger.refilled_at = std::max(now, ledger.refilled_at);
+  std::erase_if(ledger.charges, [now](const Entry &entry) { return entry.expires <= now; });
+}
+
+void Purser::take_returns(const Allowance &allowance, Ledger &ledger, NodeId from,
+                          const std::vector<PermitReturn> &returns, Instant now) {
+  std::deque<Entry> closed;
+  for (const PermitReturn &item : returns) {
+    for (Entry &entry : ledger.charges) {
+      if (!entry.is_open || entry.permit != item.permit || entry.node != from) continue;
+      const std::uint32_t total = entry.tokens + entry.reported;
+      const std::uint32_t spent = std::min(item.spent, total);
+      if (spent > entry.reported) {
+        const std::uint32_t newly = spent - entry.reported;
+        closed.push_back({0, 0, newly, 0, now + options_.quota_window, false});
+        entry.tokens -= newly;
+        entry.reported = spent;
+      }
+      if (item.is_final) {
+        ledger.tokens = std::min(allowance.base + allowance.burst, ledger.tokens + entry.tokens);
+        entry.tokens = 0;
+        entry.is_open = false;
+        entry.expires = now;
+      }
+    }
+  }
+  std::erase_if(ledger.charges, [](const Entry &entry) { return !entry.is_open && entry.tokens == 0; });
+  for (Entry &entry : closed) {
+    if (!ledger.charges.empty()) {
+      Entry &last = ledger.charges.back();
+      if (!last.is_open && entry.expires - last.expires < milliseconds(20)) {
+        last.tokens += entry.tokens;
+        last.expires = entry.expires;
+        continue;
+      }
+    }
+    ledger.charges.push_back(entry);
+  }
+}
+
+void Purser::step(NodeId from, const Signal &signal, Instant now, Outbox &out) {
+  if (const auto *ask = std::get_if<PermitAsk>(&signal))
+    handle(from, *ask, now, out);
+  else if (const auto *copy = std::get_if<LedgerCopy>(&signal))
+    handle(from, *copy, now, out);
+  else if (const auto *ack = std::get_if<LedgerAck>(&signal))
+    handle(from, *ack, now, out);
+}
+
+void Purser::handle(NodeId from, const PermitAsk &ask, Instant now, Outbox &out) {
+  PermitSay say;
+  say.tenant = ask.tenant;
+  say.ask = ask.ask;
+  const auto found = ledgers_.find(ask.tenant);
+  const auto allowance = allowances_.find(ask.tenant);
+  if (found == ledgers_.end() || allowance == allowances_.end() || found->second.post != Post::ready ||
+      now >= fresh_until_ || ask.epoch > roster_.epoch) {
+    say.is_owner = false;
+    say.retry_after = milliseconds(60);
+    out.push_back({from, {}, say});
+    return;
+  }
+  Ledger &ledger = found->second;
+  const Allowance &plan = allowance->second;
+  refill(plan, ledger, now);
+  take_returns(plan, ledger, from, ask.returns, now);
+  if (ask.want == 0) return;
+  double taken = 0;
+  for (const Entry &entry : ledger.charges) taken += entry.tokens;
+  const double cap = plan.base * static_cast<double>(options_.quota_window) / 1e9 + plan.burst;
+  const double room = std::min(ledger.tokens, cap - taken);
+  const double usual = std::max(1.0, std::floor(plan.base * options_.permit_share));
+  const auto granted = static_cast<std::uint32_t>(
+      std::max(0.0, std::min({std::floor(room), usual, static_cast<double>(ask.want)})));
+  if (granted == 0) {
+    ++denied_;
+    Span wait = static_cast<Span>(std::max(0.0, 1.0 - ledger.tokens) / plan.base * 1e9);
+    if (cap - taken < 1.0 && !ledger.charges.empty()) {
+      Instant soonest = ledger.charges.front().expires;
+      for (const Entry &entry : ledger.charges) soonest = std::min(soonest, entry.expires);
+      wait = std::max(wait, soonest - now);
+    }
+    say.retry_after = std::max<Span>(wait, milliseconds(1));
+    out.push_back({from, {}, say});
+    return;
+  }
+  ++granted_;
+  ledger.tokens -= granted;
+  say.permit = (roster_.epoch << 28) | (++ledger.next_permit & 0xfffffff);
+  say.tokens = granted;
+  say.window = options_.window;
+  ledger.charges.push_back({say.permit, from, granted, 0, now + options_.life + options_.quota_window, true});
+  ++ledger.sequence;
+  ledger.answers.push_back({ledger.sequence, from, say});
+  send_copy(ask.tenant, ledger, now, out);
+}
+
+void Purser::handle(NodeId from, const LedgerCopy &copy, Instant now, Outbox &out) {
+  Ledger &ledger = ledgers_[copy.tenant];
+  const LedgerAck ack{copy.tenant, copy.epoch, copy.sequence};
+  if (ledger.post == Post::ready) {
+    if (copy.is_handover) out.push_back({from, {}, ack});
+    return;
+  }
+  if (copy.is_handover) {
+    out.push_back({from, {}, ack});
+    if (ledger.post != Post::awaiting || copy.epoch < roster_.epoch) return;
+  } else {
+    if (ledger.post == Post::awaiting) return;
+    const bool is_older =
+        ledger.has_copy && (copy.epoch < ledger.copy_epoch ||
+                            (copy.epoch == ledger.copy_epoch && copy.sequence < ledger.sequence));
+    if (is_older) return;
+    out.push_back({from, {}, ack});
+  }
+  ledger.copy_epoch = copy.epoch;
+  ledger.has_copy = true;
+  ledger.sequence = copy.sequence;
+  ledger.next_permit = copy.next_permit;
+  ledger.tokens = copy.tokens;
+  ledger.refilled_at = now;
+  ledger.charges.clear();
+  for (const Charge &charge : copy.charges)
+    ledger.charges.push_back(
+        {charge.permit, charge.node, charge.tokens, 0, now + charge.age, charge.is_open});
+}
+
+void Purser::handle(NodeId from, const LedgerAck &ack, Instant, Outbox &out) {
+  const auto found = ledgers_.find(ack.tenant);
+  if (found == ledgers_.end()) return;
+  Ledger &ledger = found->second;
+  if (ledger.handover_to == from && ack.sequence >= ledger.sequence) ledger.handover_to = 0;
+  if (ledger.post != Post::ready || ack.epoch != roster_.epoch ||
+      replica_in(roster_.pilots, ack.tenant) != from)
+    return;
+  ledger.acked = std::max(ledger.acked, ack.sequence);
+  release(ledger, out);
+}
+
+} // namespace wharf
--- /dev/null
+++ b/packages/purser/purser.hpp
@@ -0,0 +1,96 @@
+#pragma once
+#include <deque>
+#include <map>
+#include <string>
+
+#include "signals/signals.hpp"
+
+namespace wharf {
+
+/// What a tenant may spend, as the manifest in force says.
+struct Allowance {
+  double base = 0, burst = 0;
+  bool operator==(const Allowance &) const = default;
+};
+
+struct PurserOptions {
+  Span window = milliseconds(100);
+  Span life = milliseconds(250);
+  Span quota_window = seconds(5);
+  Span handover_patience = milliseconds(300);
+  Span copy_again = milliseconds(80);
+  double permit_share = 0.10;
+};
+
+/// Owner and replica of tenants' allowances, as a pure state machine.
+class Purser {
+public:
+  Purser(NodeId self, PurserOptions options);
+  void set_allowances(std::map<std::string, Allowance> allowances, Instant now);
+  void set_roster(const Roster &roster, Epoch settled, Instant now, Outbox &out);
+  /// Until when this node may act as an owner at all.
+  void set_fresh_until(Instant until) { fresh_until_ = until; }
+  void step(NodeId from, const Signal &signal, Instant now, Outbox &out);
+  void tick(Instant now, Outbox &out);
+
+  /// True when this node grants for the tenant now.
+  bool is_granting(const std::string &tenant, Instant now) const;
+  std::uint64_t granted() const { return granted_; }
+  std::uint64_t denied() const { return denied_; }
+  std::uint64_t unknown_starts() const { return unknown_starts_; }
+
+private:
+  enum class Post : std::uint8_t { none, replica, awaiting, ready };
+  struct Entry {
+    std::uint64_t permit = 0;
+    NodeId node = 0;
+    std::uint32_t tokens = 0, reported = 0;
+    Instant expires = 0;
+    bool is_open = false;
+  };
+  struct Answer {
+    std::uint64_t sequence = 0;
+    NodeId to = 0;
+    PermitSay say;
+  };
+  struct Ledger {
+    Post post = Post::none;
+    double tokens = 0;
+    Instant refilled_at = 0;
+    std::deque<Entry> charges;
+    std::uint64_t sequence = 0, acked = 0, next_permit = 0;
+    Epoch copy_epoch = 0;
+    bool has_copy = false;
+    Instant settled_at = 0, copied_at = 0;
+    std::deque<Answer> answers;
+    NodeId handover_to = 0;
+    Instant handover_until = 0;
+  };
+
+  void handle(NodeId from, const PermitAsk &ask, Instant now, Outbox &out);
+  void handle(NodeId from, const LedgerCopy &copy, Instant now, Outbox &out);
+  void handle(NodeId from, const LedgerAck &ack, Instant now, Outbox &out);
+  void refill(const Allowance &allowance, Ledger &ledger, Instant now);
+  void take_returns(const Allowance &allowance, Ledger &ledger, NodeId from,
+                    const std::vector<PermitReturn> &returns, Instant now);
+  LedgerCopy copy_of(const std::string &tenant, const Ledger &ledger, Instant now, bool is_handover) const;
+  NodeId owner_in(const std::vector<NodeId> &pilots, const std::string &tenant) const;
+  NodeId replica_in(const std::vector<NodeId> &pilots, const std::string &tenant) const;
+  bool was_owner_since(Epoch epoch, const std::string &tenant) const;
+  bool is_copy_whole(const std::string &tenant, const Ledger &ledger) const;
+  void begin(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out);
+  void start_unknown(const Allowance &allowance, Ledger &ledger, Instant now);
+  void send_copy(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out);
+  void release(Ledger &ledger, Outbox &out);
+
+  NodeId self_;
+  PurserOptions options_;
+  std::map<std::string, Allowance> allowances_;
+  std::map<std::string, Ledger> ledgers_;
+  Roster roster_;
+  Epoch settled_ = 0;
+  Instant settled_at_ = 0, fresh_until_ = 0;
+  std::uint64_t granted_ = 0, denied_ = 0, unknown_starts_ = 0;
+};
+
+} // namespace wharf
--- /dev/null
+++ b/packages/rollcall/rollcall.hpp
@@ -0,0 +1,46 @@
+#pragma once
+#include <map>
+#include <string>
+#include <vector>
+
+#include "signals/signals.hpp"
+
+namespace wharf {
+
+struct RollcallOptions {
+  Span every = milliseconds(250);
+  Span silent_after = milliseconds(1500);
+  Span forget_after = seconds(30);
+};
+
+/// Membership by gossip: any one living seed suffices to learn of all others.
+class Rollcall {
+public:
+  Rollcall(Member self, std::vector<std::string> seeds, RollcallOptions options);
+  void step(const Envelope &envelope, Instant now, Outbox &out);
+  void tick(Instant now, Outbox &out);
+  void set_group(std::uint64_t group) { self_.group = group; }
+  void set_leaving() { self_.is_leaving = true; }
+
+  /// Members heard of lately, without this one.
+  std::vector<Member> living(Instant now) const;
+  const Member *find(NodeId id) const;
+  bool is_living(NodeId id, Instant now) const;
+  /// The address signals for a node go to; empty when it is not known.
+  std::string address_of(NodeId id) const;
+  const Member &self() const { return self_; }
+  const std::vector<std::string> &seeds() const { return seeds_; }
+
+private:
+  struct Known {
+    Member member;
+    Instant advanced = 0;
+  };
+  Member self_;
+  std::vector<std::string> seeds_;
+  RollcallOptions options_;
+  std::map<NodeId, Known> known_;
+  Instant next_at_ = 0;
+};
+
+} // namespace wharf
--- /dev/null
+++ b/packages/signals/signals.hpp
@@ -0,0 +1,356 @@
+#pragma once
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "tide/tide.hpp"
+
+namespace wharf {
+
+using NodeId = std::uint64_t;
+using Epoch = std::uint64_t;
+using Version = std::uint64_t;
+
+#define WHARF_CARRY(...)                                                                                     \
+  template <typename Archive> void serialize(Archive &archive, unsigned) {                                   \
+    wharf::carry(archive, __VA_ARGS__);                                                                      \
+  }
+
+template <typename Archive, typename... Parts> void carry(Archive &archive, Parts &...parts) {
+  (void)(archive & ... & parts);
+}
+
+enum class Role : std::uint8_t { harbour = 1, pilot = 2 };
+
+/// One process as the others know it.
+struct Member {
+  NodeId id = 0;
+  std::uint64_t group = 0;
+  std::string address, http, zone;
+  std::uint8_t role = 0;
+  std::uint64_t beat = 0;
+  bool is_leaving = false;
+  WHARF_CARRY(id, group, address, http, zone, role, beat, is_leaving)
+};
+
+/// Membership gossip: all that the sender knows.
+struct Muster {
+  std::vector<Member> members;
+  WHARF_CARRY(members)
+};
+
+/// Asks a seed whether any group exists.
+struct FoundAsk {
+  std::uint64_t nonce = 0;
+  std::vector<std::string> seeds;
+  WHARF_CARRY(nonce, seeds)
+};
+struct FoundSay {
+  std::uint64_t nonce = 0, group = 0;
+  NodeId id = 0;
+  bool may_found = false;
+  std::string zone;
+  WHARF_CARRY(nonce, group, id, may_found, zone)
+};
+
+/// One member of the Raft group.
+struct Mate {
+  NodeId id = 0;
+  bool is_voter = false;
+  std::string zone;
+  WHARF_CARRY(id, is_voter, zone)
+  bool operator==(const Mate &) const = default;
+};
+
+/// The founder's order: the group's number and its first voters.
+struct FoundOrder {
+  std::uint64_t group = 0;
+  std::vector<Mate> mates;
+  WHARF_CARRY(group, mates)
+};
+
+enum class EntryKind : std::uint8_t { blank = 0, command = 1, mates = 2 };
+
+/// One entry of the replicated log.
+struct Entry {
+  std::uint64_t index = 0, term = 0;
+  std::uint8_t kind = 0;
+  std::string body;
+  WHARF_CARRY(index, term, kind, body)
+};
+
+struct VoteAsk {
+  std::uint64_t group = 0, term = 0, last_index = 0, last_term = 0;
+  bool is_trial = false;
+  WHARF_CARRY(group, term, last_index, last_term, is_trial)
+};
+struct VoteSay {
+  std::uint64_t group = 0, term = 0;
+  bool is_granted = false, is_trial = false;
+  WHARF_CARRY(group, term, is_granted, is_trial)
+};
+struct AppendAsk {
+  std::uint64_t group = 0, term = 0, prev_index = 0, prev_term = 0, commit = 0;
+  Instant sent_at = 0;
+  std::vector<Entry> entries;
+  WHARF_CARRY(group, term, prev_index, prev_term, commit, sent_at, entries)
+};
+struct AppendSay {
+  std::uint64_t group = 0, term = 0, match = 0;
+  bool is_taken = false;
+  Instant sent_at = 0;
+  WHARF_CARRY(group, term, match, is_taken, sent_at)
+};
+/// A whole picture of the state, for a mate too far behind for entries.
+struct PictureAsk {
+  std::uint64_t group = 0, term = 0, index = 0, last_term = 0;
+  Instant sent_at = 0;
+  std::vector<Mate> mates;
+  std::string body;
+  WHARF_CARRY(group, term, index, last_term, sent_at, mates, body)
+};
+
+/// What a stevedore wishes for one service.
+struct Want {
+  std::string service;
+  std::uint32_t runners = 0;
+  Epoch epoch = 0;
+  std::vector<std::string> retire, idle;
+  std::uint32_t pending = 0, taken = 0;
+  WHARF_CARRY(service, runners, epoch, retire, idle, pending, taken)
+};
+
+/// A runner as pilots and stevedores know it.
+struct RunnerView {
+  std::string id, service, address, worker, zone, seal_key;
+  bool is_leaving = false;
+  WHARF_CARRY(id, service, address, worker, zone, seal_key, is_leaving)
+};
+
+/// An earlier roster, kept so that a successor can tell whether its copy is whole.
+struct PastRoster {
+  Epoch epoch = 0;
+  std::vector<NodeId> pilots;
+  WHARF_CARRY(epoch, pilots)
+};
+
+/// Who serves as purser and stevedore, by epoch.
+struct Roster {
+  Epoch epoch = 0;
+  std::vector<NodeId> pilots;
+  std::vector<PastRoster> past;
+  bool is_first = false;
+  WHARF_CARRY(epoch, pilots, past, is_first)
+};
+
+/// Ranks nodes for a name by highest random weight; the first is its owner, the second its replica.
+std::vector<NodeId> rank_nodes(const std::vector<NodeId> &nodes, std::string_view name, std::uint64_t salt);
+constexpr std::uint64_t purser_salt = 11, stevedore_salt = 23;
+
+/// A pilot's report to the leader and its ask for a freshness permit.
+struct Pulse {
+  Instant sent_at = 0;
+  Version version = 0;
+  Epoch epoch = 0;
+  std::uint64_t runners_stamp = 0, runners_term = 0;
+  bool is_leaving = false;
+  std::vector<Want> wants;
+  WHARF_CARRY(sent_at, version, epoch, runners_stamp, runners_term, is_leaving, wants)
+};
+
+/// The leader's answer: a freshness permit and whatever is newer than the pilot has.
+struct Orders {
+  Instant sent_at = 0;
+  Span age = 0;
+  std::uint64_t term = 0;
+  Version version = 0;
+  bool has_manifest = false;
+  std::string manifest;
+  Roster roster;
+  Epoch settled = 0;
+  std::uint64_t runners_stamp = 0;
+  bool has_runners = false;
+  std::vector<RunnerView> runners;
+  WHARF_CARRY(sent_at, age, term, version, has_manifest, manifest, roster, settled, runners_stamp,
+              has_runners, runners)
+};
+
+struct NotLeader {
+  NodeId leader = 0;
+  WHARF_CARRY(leader)
+};
+
+enum class ClaimState : std::uint8_t {
+  first = 0,
+  in_flight = 1,
+  recorded = 2,
+  unknown = 3,
+  mismatch = 4,
+  refused = 5
+};
+
+struct ClaimAsk {
+  std::string key, errand, digest;
+  WHARF_CARRY(key, errand, digest)
+};
+struct ClaimSay {
+  std::string errand;
+  std::uint8_t state = 0;
+  std::int32_t status = 0;
+  std::string type, body, first_errand;
+  WHARF_CARRY(errand, state, status, type, body, first_errand)
+};
+enum class ClosedAs : std::uint8_t { not_run = 0, run = 1, unknown = 2 };
+struct CloseAsk {
+  std::string key, errand;
+  std::uint8_t closed_as = 0;
+  std::int32_t status = 0;
+  std::string type, body;
+  WHARF_CARRY(key, errand, closed_as, status, type, body)
+};
+struct CloseSay {
+  std::string errand;
+  WHARF_CARRY(errand)
+};
+
+struct PermitReturn {
+  std::uint64_t permit = 0;
+  std::uint32_t spent = 0;
+  bool is_final = false;
+  WHARF_CARRY(permit, spent, is_final)
+};
+struct PermitAsk {
+  std::string tenant;
+  Epoch epoch = 0;
+  std::uint64_t ask = 0;
+  std::uint32_t want = 0;
+  std::vector<PermitReturn> returns;
+  WHARF_CARRY(tenant, epoch, ask, want, returns)
+};
+struct PermitSay {
+  std::string tenant;
+  std::uint64_t ask = 0, permit = 0;
+  std::uint32_t tokens = 0;
+  Span window = 0, retry_after = 0;
+  bool is_owner = true;
+  WHARF_CARRY(tenant, ask, permit, tokens, window, retry_after, is_owner)
+};
+
+/// One charge a purser keeps until it is older than the quota window.
+struct Charge {
+  std::uint64_t permit = 0;
+  NodeId node = 0;
+  std::uint32_t tokens = 0;
+  Span age = 0;
+  bool is_open = true;
+  WHARF_CARRY(permit, node, tokens, age, is_open)
+};
+/// A tenant's ledger as it goes to a replica or a successor.
+struct LedgerCopy {
+  std::string tenant;
+  Epoch epoch = 0;
+  std::uint64_t sequence = 0, next_permit = 0;
+  double tokens = 0;
+  std::vector<Charge> charges;
+  bool is_handover = false;
+  WHARF_CARRY(tenant, epoch, sequence, next_permit, tokens, charges, is_handover)
+};
+struct LedgerAck {
+  std::string tenant;
+  Epoch epoch = 0;
+  std::uint64_t sequence = 0;
+  WHARF_CARRY(tenant, epoch, sequence)
+};
+
+struct SlotAsk {
+  std::string errand, service, tenant;
+  Epoch epoch = 0;
+  std::uint32_t worth = 1;
+  Span patience = 0;
+  bool is_second = false;
+  std::string avoid;
+  WHARF_CARRY(errand, service, tenant, epoch, worth, patience, is_second, avoid)
+};
+enum class SlotState : std::uint8_t { granted = 0, refused = 1, not_mine = 2 };
+struct SlotSay {
+  std::string errand, service, runner, address, seal_key;
+  Epoch epoch = 0;
+  std::uint8_t state = 0;
+  Span retry_after = 0;
+  std::string why;
+  WHARF_CARRY(errand, service, runner, address, seal_key, epoch, state, retry_after, why)
+};
+enum class SlotEnd : std::uint8_t { answered = 0, refused = 1, unreached = 2, lost = 3, unused = 4 };
+struct SlotFree {
+  std::string errand, service, runner;
+  std::uint8_t end = 0;
+  WHARF_CARRY(errand, service, runner, end)
+};
+struct SlotFreed {
+  std::string errand, service, runner;
+  WHARF_CARRY(errand, service, runner)
+};
+struct HeldSlot {
+  std::string errand, runner;
+  NodeId pilot = 0;
+  Span left = 0;
+  WHARF_CARRY(errand, runner, pilot, left)
+};
+struct InventoryAsk {
+  std::string service;
+  Epoch epoch = 0;
+  WHARF_CARRY(service, epoch)
+};
+struct InventorySay {
+  std::string service;
+  Epoch epoch = 0;
+  std::vector<HeldSlot> held;
+  bool is_former_owner = false;
+  std::vector<HeldSlot> berth_held;
+  std::vector<std::string> doubtful;
+  WHARF_CARRY(service, epoch, held, is_former_owner, berth_held, doubtful)
+};
+
+/// Everything our processes say to each other.
+using Signal =
+    std::variant<Muster, FoundAsk, FoundSay, FoundOrder, VoteAsk, VoteSay, AppendAsk, AppendSay, PictureAsk,
+                 Pulse, Orders, NotLeader, ClaimAsk, ClaimSay, CloseAsk, CloseSay, PermitAsk, PermitSay,
+                 LedgerCopy, LedgerAck, SlotAsk, SlotSay, SlotFree, SlotFreed, InventoryAsk, InventorySay>;
+
+/// A signal with its sender.
+struct Envelope {
+  NodeId from = 0;
+  std::string from_address;
+  Signal signal;
+};
+
+/// Signals a state machine wants sent, by node or, before a node is known, by address.
+struct Posted {
+  NodeId to = 0;
+  std::string address;
+  Signal signal;
+};
+using Outbox = std::vector<Posted>;
+
+/// The largest frame our processes accept.
+constexpr std::size_t frame_limit = 32u << 20;
+
+/// Bytes of one value, by Boost.Serialization.
+template <typename Value> std::string pack(const Value &value);
+/// The value of bytes; false when they do not hold one.
+template <typename Value> bool unpack(std::string_view bytes, Value &value);
+
+/// A whole frame: mark, length, checksum, body.
+std::string frame(const Envelope &envelope);
+
+enum class FrameState { whole, partial, broken };
+/// Reads one frame from the front of `bytes`; `used` tells how many bytes it took.
+FrameState unframe(std::string_view bytes, Envelope &envelope, std::size_t &used);
+
+/// CRC-32C of bytes.
+std::uint32_t checksum(std::string_view bytes, std::uint32_t seed = 0);
+
+} // namespace wharf
--- /dev/null
+++ b/programs/fleet/main.cpp
@@ -0,0 +1,278 @@
+#include <arpa/inet.h>
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <httplib.h>
+#include <iostream>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <popt.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "bosun/door.hpp"
+#include "hawser/hawser.hpp"
+
+namespace {
+using namespace wharf;
+namespace fs = std::filesystem;
+
+struct FleetOptions {
+  std::string deployment = "udruga", folder, binaries, examples;
+  double rate = 300, seconds_long = 20;
+  int threads = 96;
+  bool must_stay = false;
+};
+
+struct Shape {
+  int harbours = 4, pilots = 7, zones = 4, workers = 12, memory_mb = 6144;
+};
+
+/// One process of the deployment, started here and ended here.
+struct Process {
+  std::string name, address, http;
+  pid_t pid = 0;
+  std::vector<std::string> words;
+};
+
+int free_port() {
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in place{};
+  place.sin_family = AF_INET;
+  place.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  bind(descriptor, reinterpret_cast<sockaddr *>(&place), sizeof place);
+  socklen_t size = sizeof place;
+  getsockname(descriptor, reinterpret_cast<sockaddr *>(&place), &size);
+  close(descriptor);
+  return ntohs(place.sin_port);
+}
+
+std::string place_here() { return "127.0.0.1:" + std::to_string(free_port()); }
+
+/// A whole deployment on this machine.
+class Fleet {
+public:
+  explicit Fleet(FleetOptions options) : options_(std::move(options)) {
+    if (options_.deployment == "masa-verde") shape_ = {3, 9, 3, 12, 8192};
+    if (options_.deployment == "single") shape_ = {1, 1, 1, 2, 4096};
+    manifest_ = options_.examples + "/" +
+                (options_.deployment == "single" ? "quickstart" : options_.deployment) + ".manifest.json";
+    mix_ = options_.examples + "/" + (options_.deployment == "single" ? "quickstart" : options_.deployment) +
+           ".mix.json";
+  }
+
+  int run() {
+    fs::create_directories(options_.folder);
+    lay_out();
+    for (Process &process : processes_) start(process);
+    const int outcome = drive();
+    if (options_.must_stay && outcome == 0) {
+      std::cout << "operators at " << harbour_https() << ", callers at " << pilot_https() << ", token "
+                << token_ << "; Ctrl-C ends it\n"
+                << std::flush;
+      while (stops_caught() == 0) usleep(100'000);
+    }
+    const int left_over = stop_all();
+    return outcome != 0 ? outcome : left_over;
+  }
+
+private:
+  void lay_out() {
+    Process yard{"dockyard", place_here(), "", 0, {}};
+    yard.words = {"dockyard",
+                  "--address",
+                  yard.address,
+                  "--journal",
+                  options_.folder + "/visits.jsonl",
+                  "--workers",
+                  std::to_string(shape_.workers),
+                  "--zones",
+                  std::to_string(shape_.zones),
+                  "--memory-mb",
+                  std::to_string(shape_.memory_mb)};
+    std::string seeds;
+    for (int at = 0; at < shape_.harbours; ++at) {
+      Process process{"harbourd-" + std::to_string(at + 1), place_here(), place_here(), 0, {}};
+      if (at < (shape_.harbours >= 3 ? 3 : 1)) seeds += (seeds.empty() ? "" : ",") + process.address;
+      processes_.push_back(process);
+    }
+    for (int at = 0; at < shape_.pilots; ++at)
+      processes_.push_back({"pilotd-" + std::to_string(at + 1), place_here(), place_here(), 0, {}});
+    int number = 0;
+    for (Process &process : processes_) {
+      const bool is_harbour = process.name.starts_with("harbourd");
+      const std::string zone(1, static_cast<char>('a' + number++ % shape_.zones));
+      process.words = {is_harbour ? "harbourd" : "pilotd",
+                       "--address",
+                       process.address,
+                       "--http",
+                       process.http,
+                       "--zone",
+                       zone,
+                       "--seeds",
+                       seeds};
+      if (!is_harbour) continue;
+      for (const std::string &word :
+           {std::string("--data"), options_.folder + "/" + process.name, std::string("--platform"),
+            yard.address, std::string("--operator-token"), token_})
+        process.words.push_back(word);
+    }
+    processes_.insert(processes_.begin(), yard);
+  }
+
+  void start(Process &process) {
+    process.pid = spawn(process.words, options_.folder + "/" + process.name + ".log");
+  }
+
+  pid_t spawn(const std::vector<std::string> &words, const std::string &log) {
+    const pid_t pid = fork();
+    if (pid != 0) return pid;
+    if (!log.empty()) {
+      const int descriptor = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      dup2(descriptor, 1);
+      dup2(descriptor, 2);
+    }
+    std::vector<char *> raw;
+    for (const std::string &word : words) raw.push_back(const_cast<char *>(word.c_str()));
+    raw.push_back(nullptr);
+    execv((options_.binaries + "/" + words[0]).c_str(), raw.data());
+    _exit(127);
+  }
+
+  int call(const std::vector<std::string> &words) {
+    const pid_t pid = spawn(words, "");
+    int state = 0;
+    waitpid(pid, &state, 0);
+    return WIFEXITED(state) ? WEXITSTATUS(state) : 99;
+  }
+
+  std::string https_of(const std::string &kind) const {
+    std::string list;
+    for (const Process &process : processes_)
+      if (process.name.starts_with(kind)) list += (list.empty() ? "" : ",") + process.http;
+    return list;
+  }
+  std::string harbour_https() const { return https_of("harbourd"); }
+  std::string pilot_https() const { return https_of("pilotd"); }
+
+  std::vector<std::string> control(std::vector<std::string> rest) const {
+    std::vector<std::string> words{"wharfctl", "--at", harbour_https(), "--token", token_};
+    words.insert(words.end(), rest.begin(), rest.end());
+    return words;
+  }
+
+  int drive() {
+    std::cout << "applying " << manifest_ << "\n" << std::flush;
+    if (call(control({"apply", manifest_})) != 0) return fail("the manifest was not applied");
+    if (call(control({"wait"})) != 0) return fail("the deployment did not settle");
+    if (!wait_pilots()) return fail("not every pilot became ready");
+    if (options_.seconds_long <= 0) return 0;
+    const std::string calls = options_.folder + "/calls.jsonl";
+    std::cout << "sending " << options_.rate << " errands a second for " << options_.seconds_long << " s\n"
+              << std::flush;
+    const int sent =
+        call({"shipper", "--pilots", pilot_https(), "--manifest", manifest_, "--mix", mix_, "--rate",
+              std::to_string(options_.rate), "--seconds", std::to_string(options_.seconds_long), "--threads",
+              std::to_string(options_.threads), "--journal", calls});
+    if (sent != 0) return fail("the callers failed");
+    if (call(control({"get"})) != 0) return fail("the manifest was not read back");
+    return call({"shipper", "--manifest", manifest_, "--journal", calls, "--audit",
+                 options_.folder + "/visits.jsonl"});
+  }
+
+  bool wait_pilots() {
+    for (int round = 0; round < 300; ++round) {
+      std::size_t ready = 0, pilots = 0;
+      for (const Process &process : processes_) {
+        if (!process.name.starts_with("pilotd")) continue;
+        ++pilots;
+        std::string ip;
+        int port = 0;
+        split_address(process.http, ip, port);
+        httplib::Client client(ip, port);
+        const auto result = client.Get("/.wharf/counters");
+        if (!result) continue;
+        const auto root = nlohmann::json::parse(result->body, nullptr, false);
+        ready += root.is_object() && root.value("is_settled", 0) == 1 && root.value("manifest_version", 0) > 0
+                     ? 1
+                     : 0;
+      }
+      if (ready == pilots) return true;
+      usleep(100'000);
+    }
+    return false;
+  }
+
+  int fail(const std::string &what) {
+    std::cerr << "fleet: " << what << "; logs are in " << options_.folder << "\n";
+    return 1;
+  }
+
+  int stop_all() {
+    int bad = 0;
+    for (const std::string kind : {"pilotd", "harbourd", "dockyard"}) {
+      for (Process &process : processes_)
+        if (process.pid > 0 && process.name.starts_with(kind)) kill(process.pid, SIGTERM);
+      for (Process &process : processes_) {
+        if (process.pid <= 0 || !process.name.starts_with(kind)) continue;
+        int state = 0;
+        bool has_ended = false;
+        for (int round = 0; round < 1000 && !has_ended; ++round) {
+          has_ended = waitpid(process.pid, &state, WNOHANG) == process.pid;
+          if (!has_ended) usleep(10'000);
+        }
+        if (!has_ended) {
+          kill(process.pid, SIGKILL);
+          waitpid(process.pid, &state, 0);
+        }
+        if (!has_ended || !WIFEXITED(state) || WEXITSTATUS(state) != 0) {
+          std::cerr << "fleet: " << process.name << " did not end cleanly\n";
+          bad = 1;
+        }
+      }
+    }
+    return bad;
+  }
+
+  FleetOptions options_;
+  Shape shape_;
+  std::string manifest_, mix_, token_ = "fleet-operator-token";
+  std::vector<Process> processes_;
+};
+} // namespace
+
+int main(int count, char **words) {
+  FleetOptions options;
+  char *deployment = nullptr, *folder = nullptr, *examples = nullptr;
+  int must_stay = 0;
+  poptOption table[] = {
+      {"deployment", 0, POPT_ARG_STRING, &deployment, 0, "udruga, masa-verde or single", "NAME"},
+      {"folder", 0, POPT_ARG_STRING, &folder, 0, "Where data, logs and records go", "DIR"},
+      {"examples", 0, POPT_ARG_STRING, &examples, 0, "Where the example manifests are", "DIR"},
+      {"rate", 0, POPT_ARG_DOUBLE, &options.rate, 0, "Errands a second", "N"},
+      {"seconds", 0, POPT_ARG_DOUBLE, &options.seconds_long, 0, "How long to send; 0 sends nothing", "S"},
+      {"threads", 0, POPT_ARG_INT, &options.threads, 0, "Callers at the same time", "N"},
+      {"stay", 0, POPT_ARG_NONE, &must_stay, 0, "Keep the deployment up afterwards", nullptr},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext context = poptGetContext("fleet", count, const_cast<const char **>(words), table, 0);
+  const int code = poptGetNextOpt(context);
+  if (code < -1) {
+    std::cerr << "fleet: " << poptBadOption(context, 0) << ": " << poptStrerror(code) << "\n";
+    return 2;
+  }
+  poptFreeContext(context);
+  if (deployment != nullptr) options.deployment = deployment;
+  options.must_stay = must_stay != 0;
+  options.binaries = fs::canonical("/proc/self/exe").parent_path();
+  options.examples = examples != nullptr ? examples : "examples";
+  options.folder = folder != nullptr
+                       ? folder
+                       : (fs::temp_directory_path() / ("fleet-" + std::to_string(getpid()))).string();
+  catch_stops();
+  Fleet fleet(options);
+  const int outcome = fleet.run();
+  if (folder == nullptr && outcome == 0) fs::remove_all(options.folder);
+  return outcome;
+}
--- /dev/null
+++ b/programs/harbourd/main.cpp
@@ -0,0 +1,326 @@
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "bosun/log.hpp"
+#include "bosun/options.hpp"
+#include "bridge/bridge.hpp"
+#include "capstan/ring.hpp"
+#include "hawser/hawser.hpp"
+#include "hold/shelf.hpp"
+#include "quay/quay.hpp"
+
+namespace {
+using namespace wharf;
+
+struct DiskDone {
+  std::uint64_t ticket = 0;
+};
+struct DiskRefused {
+  std::string what;
+};
+struct DiskOpened {
+  Recovered recovered;
+};
+using HarbourEvent = std::variant<Envelope, OperatorAsk, PlatformPicture, DiskDone, DiskRefused, DiskOpened>;
+struct Reopen {};
+using DiskJob = std::variant<Save, Reopen>;
+using SayWaiter = Waiter<OperatorSay>;
+
+/// The daemon round one harbour: duties for links, disk, platform, operators' door and core.
+class HarbourDaemon final : public HarbourDesk {
+public:
+  HarbourDaemon(const ProcessOptions &options, NodeId id, std::unique_ptr<DiskShelf> shelf,
+                const Recovered &recovered)
+      : options_(options), self_(make_self(options, id)), shelf_(std::move(shelf)), ring_(16384),
+        disk_ring_(65536), order_ring_(4096), bridge_(*this, options.operator_token),
+        hawser_(options.address, [this](Envelope &&envelope) { take(std::move(envelope)); }) {
+    build(recovered);
+  }
+
+  int run() {
+    set_up_door(server_, static_cast<std::size_t>(std::min<std::int64_t>(options_.threads, 64)), 4u << 20,
+                [this](const httplib::Request &request, const httplib::Headers &original,
+                       httplib::Response &response) { bridge_.serve(request, original, response); });
+    std::string ip;
+    int port = 0;
+    split_address(options_.http, ip, port);
+    if (!server_.bind_to_port(ip, port)) {
+      std::cerr << "harbourd: cannot listen on " << options_.http << "\n";
+      return 1;
+    }
+    Duty core("core", [this] { run_core(); });
+    Duty disk("disk", [this] { run_disk(); });
+    std::unique_ptr<Duty> lister, orderer;
+    if (!options_.platform.empty()) {
+      lister = std::make_unique<Duty>("lister", [this] { run_lister(); });
+      orderer = std::make_unique<Duty>("orderer", [this] { run_orderer(); });
+    }
+    Duty listening("listen", [this] { server_.listen_after_bind(); });
+    log_line("up, id " + std::to_string(self_.id) + ", operators at " + options_.http);
+    while (stops_caught() == 0) std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    log_line("draining");
+    is_leaving_ = true;
+    server_.stop();
+    listening.join();
+    const Instant until = tide_.now() + milliseconds(600);
+    while (tide_.now() < until && stops_caught() < 2)
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    is_stopping_ = true;
+    ring_.close();
+    core.join();
+    disk_ring_.close();
+    disk.join();
+    order_ring_.close();
+    lister.reset();
+    orderer.reset();
+    log_line("down");
+    return 0;
+  }
+
+  OperatorSay ask(OperatorAsk ask) override {
+    auto waiter = std::make_shared<SayWaiter>();
+    {
+      std::lock_guard guard(says_mutex_);
+      ask.ticket = ++next_ticket_;
+      says_[ask.ticket] = waiter;
+    }
+    const std::uint64_t ticket = ask.ticket;
+    OperatorSay say;
+    say.status = 0;
+    const bool is_in = ring_.offer(std::move(ask));
+    if (!is_in)
+      say = {ticket, 503, 0, "{\"outcome\": \"not-taken\", \"why\": \"too busy\"}\n", {}};
+    else
+      waiter->take(say, 10'000);
+    std::lock_guard guard(says_mutex_);
+    says_.erase(ticket);
+    return say;
+  }
+  std::string counters_json() override {
+    std::lock_guard guard(published_mutex_);
+    return published_;
+  }
+
+private:
+  static Member make_self(const ProcessOptions &options, NodeId id) {
+    Member self;
+    self.id = id;
+    self.address = options.address;
+    self.http = options.http;
+    self.zone = options.zone;
+    self.role = static_cast<std::uint8_t>(Role::harbour);
+    self.beat = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                               std::chrono::system_clock::now().time_since_epoch())
+                                               .count());
+    return self;
+  }
+
+  void build(const Recovered &recovered) {
+    HarbourOptions harbour_options;
+    harbour_options.platform_pace = static_cast<double>(options_.pace);
+    std::random_device source;
+    Member self = self_;
+    if (harbour_) self.beat = harbour_->rollcall().self().beat + 1;
+    harbour_ = std::make_unique<Harbour>(self, options_.seed_list(), harbour_options,
+                                         (static_cast<std::uint64_t>(source()) << 32) | source(), recovered,
+                                         tide_.now());
+  }
+
+  void take(Envelope &&envelope) {
+    if (!ring_.offer(std::move(envelope))) ++ring_full_;
+  }
+
+  void run_core() {
+    std::deque<HarbourEvent> events;
+    Instant tick_at = 0;
+    while (!is_stopping_) {
+      ring_.drain(events, milliseconds(5));
+      HarbourOutput out;
+      for (HarbourEvent &event : events) {
+        const Instant now = tide_.now();
+        if (auto *envelope = std::get_if<Envelope>(&event))
+          harbour_->receive(*envelope, now, out);
+        else if (auto *operator_ask = std::get_if<OperatorAsk>(&event))
+          harbour_->operate(std::move(*operator_ask), now, out);
+        else if (auto *picture = std::get_if<PlatformPicture>(&event))
+          harbour_->platform_seen(std::move(*picture), now, out);
+        else if (auto *done = std::get_if<DiskDone>(&event))
+          harbour_->saved(done->ticket, now, out);
+        else if (auto *refused = std::get_if<DiskRefused>(&event))
+          disk_refused(*refused, now, out);
+        else if (auto *opened = std::get_if<DiskOpened>(&event)) {
+          carry_out(out);
+          out = {};
+          build(opened->recovered);
+          log_line("the disk is open again");
+        }
+      }
+      const Instant now = tide_.now();
+      if (is_leaving_ && !has_left_) {
+        has_left_ = true;
+        harbour_->set_leaving(now, out);
+      }
+      if (now >= tick_at) {
+        harbour_->tick(now, out);
+        tick_at = now + milliseconds(5);
+      }
+      carry_out(out);
+      is_leading_ = harbour_->is_leading();
+      if (now >= publish_at_) publish(now);
+    }
+  }
+
+  void disk_refused(const DiskRefused &refused, Instant now, HarbourOutput &out) {
+    log_warning(refused.what);
+    harbour_->disk_failed(now, out);
+  }
+
+  void carry_out(HarbourOutput &out) {
+    for (Save &save : out.saves) disk_ring_.offer(std::move(save));
+    for (Posted &posted : out.mail) {
+      const std::string address =
+          posted.to == 0 ? posted.address : harbour_->rollcall().address_of(posted.to);
+      if (!address.empty()) hawser_.send(address, frame({self_.id, self_.address, std::move(posted.signal)}));
+    }
+    for (PlatformOrder &order : out.orders) order_ring_.offer(std::move(order));
+    for (OperatorSay &say : out.answers) {
+      std::lock_guard guard(says_mutex_);
+      const auto found = says_.find(say.ticket);
+      if (found != says_.end()) found->second->give(std::move(say));
+    }
+    for (const std::string &line : out.lines) log_line(line);
+  }
+
+  void run_disk() {
+    std::deque<DiskJob> jobs;
+    bool is_broken = false;
+    while (disk_ring_.drain(jobs, milliseconds(500)) && !(is_stopping_ && jobs.empty())) {
+      std::optional<Save> group;
+      for (DiskJob &job : jobs) {
+        if (is_broken || std::holds_alternative<Reopen>(job)) continue;
+        Save &save = std::get<Save>(job);
+        const bool is_joinable = group && !group->picture && !save.picture && save.cut_from == 0;
+        if (is_joinable) {
+          group->ticket = save.ticket;
+          if (save.hard) group->hard = save.hard;
+          std::move(save.append.begin(), save.append.end(), std::back_inserter(group->append));
+          continue;
+        }
+        if (group) is_broken = !write(*group);
+        group = std::move(save);
+      }
+      if (group && !is_broken) is_broken = !write(*group);
+      if (is_broken && !is_stopping_) {
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        auto opened = shelf_->open();
+        if (auto *recovered = std::get_if<Recovered>(&opened)) {
+          std::deque<DiskJob> stale;
+          disk_ring_.drain(stale, 0);
+          is_broken = false;
+          ring_.offer(DiskOpened{std::move(*recovered)});
+        }
+      }
+    }
+  }
+
+  bool write(const Save &save) {
+    const Instant started = tide_.now();
+    auto written = shelf_->write(save);
+    disk_us_ += static_cast<std::uint64_t>((tide_.now() - started) / 1000);
+    ++disk_writes_;
+    if (const auto *error = std::get_if<HoldError>(&written)) {
+      ring_.offer(DiskRefused{error->what});
+      return false;
+    }
+    while (!ring_.offer(DiskDone{save.ticket}) && !is_stopping_) std::this_thread::yield();
+    return true;
+  }
+
+  void run_lister() {
+    Quay quay(options_.platform);
+    while (!is_stopping_) {
+      if (is_leading_) {
+        if (auto picture = quay.list())
+          ring_.offer(std::move(*picture));
+        else
+          ++platform_away_;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+  }
+
+  void run_orderer() {
+    Quay quay(options_.platform);
+    std::deque<PlatformOrder> orders;
+    while (order_ring_.drain(orders, milliseconds(500)))
+      for (const PlatformOrder &order : orders) {
+        if (is_stopping_) return;
+        if (!quay.order(order)) ++orders_refused_;
+        ++orders_sent_;
+      }
+  }
+
+  void publish(Instant now) {
+    publish_at_ = now + milliseconds(100);
+    nlohmann::json root;
+    for (const auto &[name, value] : harbour_->gauges(now)) root[name] = value;
+    root["frames_dropped"] = hawser_.dropped();
+    root["ring_full"] = ring_full_.load();
+    root["disk_writes"] = disk_writes_.load();
+    root["disk_us"] = disk_us_.load();
+    root["platform_away"] = platform_away_.load();
+    root["platform_orders"] = orders_sent_.load();
+    root["platform_orders_refused"] = orders_refused_.load();
+    std::lock_guard guard(published_mutex_);
+    published_ = root.dump(2) + "\n";
+  }
+
+  ProcessOptions options_;
+  SteadyTide tide_;
+  Member self_;
+  std::unique_ptr<DiskShelf> shelf_;
+  std::unique_ptr<Harbour> harbour_;
+  Ring<HarbourEvent> ring_;
+  Ring<DiskJob> disk_ring_;
+  Ring<PlatformOrder> order_ring_;
+  Bridge bridge_;
+  httplib::Server server_;
+  std::mutex says_mutex_, published_mutex_;
+  std::map<std::uint64_t, std::shared_ptr<SayWaiter>> says_;
+  std::uint64_t next_ticket_ = 0;
+  std::string published_ = "{}\n";
+  Instant publish_at_ = 0;
+  bool has_left_ = false;
+  std::atomic<bool> is_stopping_{false}, is_leaving_{false}, is_leading_{false};
+  std::atomic<std::uint64_t> ring_full_{0}, disk_writes_{0}, disk_us_{0}, platform_away_{0}, orders_sent_{0},
+      orders_refused_{0};
+  Hawser hawser_;
+};
+} // namespace
+
+int main(int count, char **words) {
+  auto read = read_launch(ProgramKind::harbourd, count, const_cast<const char **>(words));
+  if (const auto *end = std::get_if<EndNow>(&read)) {
+    (end->code == 0 ? std::cout : std::cerr) << end->text;
+    return end->code;
+  }
+  const ProcessOptions options = std::get<Launch>(read).options;
+  start_log("harbourd", options.log_level);
+  catch_stops();
+  auto shelf = std::make_unique<DiskShelf>(options.data);
+  auto identity = shelf->identity();
+  auto opened = shelf->open();
+  for (const auto *error : {std::get_if<HoldError>(&identity), std::get_if<HoldError>(&opened)}) {
+    if (error == nullptr) continue;
+    std::cerr << "harbourd: " << error->what << "\n";
+    return 1;
+  }
+  try {
+    HarbourDaemon daemon(options, std::get<NodeId>(identity), std::move(shelf), std::get<Recovered>(opened));
+    return daemon.run();
+  } catch (const std::exception &error) {
+    std::cerr << "harbourd: " << error.what() << "\n";
+    return 1;
+  }
+}
