--- /dev/null
+++ b/programs/pilotd/main.cpp
@@ -0,0 +1,186 @@
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "bosun/log.hpp"
+#include "bosun/options.hpp"
+#include "capstan/ring.hpp"
+#include "gangway/gangway.hpp"
+#include "hawser/hawser.hpp"
+
+namespace {
+using namespace wharf;
+
+using PilotEvent = std::variant<Envelope, Waybill, CallEnd>;
+constexpr Span drain_grace = milliseconds(5500);
+
+/// The daemon round one pilot: duties for links, door and core, joined by a bounded ring.
+class PilotDaemon final : public PilotDesk {
+public:
+  explicit PilotDaemon(const ProcessOptions &options)
+      : options_(options), self_(make_self(options)),
+        pilot_(self_, options.seed_list(), PilotOptions{}, tide_.now()), ring_(16384), gangway_(*this, door_),
+        hawser_(options.address, [this](Envelope &&envelope) { take(std::move(envelope)); }) {}
+
+  int run() {
+    set_up_door(server_, static_cast<std::size_t>(options_.threads), 16u << 20,
+                [this](const httplib::Request &request, const httplib::Headers &original,
+                       httplib::Response &response) { gangway_.serve(request, original, response); });
+    std::string ip;
+    int port = 0;
+    split_address(options_.http, ip, port);
+    if (!server_.bind_to_port(ip, port)) {
+      std::cerr << "pilotd: cannot listen on " << options_.http << "\n";
+      return 1;
+    }
+    Duty core("core", [this] { run_core(); });
+    Duty listening("listen", [this] {
+      server_.listen_after_bind();
+      is_door_closed_ = true;
+    });
+    log_line("up, id " + std::to_string(self_.id) + ", callers at " + options_.http);
+    while (stops_caught() == 0) std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    log_line("draining");
+    const Instant until = tide_.now() + drain_grace;
+    is_leaving_ = true;
+    server_.stop();
+    while (tide_.now() < until && stops_caught() < 2 && !(is_door_closed_ && is_core_quiet_))
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    const bool is_clean = is_door_closed_ && is_core_quiet_;
+    log_line(is_clean ? "drained" : "drain cut short");
+    if (!is_clean) std::_Exit(stops_caught() >= 2 ? 130 : 3);
+    is_stopping_ = true;
+    ring_.close();
+    core.join();
+    listening.join();
+    return 0;
+  }
+
+  std::variant<Waybill, Fate> front(const ErrandHead &head) override {
+    return pilot_.front(head, tide_.now());
+  }
+  bool hand_in(Waybill bill) override { return ring_.offer(std::move(bill)); }
+  void call_ended(CallEnd end) override {
+    while (!ring_.offer(end) && !is_stopping_) std::this_thread::yield();
+  }
+  std::size_t body_most() const override {
+    const InForce force = pilot_.in_force();
+    return force.charter ? static_cast<std::size_t>(force.charter->limits.body_most_bytes) : 0;
+  }
+  std::string counters_json() override {
+    std::lock_guard guard(published_mutex_);
+    return published_;
+  }
+
+private:
+  static Member make_self(const ProcessOptions &options) {
+    std::random_device source;
+    Member self;
+    self.id = ((static_cast<NodeId>(source()) << 32) | source()) | 1;
+    self.address = options.address;
+    self.http = options.http;
+    self.zone = options.zone;
+    self.role = static_cast<std::uint8_t>(Role::pilot);
+    return self;
+  }
+
+  void take(Envelope &&envelope) {
+    if (!ring_.offer(std::move(envelope))) ++ring_full_;
+  }
+
+  void run_core() {
+    std::deque<PilotEvent> events;
+    Instant tick_at = 0;
+    while (!is_stopping_) {
+      ring_.drain(events, milliseconds(3));
+      PilotOutput out;
+      for (PilotEvent &event : events) {
+        const Instant now = tide_.now();
+        if (auto *envelope = std::get_if<Envelope>(&event))
+          pilot_.receive(*envelope, now, out);
+        else if (auto *bill = std::get_if<Waybill>(&event))
+          pilot_.arrive(std::move(*bill), now, out);
+        else
+          pilot_.call_ended(std::get<CallEnd>(event), now, out);
+      }
+      const Instant now = tide_.now();
+      if (is_leaving_ && !has_left_) {
+        has_left_ = true;
+        left_at_ = now;
+        pilot_.set_leaving();
+        tick_at = 0;
+      }
+      if (now >= tick_at) {
+        pilot_.tick(now, out);
+        tick_at = now + milliseconds(3);
+      }
+      carry_out(out);
+      if (now >= publish_at_) publish(now);
+      if (has_left_) is_core_quiet_ = pilot_.is_quiet(now) && now - left_at_ > milliseconds(500);
+    }
+  }
+
+  void carry_out(PilotOutput &out) {
+    for (Posted &posted : out.mail) {
+      const std::string address = posted.to == 0 ? posted.address : pilot_.rollcall().address_of(posted.to);
+      if (!address.empty()) hawser_.send(address, frame({self_.id, self_.address, std::move(posted.signal)}));
+    }
+    for (Carry &carry : out.carries) {
+      const std::string errand = carry.errand;
+      door_.give(errand, std::move(carry));
+    }
+    for (Reply &reply : out.replies) {
+      const std::string errand = reply.errand;
+      door_.give(errand, std::move(reply));
+    }
+    for (const std::string &line : out.lines) log_line(line);
+  }
+
+  void publish(Instant now) {
+    publish_at_ = now + milliseconds(100);
+    nlohmann::json root;
+    for (const auto &[name, value] : pilot_.counters()) root[name] = value;
+    for (const auto &[name, value] : pilot_.gauges(now)) root[name] = value;
+    root["frames_dropped"] = hawser_.dropped();
+    root["ring_full"] = ring_full_.load();
+    root["door_waiting"] = door_.size();
+    root["is_settled"] = pilot_.is_settled(now) ? 1 : 0;
+    std::lock_guard guard(published_mutex_);
+    published_ = root.dump(2) + "\n";
+  }
+
+  ProcessOptions options_;
+  SteadyTide tide_;
+  Member self_;
+  Pilot pilot_;
+  Ring<PilotEvent> ring_;
+  WaitingDoor door_;
+  Gangway gangway_;
+  httplib::Server server_;
+  std::mutex published_mutex_;
+  std::string published_ = "{}\n";
+  Instant publish_at_ = 0, left_at_ = 0;
+  bool has_left_ = false;
+  std::atomic<bool> is_stopping_{false}, is_leaving_{false}, is_door_closed_{false}, is_core_quiet_{false};
+  std::atomic<std::uint64_t> ring_full_{0};
+  Hawser hawser_;
+};
+} // namespace
+
+int main(int count, char **words) {
+  auto read = read_launch(ProgramKind::pilotd, count, const_cast<const char **>(words));
+  if (const auto *end = std::get_if<EndNow>(&read)) {
+    (end->code == 0 ? std::cout : std::cerr) << end->text;
+    return end->code;
+  }
+  const ProcessOptions options = std::get<Launch>(read).options;
+  start_log("pilotd", options.log_level);
+  catch_stops();
+  try {
+    PilotDaemon daemon(options);
+    return daemon.run();
+  } catch (const std::exception &error) {
+    std::cerr << "pilotd: " << error.what() << "\n";
+    return 1;
+  }
+}
