--- /dev/null
+++ b/packages/drydock/world.cpp
@@ -0,0 +1,859 @@
+#include "drydock/world.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+#include "seal/seal.hpp"
+
+namespace wharf {
+
+namespace {
+constexpr Span harbour_tick = milliseconds(10);
+constexpr Span pilot_tick = milliseconds(5);
+using Json = nlohmann::json;
+} // namespace
+
+void SimDisk::commit(const Save &save) {
+  if (save.hard) durable.hard = *save.hard;
+  if (save.picture) {
+    durable.picture = *save.picture;
+    durable.entries.clear();
+  }
+  if (save.cut_from != 0) std::erase_if(durable.entries, [&](const Entry &entry) { return entry.index >= save.cut_from; });
+  for (const Entry &entry : save.append) {
+    std::erase_if(durable.entries, [&](const Entry &older) { return older.index >= entry.index; });
+    if (entry.index > durable.picture.index) durable.entries.push_back(entry);
+  }
+}
+
+World::World(std::uint64_t seed, WorldShape shape, Defect defect) : shape_(shape), dice_(seed), defect_(defect) {
+  for (int at = 0; at < shape_.workers; ++at)
+    workers_.push_back({"w" + std::to_string(at), std::string(1, static_cast<char>('a' + at % shape_.zones)), shape_.worker_memory_mb, false});
+  watched_.resize(static_cast<std::size_t>(shape_.harbours));
+  harbours_.resize(static_cast<std::size_t>(shape_.harbours));
+  pilots_.resize(static_cast<std::size_t>(shape_.pilots));
+  platform_tokens_ = shape_.pace;
+  for (int at = 0; at < shape_.harbours; ++at) start_harbour(at);
+  for (int at = 0; at < shape_.pilots; ++at) start_pilot(at);
+  platform_tick();
+}
+
+World::~World() = default;
+
+std::vector<std::string> World::seeds() const {
+  if (shape_.harbours < 3) return {"h0"};
+  return {"h0", "h1", "h2"};
+}
+
+std::string World::service_name(int kind, int index) const {
+  return std::string(kind == 0 ? "hot" : kind == 1 ? "once" : "rare") + std::to_string(index);
+}
+
+std::string World::manifest_text(int marker, int key_number) const {
+  Json root;
+  for (int at = 0; at < shape_.tenants; ++at)
+    root["tenants"][tenant_name(at)] = {{"keys", {"key-" + tenant_name(at) + "-00000000"}}, {"base", shape_.base}, {"burst", shape_.burst}};
+  root["tenants"]["marker"] = {{"base", marker + 1}};
+  root["tenants"]["rolling"] = {{"keys", {"rolling-key-" + std::to_string(key_number)}}, {"base", 50}, {"burst", 50}};
+  const auto service = [&](const std::string &name, int slots, int least, int most, bool is_once, int worth) {
+    root["services"][name] = {{"image", "sim"}, {"memory_mb", 128}, {"slots", slots}, {"least", least}, {"most", most}, {"idle_s", 5}, {"once", is_once}, {"worth", worth}};
+    root["rules"][name] = "* /" + name + "/** to " + name;
+  };
+  for (int at = 0; at < shape_.hot; ++at) service(service_name(0, at), 4, 1, 6, false, 20);
+  for (int at = 0; at < shape_.once; ++at) service(service_name(1, at), 4, 1, 6, true, 100);
+  for (int at = 0; at < shape_.rare; ++at) service(service_name(2, at), 2, 0, 2, false, 1);
+  root["limits"] = {{"wait_default_ms", 4000}, {"wait_most_ms", 8000}};
+  return root.dump(1);
+}
+
+void World::at(Instant moment, std::function<void()> deed) { queue_.push({std::max(moment, now_), ++order_, std::move(deed)}); }
+
+void World::run_until(Instant moment) {
+  while (!queue_.empty() && queue_.top().at <= moment) {
+    Event event = queue_.top();
+    queue_.pop();
+    now_ = event.at;
+    ++events_;
+    event.deed();
+  }
+  now_ = moment;
+}
+
+void World::defer(Process &process, std::function<void()> deed) {
+  if (process.is_frozen) process.held.push_back(std::move(deed));
+  else deed();
+}
+
+void World::start_harbour(int which, bool has_lost_disk) {
+  HarbourNode &node = harbours_[static_cast<std::size_t>(which)];
+  if (node.is_up) return;
+  if (has_lost_disk) node.disk = SimDisk{};
+  if (node.disk.identity == 0) node.disk.identity = dice_.next() | 1;
+  node.is_up = true;
+  node.is_frozen = node.is_leaving = false;
+  ++node.incarnation;
+  node.offset = seconds(1 + static_cast<std::int64_t>(dice_.below(100000)));
+  node.rate = 1.0 + (dice_.unit() - 0.5) * 0.002;
+  node.saves.clear();
+  node.is_writing = false;
+  node.asks.clear();
+  node.held.clear();
+  Member self;
+  self.id = node.disk.identity;
+  self.address = harbour_name(which);
+  self.http = harbour_name(which);
+  self.zone = std::string(1, static_cast<char>('a' + which % shape_.zones));
+  self.role = static_cast<std::uint8_t>(Role::harbour);
+  self.beat = node.incarnation << 32;
+  HarbourOptions options;
+  options.platform_pace = shape_.pace;
+  options.compact_entries = 400;
+  if (defect_ == Defect::early_acknowledge) options.fresh = 0;
+  node.core = std::make_unique<Harbour>(self, seeds(), options, dice_.next(), node.disk.durable, local(node));
+  watched_[static_cast<std::size_t>(which)] = 0;
+  at(now_ + static_cast<Span>(dice_.below(static_cast<std::uint64_t>(harbour_tick))), [this, which, incarnation = node.incarnation] { tick_harbour(which, incarnation); });
+}
+
+void World::kill_harbour(int which) {
+  HarbourNode &node = harbours_[static_cast<std::size_t>(which)];
+  if (!node.is_up) return;
+  node.is_up = false;
+  ++node.incarnation;
+  const auto asks = std::move(node.asks);
+  node.asks.clear();
+  node.core.reset();
+  for (const auto &[ticket, then] : asks) then({ticket, 0, 0, {}, {}});
+}
+
+void World::start_pilot(int which) {
+  PilotNode &node = pilots_[static_cast<std::size_t>(which)];
+  if (node.is_up) return;
+  node.is_up = true;
+  node.is_frozen = node.is_leaving = false;
+  ++node.incarnation;
+  node.offset = seconds(1 + static_cast<std::int64_t>(dice_.below(100000)));
+  node.rate = 1.0 + (dice_.unit() - 0.5) * 0.002;
+  node.held.clear();
+  node.self = Member{};
+  node.self.id = dice_.next() | 1;
+  node.self.address = node.self.http = pilot_name(which);
+  node.self.zone = std::string(1, static_cast<char>('a' + which % shape_.zones));
+  node.self.role = static_cast<std::uint8_t>(Role::pilot);
+  PilotOptions options;
+  if (defect_ == Defect::stale_permit) options.fresh = seconds(30);
+  node.core = std::make_unique<Pilot>(node.self, seeds(), options, local(node));
+  at(now_ + static_cast<Span>(dice_.below(static_cast<std::uint64_t>(pilot_tick))), [this, which, incarnation = node.incarnation] { tick_pilot(which, incarnation); });
+}
+
+void World::kill_pilot(int which) {
+  PilotNode &node = pilots_[static_cast<std::size_t>(which)];
+  if (!node.is_up) return;
+  node.is_up = false;
+  ++node.incarnation;
+  const auto waiting = std::move(node.waiting);
+  node.waiting.clear();
+  node.core.reset();
+  for (const auto &[id, then] : waiting) then(nullptr);
+}
+
+void World::leave_pilot(int which) {
+  PilotNode &node = pilots_[static_cast<std::size_t>(which)];
+  if (!node.is_up || node.is_leaving) return;
+  node.is_leaving = true;
+  node.core->set_leaving();
+}
+
+void World::freeze(bool is_harbour, int which, Span span) {
+  Process &process = is_harbour ? static_cast<Process &>(harbours_[static_cast<std::size_t>(which)]) : pilots_[static_cast<std::size_t>(which)];
+  if (!process.is_up || process.is_frozen) return;
+  process.is_frozen = true;
+  at(now_ + span, [this, is_harbour, which, incarnation = process.incarnation] {
+    Process &thawed = is_harbour ? static_cast<Process &>(harbours_[static_cast<std::size_t>(which)]) : pilots_[static_cast<std::size_t>(which)];
+    if (thawed.incarnation != incarnation) return;
+    thawed.is_frozen = false;
+    auto held = std::move(thawed.held);
+    thawed.held.clear();
+    for (auto &deed : held) deed();
+  });
+}
+
+bool World::is_harbour_up(int which) const { return harbours_[static_cast<std::size_t>(which)].is_up; }
+bool World::is_pilot_up(int which) const { return pilots_[static_cast<std::size_t>(which)].is_up; }
+const Harbour *World::harbour(int which) const { return harbours_[static_cast<std::size_t>(which)].core.get(); }
+const Pilot *World::pilot(int which) const { return pilots_[static_cast<std::size_t>(which)].core.get(); }
+
+int World::leader() const {
+  int found = -1;
+  std::uint64_t term = 0;
+  for (int at = 0; at < shape_.harbours; ++at) {
+    const Harbour *core = harbour(at);
+    if (core == nullptr || !core->is_leading() || core->convoy().term() < term) continue;
+    term = core->convoy().term();
+    found = at;
+  }
+  return found;
+}
+
+int World::owner_pilot(const std::string &name, std::uint64_t salt) const {
+  const int leads = leader();
+  if (leads < 0) return -1;
+  const auto ranked = rank_nodes(harbour(leads)->registry().roster().pilots, name, salt);
+  for (int at = 0; at < shape_.pilots; ++at)
+    if (!ranked.empty() && is_pilot_up(at) && pilots_[static_cast<std::size_t>(at)].self.id == ranked[0]) return at;
+  return -1;
+}
+
+void World::set_cut(const std::string &left, const std::string &right, bool is_cut, bool both_ways) {
+  const auto set = [&](const std::string &from, const std::string &to) {
+    if (is_cut) cuts_.insert({from, to});
+    else cuts_.erase({from, to});
+  };
+  set(left, right);
+  if (both_ways) set(right, left);
+}
+
+void World::cut_off(const std::string &machine, bool is_cut) {
+  for (int at = 0; at < shape_.harbours; ++at)
+    if (harbour_name(at) != machine) set_cut(machine, harbour_name(at), is_cut);
+  for (int at = 0; at < shape_.pilots; ++at)
+    if (pilot_name(at) != machine) set_cut(machine, pilot_name(at), is_cut);
+}
+
+void World::heal() {
+  cuts_.clear();
+  weather_ = Weather{};
+  moods_.clear();
+  is_platform_away_ = false;
+  restore_workers();
+  for (int at = 0; at < shape_.harbours; ++at) {
+    set_disk(at, DiskMood::well);
+    start_harbour(at);
+  }
+  for (int at = 0; at < shape_.pilots; ++at) start_pilot(at);
+}
+
+void World::set_disk(int harbour, DiskMood mood) {
+  HarbourNode &node = harbours_[static_cast<std::size_t>(harbour)];
+  node.disk.mood = mood;
+  if (mood != DiskMood::stalled && node.is_up && !node.is_writing) write_next(harbour);
+}
+
+void World::drain_worker(int which, bool is_draining) {
+  WorkerSeen &worker = workers_[static_cast<std::size_t>(which)];
+  worker.is_draining = is_draining;
+  if (!is_draining) return;
+  for (auto &[id, runner] : runners_) {
+    if (runner.record.worker != worker.id || runner.is_stopping) continue;
+    runner.is_stopping = true;
+    runner.stop_at = now_ + seconds(6);
+  }
+}
+
+void World::crash_worker(int which) {
+  dead_workers_.insert(workers_[static_cast<std::size_t>(which)].id);
+  for (auto &[id, runner] : runners_)
+    if (runner.record.worker == workers_[static_cast<std::size_t>(which)].id) runner.is_gone = true;
+}
+
+void World::restore_workers() {
+  dead_workers_.clear();
+  for (WorkerSeen &worker : workers_) worker.is_draining = false;
+}
+
+void World::send(const std::string &from, const std::string &to, Envelope envelope) {
+  if (to.empty() || is_cut(from, to) || dice_.chance(weather_.lost)) return;
+  const int copies = dice_.chance(weather_.doubled) ? 2 : 1;
+  for (int copy = 0; copy < copies; ++copy) {
+    const Span delay = weather_.least + static_cast<Span>(dice_.below(static_cast<std::uint64_t>(weather_.most - weather_.least + 1)));
+    at(now_ + delay, [this, from, to, envelope] {
+      if (!is_cut(from, to)) deliver(to, envelope);
+    });
+  }
+}
+
+void World::deliver(const std::string &to, const Envelope &envelope) {
+  const auto which = static_cast<std::size_t>(std::stoi(to.substr(1)));
+  if (to[0] == 'h') {
+    HarbourNode &node = harbours_[which];
+    if (!node.is_up) return;
+    defer(node, [this, which, envelope, incarnation = node.incarnation] {
+      HarbourNode &target = harbours_[which];
+      if (target.incarnation != incarnation) return;
+      HarbourOutput out;
+      target.core->receive(envelope, local(target), out);
+      flush(static_cast<int>(which), target, out);
+    });
+    return;
+  }
+  PilotNode &node = pilots_[which];
+  if (!node.is_up) return;
+  defer(node, [this, which, envelope, incarnation = node.incarnation] {
+    PilotNode &target = pilots_[which];
+    if (target.incarnation != incarnation) return;
+    PilotOutput out;
+    target.core->receive(envelope, local(target), out);
+    flush(static_cast<int>(which), target, out);
+  });
+}
+
+void World::tick_harbour(int which, std::uint64_t incarnation) {
+  HarbourNode &node = harbours_[static_cast<std::size_t>(which)];
+  if (!node.is_up || node.incarnation != incarnation) return;
+  if (!node.is_frozen) {
+    HarbourOutput out;
+    node.core->tick(local(node), out);
+    flush(which, node, out);
+  }
+  at(now_ + harbour_tick, [this, which, incarnation] { tick_harbour(which, incarnation); });
+}
+
+void World::tick_pilot(int which, std::uint64_t incarnation) {
+  PilotNode &node = pilots_[static_cast<std::size_t>(which)];
+  if (!node.is_up || node.incarnation != incarnation) return;
+  if (!node.is_frozen) {
+    PilotOutput out;
+    node.core->tick(local(node), out);
+    flush(which, node, out);
+    if (node.is_leaving && node.core->is_quiet(local(node)) && node.waiting.empty()) {
+      kill_pilot(which);
+      return;
+    }
+  }
+  at(now_ + pilot_tick, [this, which, incarnation] { tick_pilot(which, incarnation); });
+}
+
+void World::watch_raft(int which) {
+  const Harbour *core = harbour(which);
+  const Convoy &convoy = core->convoy();
+  if (convoy.group() == 0) return;
+  if (groups_.insert(convoy.group()).second && groups_.size() > 1) raft_faults_.push_back("two-groups: " + harbour_name(which));
+  if (convoy.is_leader()) {
+    const auto [found, is_new] = leader_of_term_.emplace(convoy.term(), harbours_[static_cast<std::size_t>(which)].disk.identity);
+    if (!is_new && found->second != harbours_[static_cast<std::size_t>(which)].disk.identity)
+      raft_faults_.push_back("two-leaders: term " + std::to_string(convoy.term()));
+  }
+  std::uint64_t &watched = watched_[static_cast<std::size_t>(which)];
+  watched = std::max(watched, convoy.first_index() - 1);
+  while (watched < convoy.commit()) {
+    const Entry &entry = convoy.log()[++watched - convoy.first_index()];
+    const std::string text = std::to_string(entry.term) + "/" + entry.body;
+    const auto [found, is_new] = committed_.emplace(entry.index, text);
+    if (!is_new && found->second != text) raft_faults_.push_back("committed-differs: entry " + std::to_string(entry.index));
+  }
+}
+
+void World::flush(int which, HarbourNode &node, HarbourOutput &out) {
+  watch_raft(which);
+  for (Posted &posted : out.mail) {
+    const std::string to = posted.to == 0 ? posted.address : node.core->rollcall().address_of(posted.to);
+    send(harbour_name(which), to, {node.disk.identity, harbour_name(which), std::move(posted.signal)});
+  }
+  for (Save &save : out.saves) node.saves.push_back(std::move(save));
+  if (!node.is_writing) write_next(which);
+  for (const OperatorSay &say : out.answers) {
+    const auto found = node.asks.find(say.ticket);
+    if (found == node.asks.end()) continue;
+    auto then = std::move(found->second);
+    node.asks.erase(found);
+    at(now_ + milliseconds(1), [then, say] { then(say); });
+  }
+  for (const PlatformOrder &order : out.orders) {
+    if (is_platform_away_) continue;
+    at(now_ + milliseconds(2), [this, order] {
+      const double elapsed = static_cast<double>(now_ - platform_token_at_) / 1e9;
+      platform_tokens_ = std::min(shape_.pace, platform_tokens_ + elapsed * shape_.pace);
+      platform_token_at_ = now_;
+      if (platform_tokens_ < 1 || is_platform_away_) return;
+      platform_tokens_ -= 1;
+      const auto found = runners_.find(order.runner.id);
+      if (!order.is_start) {
+        if (found == runners_.end() || found->second.is_stopping) return;
+        found->second.is_stopping = true;
+        found->second.stop_at = now_ + order.grace;
+        return;
+      }
+      if (found != runners_.end() || dead_workers_.contains(order.runner.worker)) return;
+      SimRunner runner;
+      runner.record = order.runner;
+      runner.serial = next_serial_++;
+      runner.address = "r" + std::to_string(runner.serial);
+      runner.ready_at = now_ + shape_.boot;
+      runners_[order.runner.id] = runner;
+    });
+  }
+}
+
+void World::write_next(int which) {
+  HarbourNode &node = harbours_[static_cast<std::size_t>(which)];
+  if (node.saves.empty() || node.is_writing || !node.is_up) return;
+  if (node.disk.mood == DiskMood::stalled) return;
+  node.is_writing = true;
+  const Span span = node.disk.mood == DiskMood::slow ? milliseconds(60) + static_cast<Span>(dice_.below(milliseconds(240))) : microseconds(300) + static_cast<Span>(dice_.below(milliseconds(3)));
+  at(now_ + span, [this, which, incarnation = node.incarnation] {
+    HarbourNode &writer = harbours_[static_cast<std::size_t>(which)];
+    if (writer.incarnation != incarnation) return;
+    defer(writer, [this, which, incarnation] {
+      HarbourNode &target = harbours_[static_cast<std::size_t>(which)];
+      if (target.incarnation != incarnation) return;
+      target.is_writing = false;
+      HarbourOutput out;
+      if (target.disk.mood == DiskMood::full) {
+        target.saves.clear();
+        target.core->disk_failed(local(target), out);
+        flush(which, target, out);
+        at(now_ + seconds(1), [this, which, incarnation] {
+          HarbourNode &again = harbours_[static_cast<std::size_t>(which)];
+          if (again.incarnation != incarnation) return;
+          kill_harbour(which);
+          start_harbour(which);
+        });
+        return;
+      }
+      if (target.saves.empty()) return;
+      std::uint64_t ticket = 0;
+      while (!target.saves.empty()) {
+        if (defect_ == Defect::forgotten_vote && target.saves.front().hard) target.saves.front().hard->vote = 0;
+        target.disk.commit(target.saves.front());
+        ticket = target.saves.front().ticket;
+        target.saves.pop_front();
+      }
+      target.core->saved(ticket, local(target), out);
+      flush(which, target, out);
+      write_next(which);
+    });
+  });
+}
+
+void World::flush(int which, PilotNode &node, PilotOutput &out) {
+  for (Posted &posted : out.mail) {
+    const std::string to = posted.to == 0 ? posted.address : node.core->rollcall().address_of(posted.to);
+    send(pilot_name(which), to, {node.self.id, pilot_name(which), std::move(posted.signal)});
+  }
+  for (const Carry &item : out.carries) carry(which, item);
+  for (const Reply &reply : out.replies) {
+    const auto found = node.waiting.find(reply.errand);
+    if (found == node.waiting.end()) continue;
+    auto then = std::move(found->second);
+    node.waiting.erase(found);
+    at(now_ + microseconds(200), [then, reply] { then(&reply); });
+  }
+}
+
+void World::end_call(int pilot, std::uint64_t incarnation, CallEnd end) {
+  PilotNode &node = pilots_[static_cast<std::size_t>(pilot)];
+  if (!node.is_up || node.incarnation != incarnation) return;
+  defer(node, [this, pilot, incarnation, end] {
+    PilotNode &target = pilots_[static_cast<std::size_t>(pilot)];
+    if (target.incarnation != incarnation) return;
+    PilotOutput out;
+    target.core->call_ended(end, local(target), out);
+    flush(pilot, target, out);
+  });
+}
+
+void World::carry(int pilot, const Carry &carry) {
+  PilotNode &node = pilots_[static_cast<std::size_t>(pilot)];
+  const std::uint64_t incarnation = node.incarnation;
+  const Instant deadline = now_ + (carry.deadline - local(node));
+  const int visits = defect_ == Defect::repeat_dispatch && dice_.chance(0.05) ? 2 : 1;
+  for (int visit_number = 0; visit_number < visits; ++visit_number) {
+    at(now_ + microseconds(300) + visit_number * milliseconds(5), [this, pilot, incarnation, carry, deadline] {
+      CallEnd end;
+      end.errand = carry.errand;
+      const auto found = runners_.find(carry.runner);
+      if (found == runners_.end() || found->second.is_gone || found->second.address != carry.address || !found->second.is_ready) {
+        end.kind = CallKind::unreached;
+        at(now_ + microseconds(300), [this, pilot, incarnation, end] { end_call(pilot, incarnation, end); });
+        return;
+      }
+      SimRunner &runner = found->second;
+      const RunnerMood mood = moods_[runner.record.service];
+      const auto call = calls_open_.find(carry.errand);
+      VisitRecord visit;
+      visit.errand = carry.errand;
+      visit.tenant = carry.tenant;
+      visit.service = runner.record.service;
+      visit.runner = carry.runner;
+      if (call != calls_open_.end()) {
+        visit.method = call->second.record.method;
+        visit.target = call->second.record.target;
+        visit.body_digest = call->second.record.body_digest;
+      }
+      visit.begun_ns = now_;
+      visit.slots = static_cast<int>(runner.record.slots);
+      visit.running = ++runner.running;
+      visit.has_run = true;
+      double roll = dice_.unit();
+      const auto falls = [&roll](double share) {
+        const bool is_hit = roll >= 0 && roll < share;
+        roll -= share;
+        return is_hit;
+      };
+      end.kind = CallKind::answered;
+      end.status = 200;
+      Span serve = milliseconds(5) + static_cast<Span>(dice_.below(milliseconds(25)));
+      bool has_crashed = false;
+      if (falls(mood.refuse)) {
+        end.kind = CallKind::refused;
+        visit.has_run = false;
+        serve = milliseconds(1);
+      } else if (falls(mood.lose)) {
+        end.kind = CallKind::lost;
+      } else if (falls(mood.garbage)) {
+        end.kind = CallKind::bad_seal;
+      } else if (falls(mood.hang)) {
+        serve = seconds(12);
+      } else if (falls(mood.crash)) {
+        end.kind = CallKind::lost;
+        has_crashed = true;
+      }
+      visits_.push_back(visit);
+      const Instant ends = now_ + serve;
+      const std::uint64_t serial = runner.serial;
+      at(ends, [this, id = carry.runner, serial, has_crashed] {
+        const auto running = runners_.find(id);
+        if (running == runners_.end() || running->second.serial != serial) return;
+        --running->second.running;
+        if (has_crashed) running->second.is_gone = true;
+      });
+      if (ends > deadline) {
+        if (defect_ == Defect::ignore_slots) {
+          CallEnd freed = end;
+          freed.kind = CallKind::answered;
+          at(now_ + milliseconds(5), [this, pilot, incarnation, freed] { end_call(pilot, incarnation, freed); });
+          return;
+        }
+        CallEnd late;
+        late.errand = carry.errand;
+        late.kind = CallKind::timed_out;
+        at(deadline, [this, pilot, incarnation, late] { end_call(pilot, incarnation, late); });
+        return;
+      }
+      at(ends + microseconds(300), [this, pilot, incarnation, end, id = carry.runner, serial] {
+        const auto running = runners_.find(id);
+        CallEnd told = end;
+        if (running == runners_.end() || running->second.serial != serial || running->second.is_gone) told.kind = CallKind::lost;
+        end_call(pilot, incarnation, told);
+      });
+    });
+  }
+}
+
+void World::platform_tick() {
+  for (auto item = runners_.begin(); item != runners_.end();) {
+    SimRunner &runner = item->second;
+    if (runner.is_gone || (runner.is_stopping && now_ >= runner.stop_at)) {
+      item = runners_.erase(item);
+      continue;
+    }
+    if (now_ >= runner.ready_at) runner.is_ready = true;
+    ++item;
+  }
+  PlatformPicture picture;
+  for (const WorkerSeen &worker : workers_)
+    if (!dead_workers_.contains(worker.id)) picture.workers.push_back(worker);
+  for (const auto &[id, runner] : runners_) {
+    const RunnerPhase phase = runner.is_stopping ? RunnerPhase::stopping : runner.is_ready ? RunnerPhase::ready : RunnerPhase::booting;
+    picture.runners.push_back({id, runner.record.service, runner.record.worker, runner.is_ready ? runner.address : std::string(), phase});
+  }
+  listings_.emplace_back(now_, std::move(picture));
+  while (listings_.size() > 1 && listings_[1].first <= now_ - shape_.list_late) listings_.pop_front();
+  list_platform();
+  at(now_ + milliseconds(50), [this] { platform_tick(); });
+}
+
+void World::list_platform() {
+  if (is_platform_away_) return;
+  for (std::size_t which = 0; which < harbours_.size(); ++which) {
+    HarbourNode &node = harbours_[which];
+    if (!node.is_up || node.is_frozen || !node.core->is_leading() || now_ % milliseconds(200) != 0) continue;
+    HarbourOutput out;
+    node.core->platform_seen(listings_.front().second, local(node), out);
+    flush(static_cast<int>(which), node, out);
+  }
+}
+
+void World::operate(int which, OperatorAsk ask, int hops, std::function<void(const OperatorSay &)> then) {
+  HarbourNode &node = harbours_[static_cast<std::size_t>(which)];
+  if (!node.is_up) {
+    then({0, -1, 0, {}, {}});
+    return;
+  }
+  ask.ticket = next_ticket_++;
+  const std::uint64_t ticket = ask.ticket;
+  node.asks[ticket] = [this, ask, hops, then](const OperatorSay &say) {
+    if (!say.leader_http.empty() && hops > 0) operate(std::stoi(say.leader_http.substr(1)), ask, hops - 1, then);
+    else then(say);
+  };
+  at(now_ + seconds(10), [this, which, ticket] {
+    auto &asks = harbours_[static_cast<std::size_t>(which)].asks;
+    const auto found = asks.find(ticket);
+    if (found == asks.end()) return;
+    const auto late = std::move(found->second);
+    asks.erase(found);
+    late({ticket, 0, 0, {}, {}});
+  });
+  defer(node, [this, which, ask, incarnation = node.incarnation] {
+    HarbourNode &target = harbours_[static_cast<std::size_t>(which)];
+    if (target.incarnation != incarnation) return;
+    HarbourOutput out;
+    target.core->operate(ask, local(target), out);
+    flush(which, target, out);
+  });
+}
+
+void World::write(bool is_patch, const std::string &if_match, int harbour) {
+  const int number = static_cast<int>(writes_.size());
+  if (is_patch) {
+    write_bytes(true, Json{{"tenants", {{"marker", {{"base", number + 1}}}}}}.dump(), if_match, harbour);
+    return;
+  }
+  const std::string old_key = "rolling-key-" + std::to_string(key_number_);
+  ++key_number_;
+  key_revoked_[old_key] = {now_, 0};
+  write_bytes(false, manifest_text(number, key_number_), if_match, harbour);
+}
+
+void World::write_bytes(bool is_patch, std::string bytes, const std::string &if_match, int harbour) {
+  const auto number = writes_.size();
+  WriteRecord record;
+  record.number = static_cast<int>(number);
+  record.is_patch = is_patch;
+  record.bytes = bytes;
+  record.if_match = if_match;
+  record.write_id = "w" + std::to_string(number);
+  record.sent = now_;
+  writes_.push_back(record);
+  OperatorAsk ask;
+  ask.verb = is_patch ? OperatorVerb::patch_manifest : OperatorVerb::put_manifest;
+  ask.body = std::move(bytes);
+  ask.if_match = if_match;
+  ask.write_id = record.write_id;
+  operate(harbour, ask, 2, [this, number](const OperatorSay &say) {
+    WriteRecord &answered = writes_[number];
+    answered.answered = now_;
+    answered.version = say.version;
+    if (say.status == 200) answered.outcome = "taken";
+    else if (say.status == 412 || say.status == 422 || say.status == 400 || say.status == -1) answered.outcome = "not-taken";
+    else if (say.status == 503 && say.body.find("not-taken") != std::string::npos) answered.outcome = "not-taken";
+    else answered.outcome = "unknown";
+  });
+}
+
+void World::read_back(int harbour) {
+  OperatorAsk ask;
+  ask.verb = OperatorVerb::get_manifest;
+  operate(harbour, ask, 2, [this](const OperatorSay &say) {
+    last_read_status_ = say.status;
+    if (say.status != 200) return;
+    last_read_ = say.body;
+    last_read_version_ = say.version;
+  });
+}
+
+void World::start_callers(Instant from, Instant until) {
+  Instant moment = from;
+  while (moment < until) {
+    moment += static_cast<Span>(-std::log(1.0 - dice_.unit()) / shape_.rate * 1e9);
+    at(moment, [this] {
+      const double roll = dice_.unit();
+      const int kind = roll < 0.6 ? 0 : roll < 0.85 ? 1 : 2;
+      call(static_cast<int>(dice_.below(static_cast<std::uint64_t>(shape_.tenants))), kind, kind == 1 ? "k" + std::to_string(dice_.next()) : "", kind == 1 ? 2 : 0);
+    });
+  }
+}
+
+void World::crowd(int tenant, double rate, Instant from, Instant until, int pilot) {
+  Instant moment = from;
+  while (moment < until) {
+    moment += static_cast<Span>(-std::log(1.0 - dice_.unit()) / rate * 1e9);
+    at(moment, [this, tenant, pilot] { call(tenant, 0, "", 0, pilot); });
+  }
+}
+
+void World::call(int tenant, int kind, const std::string &once_key, int tries_left, int pilot, const std::string &key) {
+  const int which = pilot >= 0 ? pilot : static_cast<int>(dice_.below(pilots_.size()));
+  PilotNode &node = pilots_[static_cast<std::size_t>(which)];
+  const std::string id = "e" + std::to_string(next_errand_++);
+  const int count = kind == 0 ? shape_.hot : kind == 1 ? shape_.once : shape_.rare;
+  CallState state;
+  state.tries_left = tries_left;
+  state.kind = kind;
+  state.tenant = tenant;
+  state.key = key;
+  state.record.errand = id;
+  state.record.tenant = key.empty() ? tenant_name(tenant) : "rolling";
+  state.record.method = "POST";
+  const std::size_t pick = once_key.empty() ? dice_.below(static_cast<std::uint64_t>(count)) : stable_hash(once_key.data(), once_key.size()) % static_cast<std::uint64_t>(count);
+  state.record.target = "/" + service_name(kind, static_cast<int>(pick)) + "/" + (once_key.empty() ? id : once_key);
+  state.record.body_digest = once_key.empty() ? id : once_key;
+  state.record.once_key = once_key;
+  state.record.sent_ns = now_;
+  calls_open_[id] = state;
+  const std::string presented = key.empty() ? "key-" + tenant_name(tenant) + "-00000000" : key;
+  key_of_errand_[id] = presented;
+  if (!node.is_up || node.is_leaving) {
+    at(now_ + milliseconds(1), [this, id, which] { settle_call(id, nullptr, which); });
+    return;
+  }
+  node.waiting[id] = [this, id, which](const Reply *reply) { settle_call(id, reply, which); };
+  at(now_ + seconds(10), [this, id, which] {
+    PilotNode &slow = pilots_[static_cast<std::size_t>(which)];
+    if (slow.waiting.erase(id) != 0) settle_call(id, nullptr, which);
+  });
+  ErrandHead head;
+  head.id = id;
+  head.method = "POST";
+  head.target = state.record.target;
+  head.key = presented;
+  head.idempotency_key = once_key;
+  head.body_digest = state.record.body_digest;
+  head.wait_ms = kind == 2 ? 6000 : 3000;
+  defer(node, [this, which, head, incarnation = node.incarnation] {
+    PilotNode &target = pilots_[static_cast<std::size_t>(which)];
+    if (target.incarnation != incarnation || !target.waiting.contains(head.id)) return;
+    PilotOutput out;
+    auto planned = target.core->front(head, local(target));
+    if (const auto *fate = std::get_if<Fate>(&planned)) {
+      Reply reply;
+      reply.errand = head.id;
+      reply.fate = *fate;
+      out.replies.push_back(reply);
+    } else {
+      target.core->arrive(std::get<Waybill>(std::move(planned)), local(target), out);
+    }
+    flush(which, target, out);
+  });
+}
+
+void World::settle_call(const std::string &id, const Reply *reply, int) {
+  const auto found = calls_open_.find(id);
+  if (found == calls_open_.end()) return;
+  CallState state = found->second;
+  state.record.answered_ns = now_;
+  if (reply != nullptr) {
+    const Outcome outcome = outcome_of(reply->fate);
+    state.record.status = outcome.status;
+    state.record.verdict = verdict_name(outcome.verdict);
+    state.record.reason = outcome.reason;
+    if (reply->fate == Fate::replayed) state.record.errand = reply->why;
+    if (reply->fate == Fate::answered) state.record.answer_errand = id;
+  }
+  calls_.push_back(state.record);
+  if (state.record.verdict != "run" && state.tries_left > 0)
+    call(state.tenant, state.kind, state.record.once_key, state.tries_left - 1, -1, state.key);
+}
+
+void World::judge_writes(Audit &result) const {
+  const auto fault = [&](const std::string &kind, const std::string &what) {
+    ++result.counts["fault_" + kind];
+    result.faults.push_back(kind + ": " + what);
+  };
+  Version newest = 0;
+  std::map<std::string, int> taken_over;
+  std::set<Version> versions;
+  for (const WriteRecord &write : writes_) {
+    ++result.counts["writes_" + write.outcome];
+    if (write.outcome != "taken") continue;
+    newest = std::max(newest, write.version);
+    if (!versions.insert(write.version).second) fault("same-version-twice", std::to_string(write.version));
+    if (!write.if_match.empty() && ++taken_over[write.if_match] > 1) fault("both-won", write.if_match);
+    result.counts["worst_write_ms"] = std::max<std::uint64_t>(result.counts["worst_write_ms"], static_cast<std::uint64_t>((write.answered - write.sent) / 1'000'000));
+  }
+  if (writes_.empty()) return;
+  if (last_read_status_ != 200) {
+    fault("not-read-back", std::to_string(last_read_status_));
+    return;
+  }
+  if (last_read_version_ < newest) fault("read-older", std::to_string(last_read_version_) + " < " + std::to_string(newest));
+  const Json read = Json::parse(last_read_, nullptr, false);
+  const int marker = read["tenants"]["marker"].value("base", 0) - 1;
+  for (const WriteRecord &write : writes_) {
+    if (write.outcome == "not-taken" && write.number == marker) fault("refused-took-hold", std::to_string(marker));
+    if (write.outcome == "taken" && write.version == last_read_version_ && !write.is_patch && write.bytes != last_read_) fault("read-differs", std::to_string(marker));
+    if (write.outcome == "taken" && write.version == last_read_version_ && write.number != marker) fault("read-differs", std::to_string(marker));
+  }
+}
+
+void World::judge_keys(Audit &result) const {
+  struct Held {
+    const WriteRecord *write = nullptr;
+    std::string key;
+  };
+  std::vector<Held> held;
+  for (const WriteRecord &write : writes_) {
+    if (write.is_patch || write.outcome == "not-taken") continue;
+    const Json sent = Json::parse(write.bytes, nullptr, false);
+    held.push_back({&write, sent["tenants"]["rolling"]["keys"][0]});
+  }
+  const auto revoked_at = [&](const std::string &key) -> Instant {
+    Instant earliest = -1;
+    for (const Held &other : held) {
+      if (other.write->outcome != "taken" || other.key == key) continue;
+      const bool may_hold_later = std::any_of(held.begin(), held.end(), [&](const Held &holder) {
+        if (holder.key != key) return false;
+        return holder.write->outcome == "taken" ? holder.write->version > other.write->version : true;
+      });
+      if (!may_hold_later && (earliest < 0 || other.write->answered < earliest)) earliest = other.write->answered;
+    }
+    return earliest;
+  };
+  std::map<std::string, Instant> revoked;
+  for (const VisitRecord &visit : visits_) {
+    const auto key = key_of_errand_.find(visit.errand);
+    if (key == key_of_errand_.end() || key->second.starts_with("key-")) continue;
+    const auto fault = [&](const std::string &kind, const std::string &what) {
+      ++result.counts["fault_" + kind];
+      result.faults.push_back(kind + ": " + what);
+    };
+    if (key->second.starts_with("never-")) fault("unheld-key-ran", key->second);
+    if (!revoked.contains(key->second)) revoked[key->second] = revoked_at(key->second);
+    const Instant moment = revoked[key->second];
+    if (moment >= 0 && visit.begun_ns > moment + milliseconds(50))
+      fault("revoked-key-ran", key->second + " " + std::to_string((visit.begun_ns - moment) / 1'000'000) + " ms after");
+  }
+}
+
+void World::judge_recovery(Audit &result, Instant healed_at) const {
+  std::map<std::int64_t, std::pair<int, int>> by_second;
+  for (const CallRecord &call : calls_) {
+    if (call.sent_ns < healed_at || call.tenant == "rolling") continue;
+    auto &[good, all] = by_second[(call.sent_ns - healed_at) / seconds(1)];
+    ++all;
+    if (call.verdict == "run" || call.status == 429) ++good;
+  }
+  std::int64_t back = 0;
+  for (const auto &[second, counts] : by_second)
+    if (counts.first * 100 < counts.second * 95) back = second + 1;
+  result.counts["back_after_s"] = static_cast<std::uint64_t>(back);
+  if (back > 12) {
+    ++result.counts["fault_slow-return"];
+    result.faults.push_back("slow-return: " + std::to_string(back) + " s");
+  }
+}
+
+Audit World::judge(Instant healed_at) {
+  auto read = read_charter(manifest_text(0, key_number_));
+  const auto &charter = *std::get<std::shared_ptr<const Charter>>(read);
+  Audit result = audit(charter, calls_, visits_);
+  result.counts["open_calls"] = calls_open_.size() - calls_.size();
+  for (const std::string &fault : raft_faults_) {
+    ++result.counts["fault_raft"];
+    result.faults.push_back("raft: " + fault);
+  }
+  judge_writes(result);
+  judge_keys(result);
+  judge_recovery(result, healed_at);
+  return result;
+}
+
+std::string World::fingerprint() const {
+  std::string text;
+  for (const CallRecord &call : calls_) text += call.errand + call.verdict + call.reason + std::to_string(call.answered_ns) + ";";
+  for (const VisitRecord &visit : visits_) text += visit.errand + visit.runner + std::to_string(visit.begun_ns) + ";";
+  text += std::to_string(events_);
+  return digest_hex(text);
+}
+
+} // namespace wharf
--- /dev/null
+++ b/packages/drydock/world.hpp
@@ -0,0 +1,217 @@
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "harbour/harbour.hpp"
+#include "pilot/pilot.hpp"
+#include "surveyor/surveyor.hpp"
+
+namespace wharf {
+
+/// What kind of deployment a simulated run has.
+struct WorldShape {
+  int harbours = 4, pilots = 4, zones = 4, workers = 6;
+  int hot = 2, once = 2, rare = 6, tenants = 3;
+  std::uint32_t worker_memory_mb = 4096;
+  double rate = 60;
+  std::int64_t base = 60, burst = 60;
+  Span boot = milliseconds(400), list_late = milliseconds(300);
+  double pace = 80;
+};
+
+/// Faults of the network that hold for all links at once.
+struct Weather {
+  double lost = 0, doubled = 0;
+  Span least = microseconds(200), most = milliseconds(2);
+};
+
+enum class DiskMood : std::uint8_t { well, slow, stalled, full };
+
+/// A simulated disk: what is synced survives, what is under way does not.
+struct SimDisk {
+  NodeId identity = 0;
+  Recovered durable;
+  DiskMood mood = DiskMood::well;
+  void commit(const Save &save);
+};
+
+/// How runners of a service misbehave, as shares of their visits.
+struct RunnerMood {
+  double refuse = 0, lose = 0, garbage = 0, hang = 0, crash = 0;
+};
+
+/// One write an operator made, as the operator saw it.
+struct WriteRecord {
+  int number = 0;
+  bool is_patch = false;
+  std::string bytes, if_match, write_id, outcome = "pending";
+  Version version = 0;
+  Instant sent = 0, answered = 0;
+};
+
+/// A defect put in on purpose, to show that a checker can fail.
+enum class Defect : std::uint8_t { none, repeat_dispatch, stale_permit, forgotten_vote, ignore_slots, early_acknowledge };
+
+/// A whole deployment in virtual time round the daemons' own state machines. One seed, one run, always.
+class World {
+public:
+  World(std::uint64_t seed, WorldShape shape, Defect defect = Defect::none);
+  ~World();
+
+  Instant now() const { return now_; }
+  Dice &dice() { return dice_; }
+  const WorldShape &shape() const { return shape_; }
+  /// Runs events up to a moment.
+  void run_until(Instant moment);
+  void at(Instant moment, std::function<void()> deed);
+
+  void start_callers(Instant from, Instant until);
+  void crowd(int tenant, double rate, Instant from, Instant until, int pilot = -1);
+  void call(int tenant, int kind, const std::string &once_key, int tries_left, int pilot = -1, const std::string &key = {});
+  void write(bool is_patch, const std::string &if_match, int harbour);
+  void write_bytes(bool is_patch, std::string bytes, const std::string &if_match, int harbour);
+  void read_back(int harbour);
+
+  void kill_harbour(int which);
+  void start_harbour(int which, bool has_lost_disk = false);
+  void kill_pilot(int which);
+  void start_pilot(int which);
+  void freeze(bool is_harbour, int which, Span span);
+  void set_cut(const std::string &left, const std::string &right, bool is_cut, bool both_ways = true);
+  void cut_off(const std::string &machine, bool is_cut);
+  void heal();
+  void set_disk(int harbour, DiskMood mood);
+  void set_weather(const Weather &weather) { weather_ = weather; }
+  void set_runner_mood(const std::string &service, const RunnerMood &mood) { moods_[service] = mood; }
+  void drain_worker(int which, bool is_draining);
+  void crash_worker(int which);
+  void restore_workers();
+  void set_platform_away(bool is_away) { is_platform_away_ = is_away; }
+  void leave_pilot(int which);
+
+  int leader() const;
+  int owner_pilot(const std::string &name, std::uint64_t salt) const;
+  bool is_harbour_up(int which) const;
+  bool is_pilot_up(int which) const;
+  std::string harbour_name(int which) const { return "h" + std::to_string(which); }
+  std::string pilot_name(int which) const { return "p" + std::to_string(which); }
+  const Harbour *harbour(int which) const;
+  const Pilot *pilot(int which) const;
+  std::string service_name(int kind, int index) const;
+  std::string tenant_name(int which) const { return "t" + std::to_string(which); }
+
+  /// The checkers' verdict over all that callers, operators, runners and platform recorded.
+  Audit judge(Instant healed_at);
+  std::string manifest_text(int marker, int key_number) const;
+  const std::vector<WriteRecord> &writes() const { return writes_; }
+  const std::vector<VisitRecord> &visits() const { return visits_; }
+  const std::vector<CallRecord> &calls() const { return calls_; }
+  std::uint64_t events() const { return events_; }
+  /// A digest of everything recorded, to compare two runs of one seed.
+  std::string fingerprint() const;
+
+private:
+  struct Process {
+    bool is_up = false, is_frozen = false, is_leaving = false;
+    std::uint64_t incarnation = 0;
+    double rate = 1;
+    Instant offset = 0;
+    std::vector<std::function<void()>> held;
+  };
+  struct HarbourNode : Process {
+    std::unique_ptr<Harbour> core;
+    SimDisk disk;
+    std::deque<Save> saves;
+    bool is_writing = false;
+    std::map<std::uint64_t, std::function<void(const OperatorSay &)>> asks;
+  };
+  struct PilotNode : Process {
+    std::unique_ptr<Pilot> core;
+    Member self;
+    std::map<std::string, std::function<void(const Reply *)>> waiting;
+  };
+  struct SimRunner {
+    RunnerRecord record;
+    std::string address;
+    bool is_ready = false, is_stopping = false, is_gone = false;
+    Instant ready_at = 0, stop_at = 0;
+    int running = 0;
+    std::uint64_t serial = 0;
+  };
+  struct Event {
+    Instant at = 0;
+    std::uint64_t order = 0;
+    std::function<void()> deed;
+    bool operator<(const Event &other) const { return at != other.at ? at > other.at : order > other.order; }
+  };
+  struct CallState {
+    CallRecord record;
+    std::string pilot;
+    int tries_left = 0, kind = 0, tenant = 0;
+    std::string key;
+  };
+
+  Instant local(const Process &process) const { return process.offset + static_cast<Instant>(static_cast<double>(now_) * process.rate); }
+  void defer(Process &process, std::function<void()> deed);
+  void tick_harbour(int which, std::uint64_t incarnation);
+  void tick_pilot(int which, std::uint64_t incarnation);
+  void flush(int which, HarbourNode &node, HarbourOutput &out);
+  void flush(int which, PilotNode &node, PilotOutput &out);
+  void send(const std::string &from, const std::string &to, Envelope envelope);
+  void deliver(const std::string &to, const Envelope &envelope);
+  void write_next(int which);
+  void carry(int pilot, const Carry &carry);
+  void end_call(int pilot, std::uint64_t incarnation, CallEnd end);
+  void settle_call(const std::string &id, const Reply *reply, int pilot);
+  void list_platform();
+  void platform_tick();
+  void operate(int which, OperatorAsk ask, int hops, std::function<void(const OperatorSay &)> then);
+  std::vector<std::string> seeds() const;
+  bool is_cut(const std::string &from, const std::string &to) const { return cuts_.contains({from, to}); }
+  void watch_raft(int which);
+  void judge_writes(Audit &audit) const;
+  void judge_recovery(Audit &audit, Instant healed_at) const;
+  void judge_keys(Audit &audit) const;
+
+  WorldShape shape_;
+  Dice dice_;
+  Instant now_ = 0;
+  std::uint64_t order_ = 0, events_ = 0;
+  std::priority_queue<Event> queue_;
+  std::vector<HarbourNode> harbours_;
+  std::vector<PilotNode> pilots_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  Weather weather_;
+  std::map<std::string, RunnerMood> moods_;
+  std::vector<WorkerSeen> workers_;
+  std::set<std::string> dead_workers_;
+  std::map<std::string, SimRunner> runners_;
+  std::deque<std::pair<Instant, PlatformPicture>> listings_;
+  bool is_platform_away_ = false;
+  double platform_tokens_ = 0;
+  Instant platform_token_at_ = 0;
+  std::uint64_t next_serial_ = 1, next_errand_ = 1, next_ticket_ = 1;
+  std::map<std::string, CallState> calls_open_;
+  std::vector<CallRecord> calls_;
+  std::vector<VisitRecord> visits_;
+  std::map<std::string, std::string> key_of_errand_;
+  std::vector<WriteRecord> writes_;
+  std::string last_read_;
+  Version last_read_version_ = 0;
+  int last_read_status_ = 0;
+  int key_number_ = 0;
+  std::map<std::string, std::pair<Instant, Instant>> key_revoked_;
+  Defect defect_ = Defect::none;
+  std::map<std::uint64_t, NodeId> leader_of_term_;
+  std::map<std::uint64_t, std::string> committed_;
+  std::vector<std::uint64_t> watched_;
+  std::set<std::uint64_t> groups_;
+  std::vector<std::string> raft_faults_;
+};
+
+} // namespace wharf
--- /dev/null
+++ b/programs/drydock/main.cpp
@@ -0,0 +1,104 @@
+#include <algorithm>
+#include <atomic>
+#include <iostream>
+#include <mutex>
+#include <popt.h>
+
+#include "capstan/duty.hpp"
+#include "drydock/scenarios.hpp"
+
+namespace {
+using namespace wharf;
+
+struct Job {
+  const Scenario *scenario = nullptr;
+  std::uint64_t seed = 0;
+};
+
+struct Sweep {
+  std::vector<Job> jobs;
+  Defect defect = Defect::none;
+  bool must_tell = false;
+  std::string trace;
+  std::atomic<std::size_t> next{0};
+  std::mutex mutex;
+  std::map<std::string, std::map<std::string, std::vector<std::uint64_t>>> figures;
+  std::map<std::string, int> bad;
+
+  void work() {
+    for (std::size_t at = next++; at < jobs.size(); at = next++) {
+      const RunResult result = run_scenario(*jobs[at].scenario, jobs[at].seed, defect);
+      std::lock_guard guard(mutex);
+      for (const auto &[name, number] : result.audit.counts) figures[jobs[at].scenario->name][name].push_back(number);
+      if (must_tell) {
+        for (const auto &[name, number] : result.audit.counts) std::cout << "  " << name << " " << number << "\n";
+        if (!trace.empty()) {
+          for (const VisitRecord &visit : result.visits)
+            if (visit.runner == trace || visit.errand == trace || visit.service == trace)
+              std::cout << visit.begun_ns / 1'000'000 << " visit " << visit.errand << " " << visit.service << " " << visit.runner << " running " << visit.running << (visit.has_run ? "" : " refused") << "\n";
+          for (const CallRecord &call : result.calls)
+            if (call.errand == trace || call.tenant == trace || call.reason == trace)
+              std::cout << call.sent_ns / 1'000'000 << "-" << call.answered_ns / 1'000'000 << " call " << call.errand << " " << call.target << " " << call.status << " " << call.reason << "\n";
+        }
+        std::cout << "fingerprint " << result.fingerprint << "\n";
+      }
+      if (result.audit.faults.empty()) continue;
+      ++bad[jobs[at].scenario->name];
+      std::cout << jobs[at].scenario->name << " seed " << jobs[at].seed << ":\n";
+      for (const std::string &fault : result.audit.faults) std::cout << "  FAULT " << fault << "\n";
+    }
+  }
+};
+
+std::uint64_t at_share(std::vector<std::uint64_t> values, double share) {
+  std::sort(values.begin(), values.end());
+  return values.empty() ? 0 : values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+}
+} // namespace
+
+int main(int count, char **words) {
+  char *name = nullptr, *trace = nullptr;
+  long from = 1, many = 1;
+  int threads = 8, defect = 0;
+  poptOption table[] = {{"scenario", 0, POPT_ARG_STRING, &name, 0, "One scenario; all when not given", "NAME"},
+                        {"seed", 0, POPT_ARG_LONG, &from, 0, "First seed", "N"},
+                        {"seeds", 0, POPT_ARG_LONG, &many, 0, "How many seeds", "N"},
+                        {"threads", 0, POPT_ARG_INT, &threads, 0, "Runs at the same time", "N"},
+                        {"defect", 0, POPT_ARG_INT, &defect, 0, "Defect put in on purpose, 1 to 5", "N"},
+                        {"trace", 0, POPT_ARG_STRING, &trace, 0, "Errand, runner, service, tenant or reason whose records are printed", "NAME"},
+                        POPT_AUTOHELP POPT_TABLEEND};
+  poptContext context = poptGetContext("drydock", count, const_cast<const char **>(words), table, 0);
+  const int code = poptGetNextOpt(context);
+  if (code < -1) {
+    std::cerr << "drydock: " << poptBadOption(context, 0) << ": " << poptStrerror(code) << "\n";
+    return 2;
+  }
+  poptFreeContext(context);
+  Sweep sweep;
+  if (trace != nullptr) sweep.trace = trace;
+  sweep.defect = static_cast<Defect>(defect);
+  for (const Scenario &scenario : all_scenarios()) {
+    if (name != nullptr && scenario.name != name) continue;
+    for (long seed = from; seed < from + many; ++seed) sweep.jobs.push_back({&scenario, static_cast<std::uint64_t>(seed)});
+  }
+  if (sweep.jobs.empty()) {
+    std::cerr << "drydock: no such scenario\n";
+    return 2;
+  }
+  sweep.must_tell = sweep.jobs.size() == 1;
+  {
+    std::vector<std::unique_ptr<Duty>> crew;
+    for (int at = 0; at < threads; ++at) crew.push_back(std::make_unique<Duty>("drydock", [&sweep] { sweep.work(); }));
+  }
+  int bad = 0;
+  for (const Scenario &scenario : all_scenarios()) {
+    const auto found = sweep.figures.find(scenario.name);
+    if (found == sweep.figures.end()) continue;
+    auto &figures = found->second;
+    bad += sweep.bad[scenario.name];
+    std::cout << scenario.name << ": runs " << figures["calls"].size() << ", bad " << sweep.bad[scenario.name] << ", calls p50 " << at_share(figures["calls"], 0.5)
+              << ", run p50 " << at_share(figures["verdict_run"], 0.5) << ", back s p50 " << at_share(figures["back_after_s"], 0.5) << " most " << at_share(figures["back_after_s"], 1.0)
+              << ", proper 429 p50 " << at_share(figures["proper_429"], 0.5) << " most " << at_share(figures["proper_429"], 1.0) << ", worst write ms " << at_share(figures["worst_write_ms"], 1.0) << "\n";
+  }
+  return bad == 0 ? 0 : 1;
+}
