Number attempts, so that a late copy of an ended grant is never carried

Cause: an errand's ask was repeated while it was pending; the answer to the repeat arrived after the first runner had refused, while the errand waited for its second slot, and was taken for it, though that slot was already free. Ruled out: freeing on time-out (the runner is retired), reordering of free and second ask (the ask carries whom to avoid). Each ask, grant and free now carries its attempt.

--- a/packages/berth/berth.cpp
+++ b/packages/berth/berth.cpp
@@ -109,7 +109,7 @@
   say.is_former_owner = true;
   for (const auto &[id, hull] : found->second.berth.hulls) {
     for (const auto &[errand, slot] : hull.taken)
-      say.berth_held.push_back({errand, id, slot.pilot, slot.deadline - now});
+      say.berth_held.push_back({errand, id, slot.pilot, slot.attempt, slot.deadline - now});
     if (hull.must_retire) say.doubtful.push_back(id);
   }
 }
@@ -179,6 +179,7 @@
   say.service = ask.service;
   say.epoch = roster_.epoch;
   say.state = static_cast<std::uint8_t>(SlotState::refused);
+  say.attempt = ask.attempt;
   say.retry_after = retry_after;
   say.why = std::move(why);
   out.push_back({pilot, {}, say});
@@ -222,27 +223,24 @@
     return;
   }
   Berth &berth = found->second;
-  auto held = berth.granted.find(ask.errand);
-  if (held != berth.granted.end() && ask.is_second && held->second == ask.avoid) {
-    const auto hull = berth.hulls.find(held->second);
-    if (hull != berth.hulls.end()) hull->second.taken.erase(ask.errand);
+  const auto held = berth.granted.find(ask.errand);
+  if (held != berth.granted.end()) {
+    Hull &hull = berth.hulls[held->second];
+    const std::uint32_t attempt = hull.taken[ask.errand].attempt;
+    if (ask.attempt < attempt) return;
+    if (ask.attempt == attempt) {
+      out.push_back({from, {}, held_say(ask, berth, held->second)});
+      return;
+    }
+    hull.taken.erase(ask.errand);
     berth.granted.erase(held);
-    held = berth.granted.end();
   }
-  if (held != berth.granted.end()) {
-    SlotSay say;
-    say.errand = ask.errand;
-    say.service = ask.service;
-    say.runner = held->second;
-    say.address = berth.hulls[held->second].address;
-    say.seal_key = berth.hulls[held->second].seal_key;
-    say.epoch = roster_.epoch;
-    out.push_back({from, {}, say});
+  auto &line = berth.pending[ask.tenant];
+  for (Waiting &waiting : line) {
+    if (waiting.ask.errand != ask.errand) continue;
+    if (ask.attempt > waiting.ask.attempt) waiting.ask = ask;
     return;
   }
-  auto &line = berth.pending[ask.tenant];
-  for (const Waiting &waiting : line)
-    if (waiting.ask.errand == ask.errand) return;
   if (ask.is_second) {
     if (berth.seconds_budget < 1.0) {
       refuse(ask, from, seconds(1), "second-tries-spent", out);
@@ -288,20 +286,25 @@
   return best;
 }
 
-void Stevedore::grant(const std::string &service, Berth &berth, Waiting waiting, const std::string &runner,
+void Stevedore::grant(Berth &berth, Waiting waiting, const std::string &runner,
                       Instant now, Outbox &out) {
-  berth.hulls[runner].taken[waiting.ask.errand] = {waiting.pilot, waiting.deadline, now};
+  berth.hulls[runner].taken[waiting.ask.errand] = {waiting.pilot, waiting.deadline, now, waiting.ask.attempt};
   berth.granted[waiting.ask.errand] = runner;
   ++granted_;
   if (waiting.ask.is_second) ++second_granted_;
+  out.push_back({waiting.pilot, {}, held_say(waiting.ask, berth, runner)});
+}
+
+SlotSay Stevedore::held_say(const SlotAsk &ask, Berth &berth, const std::string &runner) const {
   SlotSay say;
-  say.errand = waiting.ask.errand;
-  say.service = service;
+  say.errand = ask.errand;
+  say.service = ask.service;
   say.runner = runner;
   say.address = berth.hulls[runner].address;
   say.seal_key = berth.hulls[runner].seal_key;
   say.epoch = roster_.epoch;
-  out.push_back({waiting.pilot, {}, say});
+  say.attempt = ask.attempt;
+  return say;
 }
 
 void Stevedore::serve(const std::string &service, Berth &berth, Instant now, Outbox &out) {
@@ -335,21 +338,24 @@
       berth.pending.erase(tenant);
     else
       berth.turns.push_back(tenant);
-    grant(service, berth, std::move(waiting), runner, now, out);
+    grant(berth, std::move(waiting), runner, now, out);
   }
 }
 
 void Stevedore::handle(NodeId from, const SlotFree &free, Instant now, Outbox &out) {
-  out.push_back({from, {}, SlotFreed{free.errand, free.service, free.runner}});
+  out.push_back({from, {}, SlotFreed{free.errand, free.service, free.attempt}});
   const auto found = berths_.find(free.service);
   if (found == berths_.end()) return;
   Berth &berth = found->second;
-  for (auto line = berth.pending.begin(); line != berth.pending.end(); ++line) {
-    berth.pending_count -= std::erase_if(
-        line->second, [&](const Waiting &waiting) { return waiting.ask.errand == free.errand; });
-  }
+  for (auto line = berth.pending.begin(); line != berth.pending.end(); ++line)
+    berth.pending_count -= std::erase_if(line->second, [&](const Waiting &waiting) {
+      return waiting.ask.errand == free.errand && waiting.ask.attempt <= free.attempt;
+    });
   const auto held = berth.granted.find(free.errand);
-  if (held == berth.granted.end() || (!free.runner.empty() && held->second != free.runner)) return;
+  if (held == berth.granted.end()) return;
+  const std::uint32_t attempt = berth.hulls[held->second].taken[free.errand].attempt;
+  const bool is_cancel = free.runner.empty();
+  if (is_cancel ? attempt > free.attempt : (held->second != free.runner || attempt != free.attempt)) return;
   const auto hull = berth.hulls.find(held->second);
   const auto end = static_cast<SlotEnd>(free.end);
   if (hull != berth.hulls.end()) {
@@ -379,12 +385,12 @@
   if (found == berths_.end() || !found->second.is_learning || say.epoch < found->second.since) return;
   Berth &berth = found->second;
   for (const HeldSlot &held : say.held) {
-    berth.hulls[held.runner].taken[held.errand] = {from, now + held.left, now};
+    berth.hulls[held.runner].taken[held.errand] = {from, now + held.left, now, held.attempt};
     berth.granted[held.errand] = held.runner;
   }
   if (!roster_.past.empty() && owner_in(roster_.past.back().pilots, say.service) == from) {
     for (const HeldSlot &held : say.berth_held) {
-      berth.hulls[held.runner].taken[held.errand] = {held.pilot, now + held.left, now};
+      berth.hulls[held.runner].taken[held.errand] = {held.pilot, now + held.left, now, held.attempt};
       berth.granted[held.errand] = held.runner;
     }
     for (const std::string &runner : say.doubtful) berth.hulls[runner].must_retire = true;
--- a/packages/berth/berth.hpp
+++ b/packages/berth/berth.hpp
@@ -50,6 +50,7 @@
   struct Slot {
     NodeId pilot = 0;
     Instant deadline = 0, since = 0;
+    std::uint32_t attempt = 0;
   };
   struct Hull {
     bool is_leaving = false, must_retire = false;
@@ -89,8 +90,9 @@
   void serve(const std::string &service, Berth &berth, Instant now, Outbox &out);
   Hull *free_hull(Berth &berth, const BerthPlan &plan, const std::string &avoid, Instant now,
                   std::string &id);
+  SlotSay held_say(const SlotAsk &ask, Berth &berth, const std::string &runner) const;
   void refuse(const SlotAsk &ask, NodeId pilot, Span retry_after, std::string why, Outbox &out);
-  void grant(const std::string &service, Berth &berth, Waiting waiting, const std::string &runner,
+  void grant(Berth &berth, Waiting waiting, const std::string &runner,
              Instant now, Outbox &out);
   void make_room(Berth &berth, const BerthPlan &plan, const std::string &tenant, Outbox &out);
   void rescale(Berth &berth, const BerthPlan &plan, Instant now);
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -125,7 +125,7 @@
   } else if (const auto *freed = std::get_if<SlotFreed>(&signal)) {
     if (owner_of(freed->service, stevedore_salt) == envelope.from)
       std::erase_if(freeing_, [&](const Freeing &item) {
-        return item.free.errand == freed->errand && item.free.runner == freed->runner;
+        return item.free.errand == freed->errand && item.free.attempt == freed->attempt;
       });
   } else if (const auto *inventory = std::get_if<InventoryAsk>(&signal)) {
     handle(envelope.from, *inventory, now, out);
@@ -323,6 +323,7 @@
   ask.worth = errand.bill.worth;
   ask.patience = errand.bill.deadline - now;
   ask.is_second = errand.tries > 0;
+  ask.attempt = errand.attempt;
   ask.avoid = errand.avoid;
   out.mail.push_back({owner, {}, ask});
 }
@@ -363,18 +364,19 @@
   const auto found = afloat_.find(say.errand);
   const auto state = static_cast<SlotState>(say.state);
   const bool is_owner = owner_of(say.service, stevedore_salt) == from;
-  const bool is_wanted =
-      found != afloat_.end() && found->second.bill.steps[found->second.at] == Step::berth && is_owner;
+  const bool is_wanted = found != afloat_.end() && found->second.bill.steps[found->second.at] == Step::berth &&
+                         is_owner && found->second.attempt == say.attempt;
   if (!is_wanted) {
     const bool is_ours =
-        found != afloat_.end() && found->second.is_carrying && found->second.runner == say.runner;
-    const bool is_freeing = std::any_of(freeing_.begin(), freeing_.end(),
-                                        [&](const Freeing &item) { return item.free.errand == say.errand; });
+        found != afloat_.end() && found->second.is_carrying && found->second.attempt == say.attempt;
+    const bool is_freeing = std::any_of(freeing_.begin(), freeing_.end(), [&](const Freeing &item) {
+      return item.free.errand == say.errand && item.free.attempt == say.attempt;
+    });
     if (state == SlotState::granted && is_owner && !is_ours && !is_freeing)
-      out.mail.push_back(
-          {from,
-           {},
-           SlotFree{say.errand, say.service, say.runner, static_cast<std::uint8_t>(SlotEnd::unused)}});
+      out.mail.push_back({from,
+                          {},
+                          SlotFree{say.errand, say.service, say.runner,
+                                   static_cast<std::uint8_t>(SlotEnd::unused), say.attempt}});
     return;
   }
   Afloat &errand = found->second;
@@ -395,6 +397,7 @@
   const auto runner = runners_.find(say.runner);
   if (runner != runners_.end() && runner->second.is_leaving) {
     free_slot(errand, SlotEnd::unused, now, out);
+    ++errand.attempt;
     errand.is_granted = false;
     errand.asked_at = 0;
     return;
@@ -422,6 +425,7 @@
   case CallKind::unreached: {
     const bool is_refusal = end.kind == CallKind::refused;
     free_slot(errand, is_refusal ? SlotEnd::refused : SlotEnd::unreached, now, out);
+    ++errand.attempt;
     errand.is_granted = false;
     errand.first_fate = is_refusal ? Fate::refused : Fate::no_runner;
     if (errand.tries >= options_.tries_most || errand.bill.deadline - now < milliseconds(20)) {
@@ -452,10 +456,9 @@
 void Pilot::free_slot(const Afloat &errand, SlotEnd end, Instant now, PilotOutput &out) {
   const bool is_cancel = end == SlotEnd::unused && !errand.is_granted;
   SlotFree free{errand.bill.id, errand.bill.service, is_cancel ? std::string() : errand.runner,
-                static_cast<std::uint8_t>(end)};
+                static_cast<std::uint8_t>(end), errand.attempt};
   if (end == SlotEnd::lost)
-    lost_.push_back({errand.bill.id, errand.bill.service, errand.runner, now + seconds(60)});
-  std::erase_if(freeing_, [&](const Freeing &item) { return item.free.errand == free.errand; });
+    lost_.push_back({errand.bill.id, errand.bill.service, errand.runner, errand.attempt, now + seconds(60)});
   const NodeId owner = owner_of(errand.bill.service, stevedore_salt);
   if (owner != 0) out.mail.push_back({owner, {}, free});
   freeing_.push_back({std::move(free), now + options_.free_again, now + seconds(60)});
@@ -518,9 +521,9 @@
   say.epoch = ask.epoch;
   for (const auto &[id, errand] : afloat_)
     if (errand.bill.service == ask.service && errand.is_carrying)
-      say.held.push_back({id, errand.runner, self_.id, errand.bill.deadline - now});
+      say.held.push_back({id, errand.runner, self_.id, errand.attempt, errand.bill.deadline - now});
   for (const LostSlot &lost : lost_)
-    if (lost.service == ask.service) say.held.push_back({lost.errand, lost.runner, self_.id, 0});
+    if (lost.service == ask.service) say.held.push_back({lost.errand, lost.runner, self_.id, lost.attempt, 0});
   stevedore_.describe_former(ask.service, ask.epoch, now, say);
   out.mail.push_back({from, {}, say});
 }
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -105,6 +105,7 @@
     std::size_t at = 0;
     std::string runner, avoid;
     std::size_t tries = 0;
+    std::uint32_t attempt = 0;
     Instant asked_at = 0, waiting_since = 0;
     bool has_claimed = false, is_granted = false, is_carrying = false;
     std::optional<Fate> first_fate;
@@ -172,6 +173,7 @@
   std::vector<Closing> closing_;
   struct LostSlot {
     std::string errand, service, runner;
+    std::uint32_t attempt = 0;
     Instant until = 0;
   };
   std::vector<LostSlot> lost_;
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -270,34 +270,39 @@
   Epoch epoch = 0;
   std::uint32_t worth = 1;
   Span patience = 0;
+  std::uint32_t attempt = 0;
   bool is_second = false;
   std::string avoid;
-  WHARF_CARRY(errand, service, tenant, epoch, worth, patience, is_second, avoid)
+  WHARF_CARRY(errand, service, tenant, epoch, worth, patience, attempt, is_second, avoid)
 };
 enum class SlotState : std::uint8_t { granted = 0, refused = 1, not_mine = 2 };
 struct SlotSay {
   std::string errand, service, runner, address, seal_key;
   Epoch epoch = 0;
   std::uint8_t state = 0;
+  std::uint32_t attempt = 0;
   Span retry_after = 0;
   std::string why;
-  WHARF_CARRY(errand, service, runner, address, seal_key, epoch, state, retry_after, why)
+  WHARF_CARRY(errand, service, runner, address, seal_key, epoch, state, attempt, retry_after, why)
 };
 enum class SlotEnd : std::uint8_t { answered = 0, refused = 1, unreached = 2, lost = 3, unused = 4 };
 struct SlotFree {
   std::string errand, service, runner;
   std::uint8_t end = 0;
-  WHARF_CARRY(errand, service, runner, end)
+  std::uint32_t attempt = 0;
+  WHARF_CARRY(errand, service, runner, end, attempt)
 };
 struct SlotFreed {
-  std::string errand, service, runner;
-  WHARF_CARRY(errand, service, runner)
+  std::string errand, service;
+  std::uint32_t attempt = 0;
+  WHARF_CARRY(errand, service, attempt)
 };
 struct HeldSlot {
   std::string errand, runner;
   NodeId pilot = 0;
+  std::uint32_t attempt = 0;
   Span left = 0;
-  WHARF_CARRY(errand, runner, pilot, left)
+  WHARF_CARRY(errand, runner, pilot, attempt, left)
 };
 struct InventoryAsk {
   std::string service;
--- /dev/null
+++ b/tests/slots_test.cpp
@@ -0,0 +1,60 @@
+#include "berth/berth.hpp"
+#include "rig.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wharf;
+
+TEST_GROUP(Slots){};
+
+TEST(Slots, a_late_copy_of_an_ended_grant_is_never_carried) {
+  every_order(3, [](const std::vector<std::size_t> &order) {
+    PilotRig rig;
+    PilotOutput out;
+    rig.pilot.arrive(rig.bill("e"), rig.now, out);
+    rig.pilot.receive({rig_other, "q", rig.grant("e", "r1", 0)}, rig.now, out);
+    rig.pilot.call_ended({"e", CallKind::refused, 0, {}, {}}, rig.now, out);
+    LONGS_EQUAL(1, out.carries.size());
+    const SlotSay late[] = {rig.grant("e", "r1", 0), rig.grant("e", "r2", 1), rig.grant("e", "r1", 0)};
+    for (std::size_t at : order) rig.pilot.receive({rig_other, "q", late[at]}, rig.now, out);
+    LONGS_EQUAL(2, out.carries.size());
+    STRCMP_EQUAL("r2", out.carries[1].runner.c_str());
+  });
+}
+
+TEST(Slots, in_every_order_of_ask_free_and_second_ask_a_runner_is_never_given_too_much) {
+  every_order(4, [](const std::vector<std::size_t> &order) {
+    Stevedore stevedore(rig_self, BerthOptions{});
+    Outbox out;
+    const Instant now = seconds(10);
+    stevedore.set_fresh_until(now + seconds(2));
+    stevedore.set_plans({{"s", BerthPlan{}}}, now, out);
+    Roster roster;
+    roster.epoch = 1;
+    roster.pilots = {rig_self};
+    roster.is_first = true;
+    stevedore.set_roster(roster, 1, now, out);
+    RunnerView first, second;
+    first.id = "r1";
+    second.id = "r2";
+    first.service = second.service = "s";
+    stevedore.set_runners({first, second}, now, out);
+    SlotAsk ask;
+    ask.errand = "e";
+    ask.service = "s";
+    ask.tenant = "t";
+    ask.patience = seconds(1);
+    stevedore.step(rig_other, ask, now, out);
+    SlotAsk again = ask;
+    again.attempt = 1;
+    again.is_second = true;
+    again.avoid = "r1";
+    SlotAsk foreign = ask;
+    foreign.errand = "f";
+    const SlotFree free{"e", "s", "r1", static_cast<std::uint8_t>(SlotEnd::refused), 0};
+    const Signal deeds[] = {ask, free, again, foreign};
+    for (std::size_t at : order) stevedore.step(rig_other, deeds[at], now, out);
+    CHECK(stevedore.slots_taken("r1") <= 1);
+    CHECK(stevedore.slots_taken("r2") <= 1);
+  });
+}
