--- a/packages/purser/purser.cpp
+++ b/packages/purser/purser.cpp
@@ -77,6 +77,7 @@
     const Roster old = roster_;
     roster_ = roster;
     for (auto &[tenant, ledger] : ledgers_) {
+      ledger.handover_to = 0;
       const NodeId owner = owner_in(roster_.pilots, tenant);
       if (owner == self_) {
         ledger.handover_to = 0;
@@ -96,11 +97,13 @@
         continue;
       }
       if (ledger.post == Post::ready) {
-        ledger.handover_to = owner;
-        ledger.handover_until = now + seconds(4);
         ledger.answers.clear();
         ++ledger.sequence;
-        if (owner != 0) out.push_back({owner, {}, copy_of(tenant, ledger, now, true)});
+        if (owner != 0 && was_owner_since(old.epoch, tenant)) {
+          ledger.handover_to = owner;
+          ledger.handover_until = now + seconds(4);
+          out.push_back({owner, {}, copy_of(tenant, ledger, now, true)});
+        }
       }
       ledger.post = replica_in(roster_.pilots, tenant) == self_ ? Post::replica : Post::none;
     }
@@ -295,7 +298,8 @@
   }
   if (copy.is_handover) {
     out.push_back({from, {}, ack});
-    if (ledger.post != Post::awaiting || copy.epoch < roster_.epoch) return;
+    const NodeId before = roster_.past.empty() ? 0 : owner_in(roster_.past.back().pilots, copy.tenant);
+    if (ledger.post != Post::awaiting || copy.epoch != roster_.epoch || from != before) return;
   } else {
     if (ledger.post == Post::awaiting) return;
     const bool is_older =
--- /dev/null
+++ b/tests/purser_test.cpp
@@ -0,0 +1,158 @@
+#include "purser/purser.hpp"
+#include "rig.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wharf;
+
+TEST_GROUP(Purser) {
+  const Instant start = seconds(100);
+  const std::map<std::string, Allowance> allowances{{"t", {100, 50}}};
+
+  /// Three nodes named by their rank for tenant "t" in the whole roster: owner, replica, third.
+  std::vector<NodeId> ranked() { return rank_nodes({1, 2, 3}, "t", purser_salt); }
+
+  Roster roster(Epoch epoch, std::vector<std::vector<NodeId>> history) {
+    Roster made;
+    made.epoch = epoch;
+    made.pilots = history.back();
+    history.pop_back();
+    Epoch past = epoch - history.size();
+    for (auto &pilots : history) made.past.push_back({past++, pilots});
+    made.is_first = made.past.empty();
+    return made;
+  }
+
+  PermitAsk ask(std::uint64_t number, std::uint32_t want) {
+    PermitAsk made;
+    made.tenant = "t";
+    made.ask = number;
+    made.want = want;
+    return made;
+  }
+
+  std::uint32_t granted(const Outbox &out) {
+    std::uint32_t sum = 0;
+    for (const Posted &posted : out)
+      if (const auto *say = std::get_if<PermitSay>(&posted.signal)) sum += say->tokens;
+    return sum;
+  }
+
+  Purser owner(NodeId id) {
+    Purser made(id, PurserOptions{});
+    made.set_allowances(allowances, start);
+    made.set_fresh_until(start + seconds(1000));
+    return made;
+  }
+};
+
+TEST(Purser, a_grant_is_answered_only_after_its_replica_has_it) {
+  Purser purser = owner(ranked()[0]);
+  Outbox out;
+  purser.set_roster(roster(1, {ranked()}), 1, start, out);
+  out.clear();
+  purser.step(9, ask(1, 5), start, out);
+  LONGS_EQUAL(0, granted(out));
+  const auto *copy = std::get_if<LedgerCopy>(&out.back().signal);
+  CHECK(copy != nullptr && out.back().to == ranked()[1]);
+  const LedgerAck ack{"t", 1, copy->sequence};
+  purser.step(ranked()[2], ack, start, out);
+  LONGS_EQUAL(0, granted(out));
+  purser.step(ranked()[1], ack, start, out);
+  LONGS_EQUAL(5, granted(out));
+}
+
+TEST(Purser, no_five_seconds_see_more_than_five_times_base_and_the_burst) {
+  Purser purser = owner(1);
+  Outbox out;
+  purser.set_roster(roster(1, {{1}}), 1, start, out);
+  std::vector<std::pair<Instant, std::uint32_t>> grants;
+  for (Instant now = start; now < start + seconds(20); now += milliseconds(10)) {
+    out.clear();
+    purser.step(9, ask(1, 50), now, out);
+    grants.emplace_back(now, granted(out));
+  }
+  std::uint32_t worst = 0, all = 0;
+  for (std::size_t from = 0; from < grants.size(); ++from) {
+    std::uint32_t sum = 0;
+    for (std::size_t at = from; at < grants.size() && grants[at].first < grants[from].first + seconds(5); ++at) sum += grants[at].second;
+    worst = std::max(worst, sum);
+    all += grants[from].second;
+  }
+  CHECK(worst <= 550);
+  CHECK(all >= 1900);
+}
+
+TEST(Purser, an_owner_that_slept_through_a_roster_hands_nothing_over) {
+  const auto nodes = ranked();
+  const std::vector<NodeId> without_owner{nodes[1], nodes[2]}, only_third{nodes[2]};
+  Purser slept = owner(nodes[0]);
+  Outbox out;
+  slept.set_roster(roster(1, {nodes}), 1, start, out);
+  out.clear();
+  slept.set_roster(roster(3, {nodes, without_owner, only_third}), 3, start + seconds(3), out);
+  for (const Posted &posted : out) CHECK(!std::holds_alternative<LedgerCopy>(posted.signal));
+}
+
+TEST(Purser, a_successor_believes_only_its_direct_predecessor) {
+  const auto nodes = ranked();
+  const std::vector<NodeId> without_owner{nodes[1], nodes[2]}, only_third{nodes[2]};
+  Purser third = owner(nodes[2]);
+  Outbox out;
+  third.set_roster(roster(3, {nodes, without_owner, only_third}), 3, start, out);
+  LedgerCopy copy;
+  copy.tenant = "t";
+  copy.epoch = 3;
+  copy.tokens = 150;
+  copy.is_handover = true;
+  third.step(nodes[0], copy, start, out);
+  third.tick(start + milliseconds(10), out);
+  CHECK(!third.is_granting("t", start + milliseconds(10)));
+  copy.tokens = 20;
+  third.step(nodes[1], copy, start + milliseconds(20), out);
+  third.tick(start + milliseconds(30), out);
+  out.clear();
+  third.step(9, ask(1, 10), start + milliseconds(30), out);
+  third.step(9, ask(2, 10), start + milliseconds(30), out);
+  third.step(9, ask(3, 10), start + milliseconds(30), out);
+  CHECK(granted(out) >= 20 && granted(out) <= 21);
+}
+
+TEST(Purser, a_successor_that_knows_nothing_starts_in_debt) {
+  const auto nodes = ranked();
+  Purser third = owner(nodes[2]);
+  Outbox out;
+  third.set_roster(roster(2, {{nodes[0], nodes[1]}, {nodes[2]}}), 2, start, out);
+  third.tick(start + seconds(1), out);
+  out.clear();
+  third.step(9, ask(1, 10), start + milliseconds(1500), out);
+  LONGS_EQUAL(0, granted(out));
+  third.step(9, ask(2, 10), start + milliseconds(2200), out);
+  CHECK(granted(out) > 0);
+}
+
+TEST(Purser, a_doubled_grant_is_not_told_to_be_unspent) {
+  PilotRig rig;
+  PilotOutput out;
+  Waybill bill = rig.bill("e");
+  bill.is_paid = false;
+  rig.pilot.arrive(bill, rig.now, out);
+  std::uint64_t number = 0;
+  for (const Posted &posted : out.mail)
+    if (const auto *made = std::get_if<PermitAsk>(&posted.signal)) number = made->ask;
+  CHECK(number != 0);
+  PermitSay say;
+  say.tenant = rig.tenant;
+  say.ask = number;
+  say.permit = 77;
+  say.tokens = 3;
+  say.window = milliseconds(100);
+  rig.pilot.receive({rig_other, "q", say}, rig.now, out);
+  out = {};
+  rig.pilot.receive({rig_other, "q", say}, rig.now, out);
+  rig.pilot.tick(rig.now + milliseconds(120), out);
+  rig.pilot.tick(rig.now + milliseconds(400), out);
+  for (const Posted &posted : out.mail)
+    if (const auto *made = std::get_if<PermitAsk>(&posted.signal))
+      for (const PermitReturn &item : made->returns) CHECK(!(item.permit == 77 && item.is_final && item.spent == 0));
+}
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -14,13 +14,17 @@
 struct PilotRig {
   Instant now = seconds(10);
   Pilot pilot;
-  std::string service;
+  std::string service, tenant;
 
   PilotRig() : pilot(make_self(), {"seed"}, PilotOptions{}, seconds(10)) {
     for (int at = 0; service.empty(); ++at) {
       const std::string name = "s" + std::to_string(at);
       if (rank_nodes({rig_self, rig_other}, name, stevedore_salt)[0] == rig_other) service = name;
     }
+    for (int at = 0; tenant.empty(); ++at) {
+      const std::string name = "t" + std::to_string(at);
+      if (rank_nodes({rig_self, rig_other}, name, purser_salt)[0] == rig_other) tenant = name;
+    }
     PilotOutput out;
     pilot.receive({rig_leader, "h", orders(1, "first-key-00000000")}, now, out);
   }
@@ -39,7 +43,7 @@
     list.term = 1;
     list.version = version;
     list.has_manifest = true;
-    list.manifest = R"({"tenants": {"t": {"keys": [")" + key + R"("], "base": 100}}, "services": {")" + service +
+    list.manifest = R"({"tenants": {")" + tenant + R"(": {"keys": [")" + key + R"("], "base": 100}}, "services": {")" + service +
                     R"(": {"image": "i", "slots": 4, "once": true}}, "rules": {"r": "* /** to )" + service + R"("}})";
     list.roster.epoch = 1;
     list.roster.pilots = {rig_self, rig_other};
