Judge allowances by when an errand was sent; wait at most 500 ms for a permit

Cause: the checker counted an errand when it ran; paid errands held for a slot while a stevedore is replaced run together later. Wrong refusals are now counted as a shortfall against an ideal bucket.

--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -608,6 +608,10 @@
   }
   till.unanswered_since = 0;
   till.is_fallback = false;
+  const bool is_doubled = say.tokens > 0 && std::find(till.seen.begin(), till.seen.end(), say.permit) != till.seen.end();
+  if (is_doubled) return;
+  if (say.tokens > 0) till.seen.push_back(say.permit);
+  if (till.seen.size() > 64) till.seen.pop_front();
   if (asked == till.asks.end()) {
     if (say.tokens > 0) till.finals[say.permit] = 0;
     return;
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -54,7 +54,7 @@
   Span fresh = seconds(2);
   Span leader_silence = milliseconds(600);
   Span permit_again = milliseconds(100);
-  Span permit_patience = milliseconds(1500);
+  Span permit_patience = milliseconds(500);
   Span fallback_after = milliseconds(300);
   Span claim_again = milliseconds(200);
   Span berth_again = milliseconds(150);
@@ -120,6 +120,7 @@
     Instant fallback_at = 0;
     bool is_fallback = false;
     std::map<std::uint64_t, std::uint32_t> finals;
+    std::deque<std::uint64_t> seen;
   };
   struct Freeing {
     SlotFree free;
--- a/packages/surveyor/surveyor.cpp
+++ b/packages/surveyor/surveyor.cpp
@@ -41,12 +41,19 @@
 
 void check_quota(const Charter &charter, const std::vector<CallRecord> &calls,
                  const std::vector<VisitRecord> &visits, Found &found) {
-  std::map<std::string, std::vector<std::int64_t>> spent;
+  std::map<std::string, std::int64_t> sent_at;
+  for (const CallRecord &call : calls) sent_at.emplace(call.errand, call.sent_ns);
+  std::map<std::string, std::vector<std::int64_t>> admitted, visited;
   std::set<std::string> counted;
-  for (const VisitRecord &visit : visits)
-    if (counted.insert(visit.errand).second) spent[visit.tenant].push_back(visit.begun_ns);
-  for (auto &[tenant, moments] : spent) {
+  for (const VisitRecord &visit : visits) {
+    if (!counted.insert(visit.errand).second) continue;
+    visited[visit.tenant].push_back(visit.begun_ns);
+    const auto sent = sent_at.find(visit.errand);
+    admitted[visit.tenant].push_back(sent == sent_at.end() ? visit.begun_ns : sent->second);
+  }
+  for (auto &[tenant, moments] : admitted) {
     std::sort(moments.begin(), moments.end());
+    std::sort(visited[tenant].begin(), visited[tenant].end());
     const Tenant *declared = charter.tenant_named(tenant);
     if (declared == nullptr) {
       found("unknown-tenant", tenant);
@@ -54,11 +61,13 @@
     }
     const std::size_t most = most_in_window(moments, 5 * second_ns);
     const double allowed = static_cast<double>(5 * declared->base + declared->burst);
-    found.audit.counts["worst_5s_" + tenant] = most;
-    found.audit.counts["allowed_5s_" + tenant] = static_cast<std::uint64_t>(allowed);
+    const auto share = [allowed](std::size_t number) { return static_cast<std::uint64_t>(100.0 * static_cast<double>(number) / allowed); };
+    auto &worst = found.audit.counts["worst_5s_admitted_percent"];
+    worst = std::max(worst, share(most));
+    auto &worst_run = found.audit.counts["worst_5s_run_percent"];
+    worst_run = std::max(worst_run, share(most_in_window(visited[tenant], 5 * second_ns)));
     if (static_cast<double>(most) > allowed * 1.1 + 5)
-      found("over-allowance",
-            tenant + " " + std::to_string(most) + " in 5 s, allowed " + std::to_string(allowed));
+      found("over-allowance", tenant + " " + std::to_string(most) + " in 5 s, allowed " + std::to_string(allowed));
   }
   std::map<std::string, std::vector<const CallRecord *>> by_tenant;
   for (const CallRecord &call : calls)
@@ -71,15 +80,21 @@
     double tokens = static_cast<double>(declared->base + declared->burst);
     const double capacity = tokens;
     std::int64_t last = list.empty() ? 0 : list.front()->sent_ns;
+    std::int64_t proper = 0, passed = 0, proper_refused = 0;
     for (const CallRecord *call : list) {
       tokens = std::min(capacity, tokens + static_cast<double>(call->sent_ns - last) / 1e9 *
                                                static_cast<double>(declared->base));
       last = call->sent_ns;
       const bool is_proper = tokens >= 1.0;
       if (is_proper) tokens -= 1.0;
+      proper += is_proper ? 1 : 0;
+      passed += call->status != 429 ? 1 : 0;
+      proper_refused += is_proper && call->status == 429 ? 1 : 0;
       ++found.audit.counts[is_proper ? "proper_calls" : "excess_calls"];
       if (call->status == 429) ++found.audit.counts[is_proper ? "proper_429" : "excess_429"];
     }
+    const std::int64_t short_of = std::max<std::int64_t>(0, std::min(proper_refused, proper - passed));
+    found.audit.counts["wrongly_refused"] += static_cast<std::uint64_t>(short_of);
   }
 }
 
