Acknowledge a handover only when it is taken over; leave once successors have it

Cause of wrong refusals after planned and single failures: an owner's handover often reached its successor before the roster did, was acknowledged and dropped, and the successor started in debt. A test gives the early handover; it failed before.

--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -72,7 +72,9 @@
   });
   const bool is_counted_on = has_successor && std::find(roster_.pilots.begin(), roster_.pilots.end(),
                                                         self_.id) != roster_.pilots.end();
-  return afloat_.empty() && freeing_.empty() && closing_.empty() && !is_counted_on;
+  const bool is_settled_without = !has_successor || settled_ >= roster_.epoch || !is_fresh(now);
+  return afloat_.empty() && freeing_.empty() && closing_.empty() && !is_counted_on && is_settled_without &&
+         !purser_.is_handing_over(now);
 }
 
 NodeId Pilot::owner_of(const std::string &name, std::uint64_t salt) const {
--- a/packages/purser/purser.cpp
+++ b/packages/purser/purser.cpp
@@ -17,6 +17,12 @@
   return ranked.size() < 2 ? 0 : ranked[1];
 }
 
+bool Purser::is_handing_over(Instant now) const {
+  return std::any_of(ledgers_.begin(), ledgers_.end(), [now](const auto &item) {
+    return item.second.handover_to != 0 && now < item.second.handover_until;
+  });
+}
+
 bool Purser::is_granting(const std::string &tenant, Instant now) const {
   const auto found = ledgers_.find(tenant);
   return found != ledgers_.end() && found->second.post == Post::ready && now < fresh_until_;
@@ -297,9 +303,9 @@
     return;
   }
   if (copy.is_handover) {
-    out.push_back({from, {}, ack});
     const NodeId before = roster_.past.empty() ? 0 : owner_in(roster_.past.back().pilots, copy.tenant);
     if (ledger.post != Post::awaiting || copy.epoch != roster_.epoch || from != before) return;
+    out.push_back({from, {}, ack});
   } else {
     if (ledger.post == Post::awaiting) return;
     const bool is_older =
--- a/packages/purser/purser.hpp
+++ b/packages/purser/purser.hpp
@@ -35,6 +35,8 @@
 
   /// True when this node grants for the tenant now.
   bool is_granting(const std::string &tenant, Instant now) const;
+  /// True while a successor has not yet taken over what this node knew.
+  bool is_handing_over(Instant now) const;
   std::uint64_t granted() const { return granted_; }
   std::uint64_t denied() const { return denied_; }
   std::uint64_t unknown_starts() const { return unknown_starts_; }
--- a/tests/purser_test.cpp
+++ b/tests/purser_test.cpp
@@ -156,3 +156,22 @@
     if (const auto *made = std::get_if<PermitAsk>(&posted.signal))
       for (const PermitReturn &item : made->returns) CHECK(!(item.permit == 77 && item.is_final && item.spent == 0));
 }
+
+TEST(Purser, a_handover_that_came_before_the_roster_is_not_acknowledged) {
+  const auto nodes = ranked();
+  Purser second = owner(nodes[1]);
+  Outbox out;
+  second.set_roster(roster(1, {nodes}), 1, start, out);
+  LedgerCopy copy;
+  copy.tenant = "t";
+  copy.epoch = 2;
+  copy.sequence = 4;
+  copy.is_handover = true;
+  out.clear();
+  second.step(nodes[0], copy, start, out);
+  LONGS_EQUAL(0, out.size());
+  second.set_roster(roster(2, {nodes, {nodes[1], nodes[2]}}), 1, start, out);
+  out.clear();
+  second.step(nodes[0], copy, start, out);
+  LONGS_EQUAL(1, out.size());
+}
