Read every command line through one owner of popt; refuse false flags in archives

Cause: AddressSanitizer reported what popt hands out (leaks in five programs) and a bool of value 101 read from a spoiled signal. The five tables of options were the same code; Flags owns them now. Before: fuzz and all tools failed under ASan and UBSan.

--- a/packages/bosun/options.cpp
+++ b/packages/bosun/options.cpp
@@ -4,7 +4,6 @@
 #include <charconv>
 #include <fstream>
 #include <map>
-#include <popt.h>
 #include <sstream>
 
 #include "hawser/hawser.hpp"
@@ -97,65 +96,27 @@
 
 std::vector<std::string> ProcessOptions::seed_list() const { return split_commas(seeds); }
 
-std::variant<Launch, EndNow> read_launch(ProgramKind kind, int count, const char **words) {
+std::variant<Launch, EndNow> read_launch(ProgramKind kind, int count, const char *const *words) {
   const std::string program = kind == ProgramKind::pilotd ? "pilotd" : "harbourd";
   Launch launch;
   std::vector<std::string> faults;
   std::map<std::string, Given> given, flags;
 
-  std::vector<Known> offered;
-  for (const Known &known : known_options())
-    if (fits(kind, known.name)) offered.push_back(known);
-  std::vector<std::string> long_names;
-  for (const Known &known : offered) {
-    long_names.push_back(known.name);
-    std::replace(long_names.back().begin(), long_names.back().end(), '_', '-');
+  Flags line(program, "");
+  line.other("options", [&](const std::string &path) { return read_file(path, given, faults), std::string(); }, "Options file of 'name = value' lines");
+  line.mark("check", launch.is_check_only, "Check the options and end");
+  for (const Known &known : known_options()) {
+    if (!fits(kind, known.name)) continue;
+    std::string flag = known.name;
+    std::replace(flag.begin(), flag.end(), '_', '-');
+    const std::string tail = known.start.empty() ? "" : " Default: " + known.start + ".";
+    line.other(flag, [&flags, name = known.name, flag](const std::string &value) { return flags[name] = {value, "--" + flag}, std::string(); }, known.meaning + tail);
   }
-  std::vector<poptOption> table;
-  constexpr int first_option = 100;
-  table.push_back(
-      {"options", 'o', POPT_ARG_STRING, nullptr, 1, "Options file of 'name = value' lines", "FILE"});
-  table.push_back({"check", 0, POPT_ARG_NONE, nullptr, 2, "Check the options and end", nullptr});
-  table.push_back({"version", 0, POPT_ARG_NONE, nullptr, 3, "Print the version and end", nullptr});
-  table.push_back({"help", 'h', POPT_ARG_NONE, nullptr, 4, "Print this and end", nullptr});
-  for (std::size_t at = 0; at < offered.size(); ++at)
-    table.push_back({long_names[at].c_str(), 0, POPT_ARG_STRING, nullptr, first_option + static_cast<int>(at),
-                     offered[at].meaning.c_str(), "VALUE"});
-  table.push_back({nullptr, 0, 0, nullptr, 0, nullptr, nullptr});
-
-  poptContext context = poptGetContext(program.c_str(), count, words, table.data(), 0);
-  int code = 0;
-  bool wants_help = false, wants_version = false;
-  while ((code = poptGetNextOpt(context)) >= 0) {
-    char *argument = poptGetOptArg(context);
-    const std::string value = argument == nullptr ? "" : argument;
-    free(argument);
-    if (code == 1)
-      read_file(value, given, faults);
-    else if (code == 2)
-      launch.is_check_only = true;
-    else if (code == 3)
-      wants_version = true;
-    else if (code == 4)
-      wants_help = true;
-    else
-      flags[offered[static_cast<std::size_t>(code - first_option)].name] = {
-          value, "--" + long_names[static_cast<std::size_t>(code - first_option)]};
-  }
-  if (code < -1)
-    faults.push_back(std::string(poptBadOption(context, POPT_BADOPTION_NOALIAS)) + ": " + poptStrerror(code));
-  if (const char *rest = poptGetArg(context))
-    faults.push_back(std::string("'") + rest + "' is not an option");
-  poptFreeContext(context);
-
-  if (wants_version) return EndNow{0, program + " " WHARF_VERSION "\n"};
-  if (wants_help) {
-    std::ostringstream page;
-    page << "Usage: " << program << " [--options FILE] [--NAME VALUE ...] [--check] [--version] [--help]\n\n";
-    for (std::size_t at = 0; at < offered.size(); ++at)
-      page << "  --" << long_names[at] << "\n      " << offered[at].meaning
-           << (offered[at].start.empty() ? "" : " Default: " + offered[at].start + ".") << "\n";
-    return EndNow{0, page.str()};
+  const auto line_read = line.read(count, words);
+  if (const auto *end = std::get_if<EndNow>(&line_read)) {
+    if (end->code == 0) return *end;
+    std::istringstream lines(end->text);
+    for (std::string fault; std::getline(lines, fault);) faults.push_back(fault.substr(program.size() + 2));
   }
   for (const auto &[name, item] : flags) given[name] = item;
   ProcessOptions &options = launch.options;
--- a/packages/bosun/options.hpp
+++ b/packages/bosun/options.hpp
@@ -5,6 +5,8 @@
 #include <variant>
 #include <vector>
 
+#include "bosun/flags.hpp"
+
 namespace wharf {
 
 /// Every option of our daemons, declared once: name, default, check, meaning.
@@ -34,16 +36,10 @@
   ProcessOptions options;
   bool is_check_only = false;
 };
-/// The program should end now with this code, having printed this.
-struct EndNow {
-  int code = 0;
-  std::string text;
-};
-
 enum class ProgramKind : std::uint8_t { pilotd, harbourd };
 
 /// Reads `--options FILE` and flags (flags win); names every fault with its file and line or its flag.
-std::variant<Launch, EndNow> read_launch(ProgramKind kind, int count, const char **words);
+std::variant<Launch, EndNow> read_launch(ProgramKind kind, int count, const char *const *words);
 
 bool is_address(std::string_view text);
 
--- a/packages/signals/pack.hpp
+++ b/packages/signals/pack.hpp
@@ -42,6 +42,12 @@
     load_binary(&claimed, sizeof claimed);
     count = checked(claimed);
   }
+  void load_override(bool &is_set) {
+    unsigned char byte = 0;
+    load_binary(&byte, 1);
+    if (byte > 1) throw boost::archive::archive_exception(boost::archive::archive_exception::input_stream_error);
+    is_set = byte == 1;
+  }
   void load_override(std::string &text) {
     std::size_t claimed = 0;
     load_binary(&claimed, sizeof claimed);
--- a/programs/dockyard/main.cpp
+++ b/programs/dockyard/main.cpp
@@ -3,10 +3,10 @@
 #include <iostream>
 #include <list>
 #include <nlohmann/json.hpp>
-#include <popt.h>
 #include <set>
 
 #include "bosun/door.hpp"
+#include "bosun/flags.hpp"
 #include "capstan/ring.hpp"
 #include "hawser/hawser.hpp"
 #include "seal/seal.hpp"
@@ -18,7 +18,7 @@
 /// What the stand-in platform is told on its command line.
 struct YardOptions {
   std::string address = "127.0.0.1:0", journal;
-  int workers = 12, zones = 4, memory_mb = 6144, pace = 80, boot_ms = 300, late_ms = 300;
+  long workers = 12, zones = 4, memory_mb = 6144, pace = 80, boot_ms = 300, late_ms = 300;
 };
 
 /// Misbehaviour a runner shows, as shares of its errands.
@@ -176,12 +176,12 @@
 class Yard {
 public:
   explicit Yard(YardOptions options) : options_(std::move(options)), journal_(options_.journal) {
-    for (int at = 0; at < options_.workers; ++at) {
+    for (long at = 0; at < options_.workers; ++at) {
       const std::string id = "w" + std::to_string(at + 1);
       workers_[id] = {id, std::string(1, static_cast<char>('a' + at % options_.zones)), false, false};
     }
     split_address(options_.address, ip_, port_);
-    tokens_ = options_.pace;
+    tokens_ = static_cast<double>(options_.pace);
     pace_at_ = tide_.now();
   }
 
@@ -218,7 +218,7 @@
   bool take_pace() {
     const Instant now = tide_.now();
     tokens_ =
-        std::min<double>(options_.pace, tokens_ + options_.pace * static_cast<double>(now - pace_at_) / 1e9);
+        std::min<double>(static_cast<double>(options_.pace), tokens_ + static_cast<double>(options_.pace) * static_cast<double>(now - pace_at_) / 1e9);
     pace_at_ = now;
     if (tokens_ < 1) return false;
     tokens_ -= 1;
@@ -312,7 +312,7 @@
     if (runners_.contains(id)) return say(200, "{\"why\": \"exists\"}");
     if (!workers_.contains(worker) || workers_[worker].is_down || workers_[worker].is_draining)
       return say(409, "{\"why\": \"no such worker\"}");
-    int used = order.value("memory_mb", 0);
+    long used = order.value("memory_mb", 0);
     for (const auto &[other, berthed] : runners_)
       if (berthed.order.at("worker") == worker) used += berthed.order.value("memory_mb", 0);
     if (used > options_.memory_mb) return say(409, "{\"why\": \"no memory\"}");
@@ -392,26 +392,20 @@
 
 int main(int count, char **words) {
   YardOptions options;
-  char *address = nullptr, *journal = nullptr;
-  poptOption table[] = {
-      {"address", 0, POPT_ARG_STRING, &address, 0, "Address of the platform's API", "IP:PORT"},
-      {"journal", 0, POPT_ARG_STRING, &journal, 0, "File the runners' records go to", "FILE"},
-      {"workers", 0, POPT_ARG_INT, &options.workers, 0, "Workers", "N"},
-      {"zones", 0, POPT_ARG_INT, &options.zones, 0, "Zones the workers are spread over", "N"},
-      {"memory-mb", 0, POPT_ARG_INT, &options.memory_mb, 0, "Memory of one worker", "MB"},
-      {"pace", 0, POPT_ARG_INT, &options.pace, 0, "Starts and stops a second", "N"},
-      {"boot-ms", 0, POPT_ARG_INT, &options.boot_ms, 0, "How long a runner boots", "MS"},
-      {"late-ms", 0, POPT_ARG_INT, &options.late_ms, 0, "How late lists are", "MS"},
-      POPT_AUTOHELP POPT_TABLEEND};
-  poptContext context = poptGetContext("dockyard", count, const_cast<const char **>(words), table, 0);
-  const int code = poptGetNextOpt(context);
-  if (code < -1) {
-    std::cerr << "dockyard: " << poptBadOption(context, 0) << ": " << poptStrerror(code) << "\n";
-    return 2;
+  Flags flags("dockyard", "");
+  flags.text("address", options.address, "Address of the platform's API");
+  flags.text("journal", options.journal, "File the runners' records go to");
+  flags.whole("workers", options.workers, "Workers");
+  flags.whole("zones", options.zones, "Zones the workers are spread over");
+  flags.whole("memory-mb", options.memory_mb, "Memory of one worker");
+  flags.whole("pace", options.pace, "Starts and stops a second");
+  flags.whole("boot-ms", options.boot_ms, "How long a runner boots");
+  flags.whole("late-ms", options.late_ms, "How late lists are");
+  const auto read_flags = flags.read(count, words);
+  if (const auto *end = std::get_if<EndNow>(&read_flags)) {
+    (end->code == 0 ? std::cout : std::cerr) << end->text;
+    return end->code;
   }
-  poptFreeContext(context);
-  if (address != nullptr) options.address = address;
-  if (journal != nullptr) options.journal = journal;
   catch_stops();
   Yard yard(options);
   return yard.run();
--- a/programs/drydock/main.cpp
+++ b/programs/drydock/main.cpp
@@ -2,8 +2,8 @@
 #include <atomic>
 #include <iostream>
 #include <mutex>
-#include <popt.h>
 
+#include "bosun/flags.hpp"
 #include "capstan/duty.hpp"
 #include "drydock/scenarios.hpp"
 
@@ -58,28 +58,24 @@
 } // namespace
 
 int main(int count, char **words) {
-  char *name = nullptr, *trace = nullptr;
-  long from = 1, many = 1;
-  int threads = 8, defect = 0;
-  poptOption table[] = {{"scenario", 0, POPT_ARG_STRING, &name, 0, "One scenario; all when not given", "NAME"},
-                        {"seed", 0, POPT_ARG_LONG, &from, 0, "First seed", "N"},
-                        {"seeds", 0, POPT_ARG_LONG, &many, 0, "How many seeds", "N"},
-                        {"threads", 0, POPT_ARG_INT, &threads, 0, "Runs at the same time", "N"},
-                        {"defect", 0, POPT_ARG_INT, &defect, 0, "Defect put in on purpose, 1 to 5", "N"},
-                        {"trace", 0, POPT_ARG_STRING, &trace, 0, "Errand, runner, service, tenant or reason whose records are printed", "NAME"},
-                        POPT_AUTOHELP POPT_TABLEEND};
-  poptContext context = poptGetContext("drydock", count, const_cast<const char **>(words), table, 0);
-  const int code = poptGetNextOpt(context);
-  if (code < -1) {
-    std::cerr << "drydock: " << poptBadOption(context, 0) << ": " << poptStrerror(code) << "\n";
-    return 2;
-  }
-  poptFreeContext(context);
+  std::string name;
+  long from = 1, many = 1, threads = 8, defect = 0;
   Sweep sweep;
-  if (trace != nullptr) sweep.trace = trace;
+  Flags flags("drydock", "");
+  flags.text("scenario", name, "One scenario; all when not given");
+  flags.whole("seed", from, "First seed");
+  flags.whole("seeds", many, "How many seeds");
+  flags.whole("threads", threads, "Runs at the same time");
+  flags.whole("defect", defect, "Defect put in on purpose, 1 to 5");
+  flags.text("trace", sweep.trace, "Errand, runner, service, tenant or reason whose records are printed; 'mates' for the group");
+  const auto read_flags = flags.read(count, words);
+  if (const auto *end = std::get_if<EndNow>(&read_flags)) {
+    (end->code == 0 ? std::cout : std::cerr) << end->text;
+    return end->code;
+  }
   sweep.defect = static_cast<Defect>(defect);
   for (const Scenario &scenario : all_scenarios()) {
-    if (name != nullptr && scenario.name != name) continue;
+    if (!name.empty() && scenario.name != name) continue;
     for (long seed = from; seed < from + many; ++seed) sweep.jobs.push_back({&scenario, static_cast<std::uint64_t>(seed)});
   }
   if (sweep.jobs.empty()) {
@@ -89,7 +85,7 @@
   sweep.must_tell = sweep.jobs.size() == 1;
   {
     std::vector<std::unique_ptr<Duty>> crew;
-    for (int at = 0; at < threads; ++at) crew.push_back(std::make_unique<Duty>("drydock", [&sweep] { sweep.work(); }));
+    for (long at = 0; at < threads; ++at) crew.push_back(std::make_unique<Duty>("drydock", [&sweep] { sweep.work(); }));
   }
   int bad = 0;
   for (const Scenario &scenario : all_scenarios()) {
--- a/programs/fleet/main.cpp
+++ b/programs/fleet/main.cpp
@@ -7,12 +7,12 @@
 #include <iostream>
 #include <netinet/in.h>
 #include <nlohmann/json.hpp>
-#include <popt.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include "bosun/door.hpp"
+#include "bosun/flags.hpp"
 #include "hawser/hawser.hpp"
 
 namespace {
@@ -22,7 +22,7 @@
 struct FleetOptions {
   std::string deployment = "udruga", folder, binaries, examples;
   double rate = 300, seconds_long = 20;
-  int threads = 96;
+  long threads = 96;
   bool must_stay = false;
 };
 
@@ -245,34 +245,26 @@
 
 int main(int count, char **words) {
   FleetOptions options;
-  char *deployment = nullptr, *folder = nullptr, *examples = nullptr;
-  int must_stay = 0;
-  poptOption table[] = {
-      {"deployment", 0, POPT_ARG_STRING, &deployment, 0, "udruga, masa-verde or single", "NAME"},
-      {"folder", 0, POPT_ARG_STRING, &folder, 0, "Where data, logs and records go", "DIR"},
-      {"examples", 0, POPT_ARG_STRING, &examples, 0, "Where the example manifests are", "DIR"},
-      {"rate", 0, POPT_ARG_DOUBLE, &options.rate, 0, "Errands a second", "N"},
-      {"seconds", 0, POPT_ARG_DOUBLE, &options.seconds_long, 0, "How long to send; 0 sends nothing", "S"},
-      {"threads", 0, POPT_ARG_INT, &options.threads, 0, "Callers at the same time", "N"},
-      {"stay", 0, POPT_ARG_NONE, &must_stay, 0, "Keep the deployment up afterwards", nullptr},
-      POPT_AUTOHELP POPT_TABLEEND};
-  poptContext context = poptGetContext("fleet", count, const_cast<const char **>(words), table, 0);
-  const int code = poptGetNextOpt(context);
-  if (code < -1) {
-    std::cerr << "fleet: " << poptBadOption(context, 0) << ": " << poptStrerror(code) << "\n";
-    return 2;
+  options.examples = "examples";
+  Flags flags("fleet", "");
+  flags.text("deployment", options.deployment, "udruga, masa-verde or single");
+  flags.text("folder", options.folder, "Where data, logs and records go");
+  flags.text("examples", options.examples, "Where the example manifests are");
+  flags.real("rate", options.rate, "Errands a second");
+  flags.real("seconds", options.seconds_long, "How long to send; 0 sends nothing");
+  flags.whole("threads", options.threads, "Callers at the same time");
+  flags.mark("stay", options.must_stay, "Keep the deployment up afterwards");
+  const auto read_flags = flags.read(count, words);
+  if (const auto *end = std::get_if<EndNow>(&read_flags)) {
+    (end->code == 0 ? std::cout : std::cerr) << end->text;
+    return end->code;
   }
-  poptFreeContext(context);
-  if (deployment != nullptr) options.deployment = deployment;
-  options.must_stay = must_stay != 0;
   options.binaries = fs::canonical("/proc/self/exe").parent_path();
-  options.examples = examples != nullptr ? examples : "examples";
-  options.folder = folder != nullptr
-                       ? folder
-                       : (fs::temp_directory_path() / ("fleet-" + std::to_string(getpid()))).string();
+  const bool is_own_folder = options.folder.empty();
+  if (is_own_folder) options.folder = (fs::temp_directory_path() / ("fleet-" + std::to_string(getpid()))).string();
   catch_stops();
   Fleet fleet(options);
   const int outcome = fleet.run();
-  if (folder == nullptr && outcome == 0) fs::remove_all(options.folder);
+  if (is_own_folder && outcome == 0) fs::remove_all(options.folder);
   return outcome;
 }
--- a/programs/harbourd/main.cpp
+++ b/programs/harbourd/main.cpp
@@ -300,7 +300,7 @@
 } // namespace
 
 int main(int count, char **words) {
-  auto read = read_launch(ProgramKind::harbourd, count, const_cast<const char **>(words));
+  auto read = read_launch(ProgramKind::harbourd, count, words);
   if (const auto *end = std::get_if<EndNow>(&read)) {
     (end->code == 0 ? std::cout : std::cerr) << end->text;
     return end->code;
--- a/programs/pilotd/main.cpp
+++ b/programs/pilotd/main.cpp
@@ -168,7 +168,7 @@
 } // namespace
 
 int main(int count, char **words) {
-  auto read = read_launch(ProgramKind::pilotd, count, const_cast<const char **>(words));
+  auto read = read_launch(ProgramKind::pilotd, count, words);
   if (const auto *end = std::get_if<EndNow>(&read)) {
     (end->code == 0 ? std::cout : std::cerr) << end->text;
     return end->code;
--- a/programs/shipper/main.cpp
+++ b/programs/shipper/main.cpp
@@ -2,10 +2,10 @@
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
-#include <popt.h>
 #include <sstream>
 
 #include "bosun/door.hpp"
+#include "bosun/flags.hpp"
 #include "hawser/hawser.hpp"
 #include "seal/seal.hpp"
 #include "surveyor/surveyor.hpp"
@@ -53,7 +53,7 @@
   std::vector<std::string> pilots;
   std::string journal;
   double rate = 300, seconds_long = 10;
-  int threads = 64;
+  long threads = 64;
   std::uint64_t seed = 1;
 };
 
@@ -71,7 +71,7 @@
     const auto count = static_cast<std::uint64_t>(options_.rate * options_.seconds_long);
     started_ = tide_.now();
     std::vector<std::unique_ptr<Duty>> crew;
-    for (int at = 0; at < options_.threads; ++at)
+    for (long at = 0; at < options_.threads; ++at)
       crew.push_back(std::make_unique<Duty>("shipper", [this, count] { work(count); }));
     crew.clear();
   }
@@ -206,38 +206,33 @@
 } // namespace
 
 int main(int count, char **words) {
-  char *pilots = nullptr, *manifest = nullptr, *mix_path = nullptr, *journal = nullptr,
-       *audit_visits = nullptr;
+  std::string pilots, manifest, mix_path, audit_visits;
   ShipOptions options;
   long seed = 1;
-  poptOption table[] = {
-      {"pilots", 0, POPT_ARG_STRING, &pilots, 0, "Pilots' HTTP addresses, separated by commas", "LIST"},
-      {"manifest", 0, POPT_ARG_STRING, &manifest, 0, "Manifest with the tenants' keys", "FILE"},
-      {"mix", 0, POPT_ARG_STRING, &mix_path, 0, "What to send", "FILE"},
-      {"journal", 0, POPT_ARG_STRING, &journal, 0, "File the callers' records go to", "FILE"},
-      {"rate", 0, POPT_ARG_DOUBLE, &options.rate, 0, "Errands a second", "N"},
-      {"seconds", 0, POPT_ARG_DOUBLE, &options.seconds_long, 0, "How long to send", "S"},
-      {"threads", 0, POPT_ARG_INT, &options.threads, 0, "Callers at the same time", "N"},
-      {"seed", 0, POPT_ARG_LONG, &seed, 0, "Seed of the mix", "N"},
-      {"audit", 0, POPT_ARG_STRING, &audit_visits, 0,
-       "Compare --journal with the runners' records instead of sending", "FILE"},
-      POPT_AUTOHELP POPT_TABLEEND};
-  poptContext context = poptGetContext("shipper", count, const_cast<const char **>(words), table, 0);
-  const int code = poptGetNextOpt(context);
-  if (code < -1) {
-    std::cerr << "shipper: " << poptBadOption(context, 0) << ": " << poptStrerror(code) << "\n";
-    return 2;
+  Flags flags("shipper", "");
+  flags.text("pilots", pilots, "Pilots' HTTP addresses, separated by commas");
+  flags.text("manifest", manifest, "Manifest with the tenants' keys");
+  flags.text("mix", mix_path, "What to send");
+  flags.text("journal", options.journal, "File the callers' records go to");
+  flags.real("rate", options.rate, "Errands a second");
+  flags.real("seconds", options.seconds_long, "How long to send");
+  flags.whole("threads", options.threads, "Callers at the same time");
+  flags.whole("seed", seed, "Seed of the mix");
+  flags.text("audit", audit_visits, "Compare --journal with the runners' records in this file instead of sending");
+  const auto read_flags = flags.read(count, words);
+  if (const auto *end = std::get_if<EndNow>(&read_flags)) {
+    (end->code == 0 ? std::cout : std::cerr) << end->text;
+    return end->code;
   }
-  poptFreeContext(context);
-  const auto bytes = manifest == nullptr ? std::nullopt : slurp(manifest);
+  const auto bytes = slurp(manifest);
   auto read = read_charter(bytes.value_or(""));
   const auto *charter = std::get_if<std::shared_ptr<const Charter>>(&read);
   if (charter == nullptr) {
     std::cerr << "shipper: --manifest: no good manifest\n";
     return 2;
   }
-  if (audit_visits != nullptr) return run_audit(**charter, journal == nullptr ? "" : journal, audit_visits);
-  const Json listed = Json::parse(mix_path == nullptr ? "" : slurp(mix_path).value_or(""), nullptr, false);
+  if (!audit_visits.empty()) return run_audit(**charter, options.journal, audit_visits);
+  const Json listed = Json::parse(slurp(mix_path).value_or(""), nullptr, false);
   std::vector<MixEntry> mix;
   if (listed.is_array())
     for (const Json &item : listed)
@@ -247,14 +242,13 @@
   std::vector<std::pair<std::string, std::string>> keys;
   for (const Tenant &tenant : (*charter)->tenants)
     for (const std::string &key : tenant.keys) keys.emplace_back(tenant.name, key);
-  std::stringstream list(pilots == nullptr ? "" : pilots);
+  std::stringstream list(pilots);
   for (std::string item; std::getline(list, item, ',');) options.pilots.push_back(item);
   if (mix.empty() || keys.empty() || options.pilots.empty()) {
     std::cerr << "shipper: --pilots, --mix and a manifest with keys are needed\n";
     return 2;
   }
   options.seed = static_cast<std::uint64_t>(seed);
-  if (journal != nullptr) options.journal = journal;
   catch_stops();
   Shipper shipper(options, mix, keys);
   shipper.run();
--- a/programs/wharfctl/main.cpp
+++ b/programs/wharfctl/main.cpp
@@ -3,10 +3,10 @@
 #include <httplib.h>
 #include <iostream>
 #include <nlohmann/json.hpp>
-#include <popt.h>
 #include <sstream>
 
 #include "bosun/door.hpp"
+#include "bosun/flags.hpp"
 #include "charter/charter.hpp"
 #include "hawser/hawser.hpp"
 
@@ -21,7 +21,7 @@
   std::vector<std::string> places;
   std::string token, if_match;
   bool is_json = false;
-  int seconds_long = 30;
+  long seconds_long = 30;
 };
 
 struct Said {
@@ -154,31 +154,22 @@
 
 int main(int count, char **words) {
   Control control;
-  char *places = nullptr, *token = nullptr, *if_match = nullptr;
-  int is_json = 0;
-  poptOption table[] = {
-      {"at", 0, POPT_ARG_STRING, &places, 0, "Operators' addresses of harbourd, separated by commas", "LIST"},
-      {"token", 0, POPT_ARG_STRING, &token, 0, "The operators' token", "TOKEN"},
-      {"if-match", 0, POPT_ARG_STRING, &if_match, 0, "Write only over this version", "VERSION"},
-      {"json", 0, POPT_ARG_NONE, &is_json, 0, "Print what the API said", nullptr},
-      {"seconds", 0, POPT_ARG_INT, &control.seconds_long, 0, "How long to try or wait", "S"},
-      POPT_AUTOHELP POPT_TABLEEND};
-  poptContext context = poptGetContext("wharfctl", count, const_cast<const char **>(words), table, 0);
-  poptSetOtherOptionHelp(
-      context, "[OPTION...] apply FILE | patch FILE | get | version | status | wait | check FILE | options");
-  const int code = poptGetNextOpt(context);
-  if (code < -1) {
-    std::cerr << "wharfctl: " << poptBadOption(context, 0) << ": " << poptStrerror(code) << "\n";
-    return Exit::wrong_call;
+  std::string places;
+  Flags flags("wharfctl", "apply FILE | patch FILE | get | version | status | wait | check FILE | options");
+  flags.text("at", places, "Operators' addresses of harbourd, separated by commas");
+  flags.text("token", control.token, "The operators' token");
+  flags.text("if-match", control.if_match, "Write only over this version");
+  flags.mark("json", control.is_json, "Print what the API said");
+  flags.whole("seconds", control.seconds_long, "How long to try or wait");
+  const auto read_flags = flags.read(count, words);
+  if (const auto *end = std::get_if<EndNow>(&read_flags)) {
+    (end->code == 0 ? std::cout : std::cerr) << end->text;
+    return end->code;
   }
-  const char *verb_word = poptGetArg(context), *file_word = poptGetArg(context);
-  const std::string verb = verb_word == nullptr ? "" : verb_word,
-                    file = file_word == nullptr ? "" : file_word;
-  std::stringstream list(places == nullptr ? "" : places);
+  const auto &rest = std::get<std::vector<std::string>>(read_flags);
+  const std::string verb = rest.empty() ? "" : rest[0], file = rest.size() < 2 ? "" : rest[1];
+  std::stringstream list(places);
   for (std::string item; std::getline(list, item, ',');) control.places.push_back(item);
-  if (token != nullptr) control.token = token;
-  if (if_match != nullptr) control.if_match = if_match;
-  control.is_json = is_json != 0;
 
   if (verb == "options") {
     std::cout << describe_options();
