--- a/programs/fleet/main.cpp
+++ b/programs/fleet/main.cpp
@@ -5,6 +5,8 @@
 #include <fstream>
 #include <httplib.h>
 #include <iostream>
+#include <memory>
+#include <sstream>
 #include <netinet/in.h>
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
@@ -20,9 +22,9 @@
 namespace fs = std::filesystem;
 
 struct FleetOptions {
-  std::string deployment = "udruga", folder, binaries, examples;
+  std::string deployment = "udruga", folder, binaries, examples, storm;
   double rate = 300, seconds_long = 20;
-  long threads = 96;
+  long threads = 96, seed = 1;
   bool must_stay = false;
 };
 
@@ -56,11 +58,12 @@
 public:
   explicit Fleet(FleetOptions options) : options_(std::move(options)) {
     if (options_.deployment == "masa-verde") shape_ = {3, 9, 3, 12, 8192};
+    if (options_.deployment == "small") shape_ = {3, 3, 3, 4, 4096};
     if (options_.deployment == "single") shape_ = {1, 1, 1, 2, 4096};
-    manifest_ = options_.examples + "/" +
-                (options_.deployment == "single" ? "quickstart" : options_.deployment) + ".manifest.json";
-    mix_ = options_.examples + "/" + (options_.deployment == "single" ? "quickstart" : options_.deployment) +
-           ".mix.json";
+    const bool is_little = options_.deployment == "single" || options_.deployment == "small";
+    const std::string stem = options_.examples + "/" + (is_little ? "quickstart" : options_.deployment);
+    manifest_ = stem + ".manifest.json";
+    mix_ = stem + ".mix.json";
   }
 
   int run() {
@@ -172,29 +175,187 @@
     const std::string calls = options_.folder + "/calls.jsonl";
     std::cout << "sending " << options_.rate << " errands a second for " << options_.seconds_long << " s\n"
               << std::flush;
-    const int sent =
-        call({"shipper", "--pilots", pilot_https(), "--manifest", manifest_, "--mix", mix_, "--rate",
+    std::unique_ptr<Duty> storm;
+    if (!options_.storm.empty()) storm = std::make_unique<Duty>("storm", [this] { run_storm(); });
+    const int sent = call({"shipper", "--pilots", pilot_https(), "--manifest", manifest_, "--mix", mix_, "--rate",
               std::to_string(options_.rate), "--seconds", std::to_string(options_.seconds_long), "--threads",
               std::to_string(options_.threads), "--journal", calls});
+    storm.reset();
     if (sent != 0) return fail("the callers failed");
-    if (call(control({"get"})) != 0) return fail("the manifest was not read back");
+    if (!options_.storm.empty() && !check_return()) return fail("service did not return");
+    if (!is_read_back()) return fail("the manifest read back is not the one applied");
+    std::cout << "read back: the very bytes\n" << std::flush;
     return call({"shipper", "--manifest", manifest_, "--journal", calls, "--audit",
                  options_.folder + "/visits.jsonl"});
   }
 
+  Process *pick(const std::string &kind) {
+    std::vector<Process *> found;
+    for (Process &process : processes_)
+      if (process.name.starts_with(kind) && process.pid > 0) found.push_back(&process);
+    return found.empty() ? nullptr : found[dice_.below(found.size())];
+  }
+
+  void end(Process &process, int signal) {
+    if (process.pid <= 0) return;
+    kill(process.pid, signal);
+    int state = 0;
+    waitpid(process.pid, &state, 0);
+    if (signal == SIGTERM && (!WIFEXITED(state) || WEXITSTATUS(state) != 0)) ++unclean_;
+    process.pid = 0;
+  }
+
+  bool rests(double span) {
+    const Instant until = tide_.now() + static_cast<Span>(span * 1e9);
+    while (tide_.now() < until && stops_caught() == 0) usleep(20'000);
+    return tide_.now() < storm_until_ && stops_caught() == 0;
+  }
+
+  Process *leader() {
+    for (Process &process : processes_) {
+      if (!process.name.starts_with("harbourd") || process.pid <= 0) continue;
+      const auto root = counters(process.http, "/v1/counters");
+      if (root.is_object() && root.value("is_leader", 0) == 1) return &process;
+    }
+    return nullptr;
+  }
+
+  static nlohmann::json counters(const std::string &place, const std::string &path) {
+    std::string ip;
+    int port = 0;
+    split_address(place, ip, port);
+    httplib::Client client(ip, port);
+    client.set_connection_timeout(0, 300'000);
+    client.set_read_timeout(1);
+    const auto result = client.Get(path);
+    return result ? nlohmann::json::parse(result->body, nullptr, false) : nlohmann::json();
+  }
+
+  void touch_yard(const std::string &path, const std::string &body) {
+    std::string ip;
+    int port = 0;
+    split_address(processes_.front().address, ip, port);
+    httplib::Client client(ip, port);
+    client.Post(path, body, "application/json");
+  }
+
+  void set_mischief(const std::string &shares) {
+    for (const std::string service : {"hold-1", "confirm-1", "table-1", "ranking-1", "hello", "book"})
+      touch_yard("/v1/mischief", "{\"service\": \"" + service + "\"" + shares + "}");
+  }
+
+  void tell(const std::string &what) { std::cout << "storm: " << what << "\n" << std::flush; }
+
+  /// Brings the named failures about while callers send; all is mended again at its end.
+  void run_storm() {
+    storm_until_ = tide_.now() + static_cast<Span>((options_.seconds_long - 2) * 1e9);
+    const std::string &storm = options_.storm;
+    while (rests(1.5)) {
+      if (storm == "kill-leader" || storm == "lose-disk") {
+        strike_leader(storm == "lose-disk");
+      } else if (storm == "kill-pilot") {
+        Process *process = pick("pilotd");
+        tell("kill " + process->name);
+        end(*process, SIGKILL);
+        rests(1);
+        start(*process);
+        rests(1.5);
+      } else if (storm == "freeze") {
+        Process *process = pick(dice_.chance(0.5) ? "pilotd" : "harbourd");
+        tell("freeze " + process->name);
+        kill(process->pid, SIGSTOP);
+        rests(0.5 + 4 * dice_.unit());
+        kill(process->pid, SIGCONT);
+      } else if (storm == "kill-all") {
+        tell("kill all");
+        for (Process &process : processes_)
+          if (process.name != "dockyard") end(process, SIGKILL);
+        rests(0.5);
+        for (Process &process : processes_)
+          if (process.name != "dockyard") start(process);
+        return;
+      } else if (storm == "restart") {
+        restart_in_turn();
+        return;
+      } else if (storm == "runners") {
+        tell("runners misbehave, a worker drains, another crashes");
+        set_mischief(", \"refuse\": 0.05, \"lose\": 0.01, \"garbage\": 0.02, \"truncate\": 0.01, \"foreign\": 0.01, "
+                     "\"hang\": 0.002, \"crash\": 0.005");
+        touch_yard("/v1/workers/w1/drain", "");
+        rests(4);
+        touch_yard("/v1/workers/w1/restore", "");
+        touch_yard("/v1/workers/w2/crash", "");
+        rests(4);
+        touch_yard("/v1/workers/w2/restore", "");
+      } else {
+        tell("no such storm");
+        return;
+      }
+    }
+    if (storm == "runners") set_mischief("");
+  }
+
+  void strike_leader(bool takes_disk) {
+    Process *process = leader();
+    if (process == nullptr) return;
+    tell((takes_disk ? "lose the disk of " : "kill ") + process->name);
+    end(*process, SIGKILL);
+    if (takes_disk) fs::remove_all(options_.folder + "/" + process->name);
+    rests(1.5);
+    start(*process);
+    if (takes_disk) rests(5);
+  }
+
+  void restart_in_turn() {
+    for (Process &process : processes_) {
+      if (process.name == "dockyard") continue;
+      tell("restart " + process.name);
+      end(process, SIGTERM);
+      start(process);
+      if (!rests(0.5)) return;
+    }
+  }
+
+  /// Sends a little more once all is mended; nearly all of it must be answered.
+  bool check_return() {
+    const Instant mended = tide_.now();
+    while (tide_.now() - mended < seconds(12)) {
+      if (!wait_pilots()) return false;
+      const std::string journal = options_.folder + "/after.jsonl";
+      fs::remove(journal);
+      call({"shipper", "--pilots", pilot_https(), "--manifest", manifest_, "--mix", mix_, "--rate", "60", "--seconds",
+            "1", "--threads", "32", "--seed", std::to_string(++after_seed_), "--journal", journal});
+      std::ifstream lines(journal);
+      int good = 0, all = 0;
+      for (std::string line; std::getline(lines, line); ++all)
+        good += line.find("\"verdict\":\"run\"") != std::string::npos ? 1 : 0;
+      std::ofstream(options_.folder + "/calls.jsonl", std::ios::app) << std::ifstream(journal).rdbuf();
+      if (all > 0 && good * 100 >= all * 95) {
+        std::cout << "service is back, seen " << (tide_.now() - mended) / 1'000'000 << " ms after the storm\n"
+                  << std::flush;
+        return true;
+      }
+    }
+    return false;
+  }
+
+  bool is_read_back() {
+    const pid_t pid = spawn(control({"get"}), options_.folder + "/read-back.json");
+    int state = 0;
+    waitpid(pid, &state, 0);
+    std::ostringstream sent, read;
+    sent << std::ifstream(manifest_).rdbuf();
+    read << std::ifstream(options_.folder + "/read-back.json").rdbuf();
+    return sent.str() == read.str();
+  }
+
   bool wait_pilots() {
     for (int round = 0; round < 300; ++round) {
       std::size_t ready = 0, pilots = 0;
       for (const Process &process : processes_) {
         if (!process.name.starts_with("pilotd")) continue;
         ++pilots;
-        std::string ip;
-        int port = 0;
-        split_address(process.http, ip, port);
-        httplib::Client client(ip, port);
-        const auto result = client.Get("/.wharf/counters");
-        if (!result) continue;
-        const auto root = nlohmann::json::parse(result->body, nullptr, false);
+        const auto root = counters(process.http, "/.wharf/counters");
         ready += root.is_object() && root.value("is_settled", 0) == 1 && root.value("manifest_version", 0) > 0
                      ? 1
                      : 0;
@@ -211,7 +372,8 @@
   }
 
   int stop_all() {
-    int bad = 0;
+    int bad = unclean_ == 0 ? 0 : 1;
+    if (unclean_ > 0) std::cerr << "fleet: " << unclean_ << " planned restarts did not end cleanly\n";
     for (const std::string kind : {"pilotd", "harbourd", "dockyard"}) {
       for (Process &process : processes_)
         if (process.pid > 0 && process.name.starts_with(kind)) kill(process.pid, SIGTERM);
@@ -240,6 +402,11 @@
   Shape shape_;
   std::string manifest_, mix_, token_ = "fleet-operator-token";
   std::vector<Process> processes_;
+  SteadyTide tide_;
+  Dice dice_{static_cast<std::uint64_t>(options_.seed)};
+  Instant storm_until_ = 0;
+  int unclean_ = 0;
+  long after_seed_ = 1000;
 };
 } // namespace
 
@@ -247,12 +414,14 @@
   FleetOptions options;
   options.examples = "examples";
   Flags flags("fleet", "");
-  flags.text("deployment", options.deployment, "udruga, masa-verde or single");
+  flags.text("deployment", options.deployment, "udruga, masa-verde, small or single");
   flags.text("folder", options.folder, "Where data, logs and records go");
   flags.text("examples", options.examples, "Where the example manifests are");
   flags.real("rate", options.rate, "Errands a second");
   flags.real("seconds", options.seconds_long, "How long to send; 0 sends nothing");
   flags.whole("threads", options.threads, "Callers at the same time");
+  flags.text("storm", options.storm, "What fails meanwhile: kill-leader, lose-disk, kill-pilot, freeze, kill-all, restart or runners");
+  flags.whole("seed", options.seed, "Seed of the storm");
   flags.mark("stay", options.must_stay, "Keep the deployment up afterwards");
   const auto read_flags = flags.read(count, words);
   if (const auto *end = std::get_if<EndNow>(&read_flags)) {
