Let a replica vouch for its dead owner, and take nothing more from it after

Now it hands its copy over too. That copy is final: once it has switched, a replica acknowledges nothing of an older epoch, so the old owner can answer no more. Ruled out: lost handovers (acknowledged only when taken). A test shows both halves.

--- a/packages/purser/purser.cpp
+++ b/packages/purser/purser.cpp
@@ -108,9 +108,17 @@
         if (owner != 0 && was_owner_since(old.epoch, tenant)) {
           ledger.handover_to = owner;
           ledger.handover_until = now + seconds(4);
+        ledger.copied_at = now;
           out.push_back({owner, {}, copy_of(tenant, ledger, now, true)});
         }
       }
+      const bool was_replica = ledger.post == Post::replica || ledger.post == Post::none;
+      if (was_replica && owner != 0 && is_copy_whole(tenant, ledger)) {
+        ledger.handover_to = owner;
+        ledger.handover_until = now + seconds(4);
+        ledger.copied_at = now;
+        out.push_back({owner, {}, copy_of(tenant, ledger, now, true)});
+      }
       ledger.post = replica_in(roster_.pilots, tenant) == self_ ? Post::replica : Post::none;
     }
   }
@@ -303,11 +311,12 @@
     return;
   }
   if (copy.is_handover) {
-    const NodeId before = roster_.past.empty() ? 0 : owner_in(roster_.past.back().pilots, copy.tenant);
-    if (ledger.post != Post::awaiting || copy.epoch != roster_.epoch || from != before) return;
+    const std::vector<NodeId> before = roster_.past.empty() ? std::vector<NodeId>{} : roster_.past.back().pilots;
+    const bool is_direct = owner_in(before, copy.tenant) == from || replica_in(before, copy.tenant) == from;
+    if (ledger.post != Post::awaiting || copy.epoch != roster_.epoch || !is_direct) return;
     out.push_back({from, {}, ack});
   } else {
-    if (ledger.post == Post::awaiting) return;
+    if (ledger.post == Post::awaiting || copy.epoch < roster_.epoch) return;
     const bool is_older =
         ledger.has_copy && (copy.epoch < ledger.copy_epoch ||
                             (copy.epoch == ledger.copy_epoch && copy.sequence < ledger.sequence));
--- a/tests/purser_test.cpp
+++ b/tests/purser_test.cpp
@@ -175,3 +175,28 @@
   second.step(nodes[0], copy, start, out);
   LONGS_EQUAL(1, out.size());
 }
+
+TEST(Purser, a_replica_vouches_for_an_owner_that_died_and_takes_nothing_more_from_it) {
+  const auto nodes = ranked();
+  Purser replica = owner(nodes[1]);
+  Outbox out;
+  replica.set_roster(roster(1, {{nodes[0], nodes[1]}}), 1, start, out);
+  LedgerCopy copy;
+  copy.tenant = "t";
+  copy.epoch = 1;
+  copy.sequence = 9;
+  copy.tokens = 12;
+  replica.step(nodes[0], copy, start, out);
+  NodeId above = 0;
+  for (NodeId id = 50; above == 0; ++id)
+    if (rank_nodes({nodes[1], id}, "t", purser_salt)[0] == id) above = id;
+  out.clear();
+  replica.set_roster(roster(2, {{nodes[0], nodes[1]}, {nodes[1], above}}), 1, start, out);
+  LONGS_EQUAL(1, out.size());
+  const auto *handed = std::get_if<LedgerCopy>(&out[0].signal);
+  CHECK(handed != nullptr && handed->is_handover && out[0].to == above);
+  out.clear();
+  copy.sequence = 10;
+  replica.step(nodes[0], copy, start, out);
+  LONGS_EQUAL(0, out.size());
+}
