Write log lines under one lock

Cause: ThreadSanitizer reported the log library's logger, made on first use by one thread and read by another; it is not instrumented, so its own lock is not seen. Ruled out: races of our own (no other report in a small fleet). Before: 2 reports in each harbourd and pilotd. After: none in a small fleet of 3 harbourd and 3 pilotd at 30 errands a second.

--- a/packages/bosun/log.cpp
+++ b/packages/bosun/log.cpp
@@ -7,6 +7,7 @@
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <iostream>
+#include <mutex>
 
 namespace wharf {
 
@@ -27,7 +28,18 @@
   logging::core::get()->set_filter(logging::trivial::severity >= least);
 }
 
-void log_line(std::string_view text) { BOOST_LOG_TRIVIAL(info) << text; }
-void log_warning(std::string_view text) { BOOST_LOG_TRIVIAL(warning) << text; }
+namespace {
+std::mutex line_mutex;
+}
+
+void log_line(std::string_view text) {
+  std::lock_guard guard(line_mutex);
+  BOOST_LOG_TRIVIAL(info) << text;
+}
+
+void log_warning(std::string_view text) {
+  std::lock_guard guard(line_mutex);
+  BOOST_LOG_TRIVIAL(warning) << text;
+}
 
 } // namespace wharf
