Change the roster only once a new leader may settle it; evict by capacity over rate

Cause: after a mass restart pilots were enrolled in several rosters within the two seconds in which a new leader can settle none; each moved owners that had not begun.

--- a/packages/harbour/harbour.cpp
+++ b/packages/harbour/harbour.cpp
@@ -562,6 +562,7 @@
 void Harbour::tend_roster(Instant now, HarbourOutput &out) {
   if (is_roster_proposed_) return;
   const Roster &roster = registry_.roster();
+  if (now < floor_ && roster.epoch != 0) return;
   std::vector<NodeId> wanted;
   for (const auto &[pilot, seat] : seats_)
     if (!seat.is_leaving && now - seat.last_pulse < options_.pilot_silence) wanted.push_back(pilot);
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -661,7 +661,9 @@
         !is_dead && state.permit != 0 && state.spent > 0 &&
         (purse->left(now) * 10 <= state.tokens * 3 || purse->dies_at() - now < milliseconds(60));
     if (is_low && till.rate * 0.15 >= 1.0 && till.deny_until <= now) ask_permit(tenant, now, out);
-    const Span idle = std::max(options_.eviction_least, seconds(10));
+    const Tenant *declared = in_force_.charter ? in_force_.charter->tenant_named(till.name) : nullptr;
+    const double refill_s = declared == nullptr ? 0 : capacity_of(till.name) / static_cast<double>(declared->base);
+    const Span idle = std::max(options_.eviction_least, static_cast<Span>(refill_s * 1e9));
     if (state.permit == 0 && till.line.empty() && now - purse->last_used() > idle) {
       rack_.evict(tenant);
       count("purse_evictions");
