Check leaving runners, second tries and allowances with defects that trip them

Three lines of the never-list had no run seen to fail. Now: a platform whose stop marks the system does not see (leaving-got-work), a second-try budget without end (second-tries), allowances stretched by half (over-allowance).

--- a/packages/drydock/world.cpp
+++ b/packages/drydock/world.cpp
@@ -153,6 +153,8 @@
   node.self.role = static_cast<std::uint8_t>(Role::pilot);
   PilotOptions options;
   if (defect_ == Defect::stale_permit) options.fresh = seconds(30);
+  if (defect_ == Defect::free_seconds) options.berth.second_share = options.berth.second_most = 1000;
+  if (defect_ == Defect::loose_quota) options.purser.slack = 1.5;
   node.core = std::make_unique<Pilot>(node.self, seeds(), options, local(node));
   at(now_ + static_cast<Span>(dice_.below(static_cast<std::uint64_t>(pilot_tick))), [this, which, incarnation = node.incarnation] { tick_pilot(which, incarnation); });
 }
@@ -257,6 +259,7 @@
   for (auto &[id, runner] : runners_) {
     if (runner.record.worker != worker.id || runner.is_stopping) continue;
     runner.is_stopping = true;
+    runner.leaving_at = now_;
     runner.stop_at = now_ + seconds(6);
   }
 }
@@ -381,6 +384,7 @@
       if (!order.is_start) {
         if (found == runners_.end() || found->second.is_stopping) return;
         found->second.is_stopping = true;
+        found->second.leaving_at = now_;
         found->second.stop_at = now_ + order.grace;
         return;
       }
@@ -493,6 +497,7 @@
       }
       visit.begun_ns = now_;
       visit.slots = static_cast<int>(runner.record.slots);
+      if (runner.is_stopping) visit.leaving_ms = (now_ - runner.leaving_at) / 1'000'000;
       visit.running = ++runner.running;
       visit.has_run = true;
       double roll = dice_.unit();
@@ -563,9 +568,12 @@
   }
   PlatformPicture picture;
   for (const WorkerSeen &worker : workers_)
-    if (!dead_workers_.contains(worker.id)) picture.workers.push_back(worker);
+    if (!dead_workers_.contains(worker.id)) {
+      picture.workers.push_back(worker);
+      if (defect_ == Defect::leaving_unseen) picture.workers.back().is_draining = false;
+    }
   for (const auto &[id, runner] : runners_) {
-    const RunnerPhase phase = runner.is_stopping ? RunnerPhase::stopping : runner.is_ready ? RunnerPhase::ready : RunnerPhase::booting;
+    const RunnerPhase phase = runner.is_stopping && defect_ != Defect::leaving_unseen ? RunnerPhase::stopping : runner.is_ready ? RunnerPhase::ready : RunnerPhase::booting;
     picture.runners.push_back({id, runner.record.service, runner.record.worker, runner.is_ready ? runner.address : std::string(), phase});
   }
   listings_.emplace_back(now_, std::move(picture));
--- a/packages/drydock/world.hpp
+++ b/packages/drydock/world.hpp
@@ -55,7 +55,7 @@
 };
 
 /// A defect put in on purpose, to show that a checker can fail.
-enum class Defect : std::uint8_t { none, repeat_dispatch, stale_permit, forgotten_vote, ignore_slots, early_acknowledge };
+enum class Defect : std::uint8_t { none, repeat_dispatch, stale_permit, forgotten_vote, ignore_slots, early_acknowledge, leaving_unseen, free_seconds, loose_quota };
 
 /// A whole deployment in virtual time round the daemons' own state machines. One seed, one run, always.
 class World {
@@ -143,7 +143,7 @@
     RunnerRecord record;
     std::string address;
     bool is_ready = false, is_stopping = false, is_gone = false;
-    Instant ready_at = 0, stop_at = 0;
+    Instant ready_at = 0, stop_at = 0, leaving_at = 0;
     int running = 0;
     std::uint64_t serial = 0;
   };
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -14,7 +14,7 @@
 
 Pilot::Pilot(Member self, std::vector<std::string> seeds, PilotOptions options, Instant)
     : self_(self), options_(options), rollcall_(self, std::move(seeds), RollcallOptions{}),
-      purser_(self.id, PurserOptions{}), stevedore_(self.id, BerthOptions{}) {}
+      purser_(self.id, options.purser), stevedore_(self.id, options.berth) {}
 
 InForce Pilot::in_force() const {
   std::lock_guard guard(in_force_mutex_);
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -65,6 +65,8 @@
   std::size_t record_most = 65536;
   std::size_t errands_most = 4096;
   std::size_t tries_most = 2;
+  BerthOptions berth;
+  PurserOptions purser;
 };
 
 /// The manifest a pilot has in force, shared with the threads at the door.
--- a/packages/purser/purser.cpp
+++ b/packages/purser/purser.cpp
@@ -30,6 +30,7 @@
 
 void Purser::set_allowances(std::map<std::string, Allowance> allowances, Instant now) {
   const bool had_any = !allowances_.empty();
+  for (auto &[tenant, allowance] : allowances) allowance = {allowance.base * options_.slack, allowance.burst * options_.slack};
   for (const auto &[tenant, allowance] : allowances) {
     Ledger &ledger = ledgers_[tenant];
     const bool is_new = !allowances_.contains(tenant);
--- a/packages/purser/purser.hpp
+++ b/packages/purser/purser.hpp
@@ -20,6 +20,8 @@
   Span handover_patience = milliseconds(300);
   Span copy_again = milliseconds(80);
   double permit_share = 0.10;
+  /// Multiplies every allowance; other than 1 only to show that a checker can fail.
+  double slack = 1;
 };
 
 /// Owner and replica of tenants' allowances, as a pure state machine.
--- a/packages/surveyor/surveyor.cpp
+++ b/packages/surveyor/surveyor.cpp
@@ -162,6 +162,7 @@
     visit.ended_ns = item.value("ended_ns", std::int64_t{0});
     visit.running = item.value("running", 0);
     visit.slots = item.value("slots", 1);
+    visit.leaving_ms = item.value("leaving_ms", std::int64_t{0});
     visit.has_run = item.value("has_run", false);
     visit.has_key = item.value("has_key", false);
     visits.push_back(std::move(visit));
@@ -189,6 +190,9 @@
     if (visit.running > visit.slots)
       found("slots",
             visit.runner + " ran " + std::to_string(visit.running) + " of " + std::to_string(visit.slots));
+    if (visit.leaving_ms > 3500) found("leaving-got-work", visit.runner + " after " + std::to_string(visit.leaving_ms) + " ms");
+    auto &leaving = result.counts["worst_leaving_ms"];
+    leaving = std::max(leaving, static_cast<std::uint64_t>(visit.leaving_ms));
     if (visit.has_key) found("key-leaked", visit.runner + " saw a key");
     if (charter.service_named(visit.service) == nullptr) found("unknown-service", visit.service);
     const auto call = call_of.find(visit.errand);
--- a/packages/surveyor/surveyor.hpp
+++ b/packages/surveyor/surveyor.hpp
@@ -21,6 +21,8 @@
   std::string errand, tenant, service, runner, method, target, body_digest;
   std::int64_t begun_ns = 0, ended_ns = 0;
   int running = 0, slots = 1;
+  /// How long the platform had been taking the runner away when the visit began; 0 when it was not.
+  std::int64_t leaving_ms = 0;
   bool has_run = false, has_key = false;
 };
 
--- a/programs/drydock/main.cpp
+++ b/programs/drydock/main.cpp
@@ -66,7 +66,7 @@
   flags.whole("seed", from, "First seed");
   flags.whole("seeds", many, "How many seeds");
   flags.whole("threads", threads, "Runs at the same time");
-  flags.whole("defect", defect, "Defect put in on purpose, 1 to 5");
+  flags.whole("defect", defect, "Defect put in on purpose, 1 to 8");
   flags.text("trace", sweep.trace, "Errand, runner, service, tenant or reason whose records are printed; 'mates' for the group");
   const auto read_flags = flags.read(count, words);
   if (const auto *end = std::get_if<EndNow>(&read_flags)) {
--- a/tests/drydock_test.cpp
+++ b/tests/drydock_test.cpp
@@ -28,4 +28,7 @@
 TEST(Drydock, a_repeated_dispatch_is_caught) { trips("calm", Defect::repeat_dispatch, 1, "ran-twice"); }
 TEST(Drydock, a_permit_believed_too_long_is_caught) { trips("cut-one", Defect::stale_permit, 4, "revoked-key-ran"); }
 TEST(Drydock, a_slot_freed_under_a_running_errand_is_caught) { trips("bad-runners", Defect::ignore_slots, 4, "slots"); }
+TEST(Drydock, a_leaving_runner_given_work_is_caught) { trips("lose-workers", Defect::leaving_unseen, 4, "leaving-got-work"); }
+TEST(Drydock, second_tries_without_a_budget_are_caught) { trips("bad-runners", Defect::free_seconds, 3, "second-tries"); }
+TEST(Drydock, an_allowance_stretched_by_half_is_caught) { trips("crowd", Defect::loose_quota, 1, "over-allowance"); }
 TEST(Drydock, an_early_acknowledgement_is_caught) { trips("calm", Defect::early_acknowledge, 2, "revoked-key-ran"); }
