Keep a handover through further rosters, also from owners that never began

Now the word of a direct predecessor counts as long as its successor stayed the successor, and an owner that never began passes its copy on.

--- a/packages/purser/purser.cpp
+++ b/packages/purser/purser.cpp
@@ -84,42 +84,32 @@
     const Roster old = roster_;
     roster_ = roster;
     for (auto &[tenant, ledger] : ledgers_) {
-      ledger.handover_to = 0;
       const NodeId owner = owner_in(roster_.pilots, tenant);
+      if (ledger.handover_to != owner) ledger.handover_to = 0;
       if (owner == self_) {
         ledger.handover_to = 0;
-        if (ledger.post == Post::ready && !was_owner_since(old.epoch, tenant)) {
-          ledger.post = Post::awaiting;
-          ledger.has_copy = false;
-          ledger.settled_at = 0;
-          ledger.answers.clear();
-        } else if (ledger.post == Post::ready) {
+        const bool is_unbroken = was_owner_since(old.epoch, tenant);
+        if (ledger.post == Post::ready && is_unbroken) {
           ++ledger.sequence;
           ledger.copied_at = 0;
-        } else if (ledger.post != Post::awaiting) {
-          ledger.has_copy = is_copy_whole(tenant, ledger);
+        } else if (ledger.post != Post::awaiting || !is_unbroken) {
+          ledger.has_copy = ledger.post != Post::ready && ledger.post != Post::awaiting && is_copy_whole(tenant, ledger);
           ledger.post = Post::awaiting;
           ledger.settled_at = 0;
+          ledger.answers.clear();
         }
         continue;
       }
-      if (ledger.post == Post::ready) {
-        ledger.answers.clear();
+      const bool was_owner = ledger.post == Post::ready || ledger.post == Post::awaiting;
+      const bool has_word = ledger.post == Post::ready || ledger.has_copy;
+      ledger.answers.clear();
+      if (was_owner && has_word && was_owner_since(old.epoch, tenant)) {
         ++ledger.sequence;
-        if (owner != 0 && was_owner_since(old.epoch, tenant)) {
-          ledger.handover_to = owner;
-          ledger.handover_until = now + seconds(4);
-        ledger.copied_at = now;
-          out.push_back({owner, {}, copy_of(tenant, ledger, now, true)});
-        }
-      }
-      const bool was_replica = ledger.post == Post::replica || ledger.post == Post::none;
-      if (was_replica && owner != 0 && is_copy_whole(tenant, ledger)) {
-        ledger.handover_to = owner;
-        ledger.handover_until = now + seconds(4);
-        ledger.copied_at = now;
-        out.push_back({owner, {}, copy_of(tenant, ledger, now, true)});
+        hand_over(tenant, ledger, owner, now, out);
+      } else if (!was_owner && is_copy_whole(tenant, ledger)) {
+        hand_over(tenant, ledger, owner, now, out);
       }
+      if (was_owner) ledger.has_copy = false;
       ledger.post = replica_in(roster_.pilots, tenant) == self_ ? Post::replica : Post::none;
     }
   }
@@ -130,6 +120,26 @@
   tick(now, out);
 }
 
+void Purser::hand_over(const std::string &tenant, Ledger &ledger, NodeId owner, Instant now, Outbox &out) {
+  if (owner == 0) return;
+  ledger.handover_to = owner;
+  ledger.handover_epoch = roster_.epoch;
+  ledger.handover_until = now + seconds(6);
+  ledger.copied_at = now;
+  out.push_back({owner, {}, copy_of(tenant, ledger, now, true)});
+}
+
+bool Purser::is_direct_word(const LedgerCopy &copy, NodeId from) const {
+  if (copy.epoch > roster_.epoch) return false;
+  const PastRoster *before = nullptr;
+  for (const PastRoster &past : roster_.past) {
+    if (past.epoch < copy.epoch) before = &past;
+    else if (owner_in(past.pilots, copy.tenant) != self_) return false;
+  }
+  if (before == nullptr || before->epoch + 1 != copy.epoch) return false;
+  return owner_in(before->pilots, copy.tenant) == from || replica_in(before->pilots, copy.tenant) == from;
+}
+
 void Purser::start_unknown(const Allowance &allowance, Ledger &ledger, Instant now) {
   ++unknown_starts_;
   ledger.charges.clear();
@@ -194,7 +204,7 @@
                            bool is_handover) const {
   LedgerCopy copy;
   copy.tenant = tenant;
-  copy.epoch = roster_.epoch;
+  copy.epoch = is_handover ? ledger.handover_epoch : roster_.epoch;
   copy.sequence = ledger.sequence;
   copy.next_permit = ledger.next_permit;
   copy.tokens = ledger.tokens;
@@ -312,9 +322,7 @@
     return;
   }
   if (copy.is_handover) {
-    const std::vector<NodeId> before = roster_.past.empty() ? std::vector<NodeId>{} : roster_.past.back().pilots;
-    const bool is_direct = owner_in(before, copy.tenant) == from || replica_in(before, copy.tenant) == from;
-    if (ledger.post != Post::awaiting || copy.epoch != roster_.epoch || !is_direct) return;
+    if (ledger.post != Post::awaiting || ledger.has_copy || !is_direct_word(copy, from)) return;
     out.push_back({from, {}, ack});
   } else {
     if (ledger.post == Post::awaiting || copy.epoch < roster_.epoch) return;
@@ -340,7 +348,7 @@
   const auto found = ledgers_.find(ack.tenant);
   if (found == ledgers_.end()) return;
   Ledger &ledger = found->second;
-  if (ledger.handover_to == from && ack.sequence >= ledger.sequence) ledger.handover_to = 0;
+  if (ledger.handover_to == from && ack.epoch == ledger.handover_epoch) ledger.handover_to = 0;
   if (ledger.post != Post::ready || ack.epoch != roster_.epoch ||
       replica_in(roster_.pilots, ack.tenant) != from)
     return;
--- a/packages/purser/purser.hpp
+++ b/packages/purser/purser.hpp
@@ -68,6 +68,7 @@
     Instant settled_at = 0, copied_at = 0;
     std::deque<Answer> answers;
     NodeId handover_to = 0;
+    Epoch handover_epoch = 0;
     Instant handover_until = 0;
   };
 
@@ -80,6 +81,8 @@
   LedgerCopy copy_of(const std::string &tenant, const Ledger &ledger, Instant now, bool is_handover) const;
   NodeId owner_in(const std::vector<NodeId> &pilots, const std::string &tenant) const;
   NodeId replica_in(const std::vector<NodeId> &pilots, const std::string &tenant) const;
+  void hand_over(const std::string &tenant, Ledger &ledger, NodeId owner, Instant now, Outbox &out);
+  bool is_direct_word(const LedgerCopy &copy, NodeId from) const;
   bool was_owner_since(Epoch epoch, const std::string &tenant) const;
   bool is_copy_whole(const std::string &tenant, const Ledger &ledger) const;
   void begin(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out);
