Let only a fifth of a second's base wait for a silent purser

Ruled out: two owners and lost charges (each successor had a whole copy). Now an owner silent for 100 ms keeps at most base / 5 errands waiting on a node, the rest are told at once.

--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -294,8 +294,17 @@
       return;
     }
     const std::uint32_t tenant = tenant_index(errand.bill.tenant);
+    Till &till = tills_[tenant];
+    const Tenant *declared = in_force_.charter ? in_force_.charter->tenant_named(till.name) : nullptr;
+    const double base = declared == nullptr ? 0 : static_cast<double>(declared->base);
+    const auto most = static_cast<std::size_t>(std::max(4.0, base * options_.silent_line_share));
+    const bool is_silent = till.unanswered_since != 0 && now - till.unanswered_since > options_.silent_owner;
+    if (is_silent && till.line.size() >= most) {
+      finish(id, Fate::no_permit, seconds(1), now, out, nullptr, "purser-silent");
+      return;
+    }
     note(errand, now, "waits for a permit");
-    tills_[tenant].line.push_back(id);
+    till.line.push_back(id);
     serve_line(tenant, now, out);
     return;
   }
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -63,6 +63,9 @@
   Span leader_silence = milliseconds(600);
   Span permit_again = milliseconds(100);
   Span permit_patience = milliseconds(400);
+  /// Once an owner has been silent this long, no more than a fifth of a second's base waits for it.
+  Span silent_owner = milliseconds(100);
+  double silent_line_share = 0.2;
   Span fallback_after = milliseconds(300);
   double fallback_share = 0.05;
   Span claim_again = milliseconds(200);
