--- a/packages/drydock/world.cpp
+++ b/packages/drydock/world.cpp
@@ -174,6 +174,7 @@
   PilotNode &node = pilots_[static_cast<std::size_t>(which)];
   if (!node.is_up || node.is_leaving) return;
   node.is_leaving = true;
+  node.leaving_at = now_;
   node.core->set_leaving();
 }
 
@@ -329,7 +330,11 @@
     PilotOutput out;
     node.core->tick(local(node), out);
     flush(which, node, out);
-    if (node.is_leaving && node.core->is_quiet(local(node)) && node.waiting.empty()) {
+    const Span drained_for = node.is_leaving ? now_ - node.leaving_at : 0;
+    const bool is_drained = node.is_leaving && node.core->is_quiet(local(node)) && node.waiting.empty();
+    if (is_drained || drained_for > seconds(6)) {
+      dropped_in_drain_ += node.waiting.size();
+      longest_drain_ = std::max(longest_drain_, drained_for);
       kill_pilot(which);
       return;
     }
@@ -869,6 +874,11 @@
     ++result.counts["fault_raft"];
     result.faults.push_back("raft: " + fault);
   }
+  result.counts["longest_drain_ms"] = static_cast<std::uint64_t>(longest_drain_ / 1'000'000);
+  if (dropped_in_drain_ > 0) {
+    result.counts["fault_dropped-in-drain"] = dropped_in_drain_;
+    result.faults.push_back("dropped-in-drain: " + std::to_string(dropped_in_drain_));
+  }
   judge_writes(result);
   judge_keys(result);
   judge_recovery(result, healed_at);
--- a/packages/drydock/world.hpp
+++ b/packages/drydock/world.hpp
@@ -137,6 +137,7 @@
   struct PilotNode : Process {
     std::unique_ptr<Pilot> core;
     Member self;
+    Instant leaving_at = 0;
     std::map<std::string, std::function<void(const Reply *)>> waiting;
   };
   struct SimRunner {
@@ -216,6 +217,8 @@
   std::vector<std::uint64_t> watched_;
   std::set<std::uint64_t> groups_;
   std::vector<std::string> raft_faults_;
+  std::uint64_t dropped_in_drain_ = 0;
+  Span longest_drain_ = 0;
 };
 
 } // namespace wharf
