Answer a refused append at most once in half a heartbeat

Now a mate is stepped back for at most once in half a heartbeat, and an acknowledgement sends more only when it advanced. A test gives the 50 copies.

--- a/packages/convoy/convoy.cpp
+++ b/packages/convoy/convoy.cpp
@@ -447,16 +447,19 @@
   progress.acked = std::max(progress.acked, say.sent_at);
   if (!say.is_taken) {
     if (say.match + 1 < progress.next) progress.next = std::max(progress.match, say.match) + 1;
+    if (now - progress.stepped_back < options_.heartbeat / 2) return;
+    progress.stepped_back = now;
     send_append(from, now, out);
     return;
   }
-  if (say.match > progress.match) {
+  const bool has_advanced = say.match > progress.match;
+  if (has_advanced) {
     progress.match = say.match;
     progress.next = std::max(progress.next, say.match + 1);
     progress.pictured = 0;
     advance_commit(now, out);
   }
-  if (is_leader() && progress.next <= last_index() && progress.next <= progress.match + 4096)
+  if (is_leader() && has_advanced && progress.next <= last_index() && progress.next <= progress.match + 4096)
     send_append(from, now, out);
 }
 
--- a/packages/convoy/convoy.hpp
+++ b/packages/convoy/convoy.hpp
@@ -109,7 +109,7 @@
 private:
   struct Progress {
     std::uint64_t next = 1, match = 0;
-    Instant acked = 0, heard = 0, pictured = 0;
+    Instant acked = 0, heard = 0, pictured = 0, stepped_back = 0;
   };
   struct Waiting {
     std::uint64_t ticket = 0, last_index = 0, last_term = 0;
--- a/tests/convoy_test.cpp
+++ b/tests/convoy_test.cpp
@@ -181,3 +181,17 @@
   CHECK(!out.load.has_value());
   CHECK(trio.seats[other].mate->commit() >= commit);
 }
+
+TEST(Convoy, doubled_refusals_do_not_echo) {
+  Trio trio;
+  const NodeId leader = trio.elect_first();
+  const NodeId other = leader == 1 ? 2 : 1;
+  const AppendSay refusal{5, trio.seats[leader].mate->term(), 0, false, trio.now};
+  std::size_t sent = 0;
+  for (int copy = 0; copy < 50; ++copy) {
+    ConvoyOutput out;
+    trio.seats[leader].mate->step(other, refusal, trio.now, out);
+    sent += out.mail.size();
+  }
+  CHECK(sent <= 1);
+}
