--- a/packages/berth/berth.cpp
+++ b/packages/berth/berth.cpp
@@ -286,8 +286,7 @@
   return best;
 }
 
-void Stevedore::grant(Berth &berth, Waiting waiting, const std::string &runner,
-                      Instant now, Outbox &out) {
+void Stevedore::grant(Berth &berth, Waiting waiting, const std::string &runner, Instant now, Outbox &out) {
   berth.hulls[runner].taken[waiting.ask.errand] = {waiting.pilot, waiting.deadline, now, waiting.ask.attempt};
   berth.granted[waiting.ask.errand] = runner;
   ++granted_;
--- a/packages/berth/berth.hpp
+++ b/packages/berth/berth.hpp
@@ -94,8 +94,7 @@
                   std::string &id);
   SlotSay held_say(const SlotAsk &ask, Berth &berth, const std::string &runner) const;
   void refuse(const SlotAsk &ask, NodeId pilot, Span retry_after, std::string why, Outbox &out);
-  void grant(Berth &berth, Waiting waiting, const std::string &runner,
-             Instant now, Outbox &out);
+  void grant(Berth &berth, Waiting waiting, const std::string &runner, Instant now, Outbox &out);
   void make_room(Berth &berth, const BerthPlan &plan, const std::string &tenant, Outbox &out);
   void rescale(Berth &berth, const BerthPlan &plan, Instant now);
   Span hopeless_for(const Berth &berth, const BerthPlan &plan, const SlotAsk &ask) const;
--- a/packages/bosun/options.cpp
+++ b/packages/bosun/options.cpp
@@ -103,14 +103,21 @@
   std::map<std::string, Given> given, flags;
 
   Flags line(program, "");
-  line.other("options", [&](const std::string &path) { return read_file(path, given, faults), std::string(); }, "Options file of 'name = value' lines");
+  line.other(
+      "options", [&](const std::string &path) { return read_file(path, given, faults), std::string(); },
+      "Options file of 'name = value' lines");
   line.mark("check", launch.is_check_only, "Check the options and end");
   for (const Known &known : known_options()) {
     if (!fits(kind, known.name)) continue;
     std::string flag = known.name;
     std::replace(flag.begin(), flag.end(), '_', '-');
     const std::string tail = known.start.empty() ? "" : " Default: " + known.start + ".";
-    line.other(flag, [&flags, name = known.name, flag](const std::string &value) { return flags[name] = {value, "--" + flag}, std::string(); }, known.meaning + tail);
+    line.other(
+        flag,
+        [&flags, name = known.name, flag](const std::string &value) {
+          return flags[name] = {value, "--" + flag}, std::string();
+        },
+        known.meaning + tail);
   }
   const auto line_read = line.read(count, words);
   if (const auto *end = std::get_if<EndNow>(&line_read)) {
--- a/packages/convoy/convoy.cpp
+++ b/packages/convoy/convoy.cpp
@@ -8,7 +8,8 @@
 
 Convoy::Convoy(NodeId self, ConvoyOptions options, std::uint64_t seed, const Recovered &recovered,
                Instant now)
-    : self_(self), options_(options), dice_(seed * 0x9E3779B97F4A7C15ull + self), hard_(recovered.hard), base_(recovered.picture) {
+    : self_(self), options_(options), dice_(seed * 0x9E3779B97F4A7C15ull + self), hard_(recovered.hard),
+      base_(recovered.picture) {
   log_.assign(recovered.entries.begin(), recovered.entries.end());
   commit_ = delivered_ = base_.index;
   synced_ = last_index();
--- a/packages/drydock/scenarios.cpp
+++ b/packages/drydock/scenarios.cpp
@@ -5,15 +5,24 @@
 namespace wharf {
 
 namespace {
-constexpr Instant faults_from = seconds(14), faults_until = seconds(32), calls_until = seconds(56), ends = seconds(72);
+constexpr Instant faults_from = seconds(14), faults_until = seconds(32), calls_until = seconds(56),
+                  ends = seconds(72);
 
-int any_harbour(World &world) { return static_cast<int>(world.dice().below(static_cast<std::uint64_t>(world.shape().harbours))); }
-int any_pilot(World &world) { return static_cast<int>(world.dice().below(static_cast<std::uint64_t>(world.shape().pilots))); }
-Span any_span(World &world, Span least, Span most) { return least + static_cast<Span>(world.dice().below(static_cast<std::uint64_t>(most - least))); }
+int any_harbour(World &world) {
+  return static_cast<int>(world.dice().below(static_cast<std::uint64_t>(world.shape().harbours)));
+}
+int any_pilot(World &world) {
+  return static_cast<int>(world.dice().below(static_cast<std::uint64_t>(world.shape().pilots)));
+}
+Span any_span(World &world, Span least, Span most) {
+  return least + static_cast<Span>(world.dice().below(static_cast<std::uint64_t>(most - least)));
+}
 
 /// Repeats a deed at seeded moments.
 void often(World &world, Instant from, Instant until, Span every, const std::function<void()> &deed) {
-  for (Instant moment = from + any_span(world, 0, every); moment < until; moment += any_span(world, every / 2, every * 3 / 2)) world.at(moment, deed);
+  for (Instant moment = from + any_span(world, 0, every); moment < until;
+       moment += any_span(world, every / 2, every * 3 / 2))
+    world.at(moment, deed);
 }
 
 void calm(World &, Instant, Instant) {}
@@ -23,7 +32,8 @@
     const int which = world.leader();
     if (which < 0) return;
     world.kill_harbour(which);
-    world.at(world.now() + any_span(world, seconds(1), seconds(5)), [&world, which] { world.start_harbour(which); });
+    world.at(world.now() + any_span(world, seconds(1), seconds(5)),
+             [&world, which] { world.start_harbour(which); });
   });
 }
 
@@ -31,7 +41,8 @@
   often(world, from, until, seconds(5), [&world] {
     const int which = any_pilot(world);
     world.kill_pilot(which);
-    world.at(world.now() + any_span(world, milliseconds(200), seconds(4)), [&world, which] { world.start_pilot(which); });
+    world.at(world.now() + any_span(world, milliseconds(200), seconds(4)),
+             [&world, which] { world.start_pilot(which); });
   });
 }
 
@@ -55,7 +66,8 @@
 void freeze_any(World &world, Instant from, Instant until) {
   often(world, from, until, seconds(3), [&world] {
     const bool is_harbour = world.dice().chance(0.5);
-    world.freeze(is_harbour, is_harbour ? any_harbour(world) : any_pilot(world), any_span(world, milliseconds(300), seconds(6)));
+    world.freeze(is_harbour, is_harbour ? any_harbour(world) : any_pilot(world),
+                 any_span(world, milliseconds(300), seconds(6)));
   });
 }
 
@@ -65,7 +77,8 @@
       if (!world.may_lose_disk()) return;
       const int which = world.dice().chance(0.5) && world.leader() >= 0 ? world.leader() : any_harbour(world);
       world.kill_harbour(which);
-      world.at(world.now() + any_span(world, milliseconds(300), seconds(3)), [&world, which] { world.start_harbour(which, true); });
+      world.at(world.now() + any_span(world, milliseconds(300), seconds(3)),
+               [&world, which] { world.start_harbour(which, true); });
     });
   }
 }
@@ -75,7 +88,8 @@
     const int which = world.dice().chance(0.5) && world.leader() >= 0 ? world.leader() : any_harbour(world);
     const double roll = world.dice().unit();
     world.set_disk(which, roll < 0.4 ? DiskMood::slow : roll < 0.7 ? DiskMood::stalled : DiskMood::full);
-    world.at(world.now() + any_span(world, seconds(1), seconds(5)), [&world, which] { world.set_disk(which, DiskMood::well); });
+    world.at(world.now() + any_span(world, seconds(1), seconds(5)),
+             [&world, which] { world.set_disk(which, DiskMood::well); });
   });
 }
 
@@ -88,8 +102,10 @@
     for (int at = 0; at < world.shape().harbours; ++at)
       if (at != which) world.set_cut(name, world.harbour_name(at), true, both_ways);
     if (!from_mates_only)
-      for (int at = 0; at < world.shape().pilots; ++at) world.set_cut(name, world.pilot_name(at), true, both_ways);
-    world.at(world.now() + any_span(world, seconds(2), seconds(6)), [&world, name] { world.cut_off(name, false); });
+      for (int at = 0; at < world.shape().pilots; ++at)
+        world.set_cut(name, world.pilot_name(at), true, both_ways);
+    world.at(world.now() + any_span(world, seconds(2), seconds(6)),
+             [&world, name] { world.cut_off(name, false); });
   });
 }
 
@@ -102,7 +118,8 @@
       for (int at = 0; at < world.shape().pilots; ++at) names.push_back(world.pilot_name(at));
       for (std::size_t left = 0; left < names.size(); ++left)
         for (std::size_t right = left + 1; right < names.size(); ++right)
-          if (((sides >> left) & 1) != ((sides >> right) & 1)) world.set_cut(names[left], names[right], is_cut);
+          if (((sides >> left) & 1) != ((sides >> right) & 1))
+            world.set_cut(names[left], names[right], is_cut);
     };
     world.at(moment, [set] { set(true); });
     world.at(moment + seconds(6), [set] { set(false); });
@@ -111,9 +128,11 @@
 
 void cut_one(World &world, Instant from, Instant until) {
   often(world, from, until, seconds(6), [&world] {
-    const std::string name = world.dice().chance(0.3) ? world.harbour_name(any_harbour(world)) : world.pilot_name(any_pilot(world));
+    const std::string name = world.dice().chance(0.3) ? world.harbour_name(any_harbour(world))
+                                                      : world.pilot_name(any_pilot(world));
     world.cut_off(name, true);
-    world.at(world.now() + any_span(world, seconds(1), seconds(6)), [&world, name] { world.cut_off(name, false); });
+    world.at(world.now() + any_span(world, seconds(1), seconds(6)),
+             [&world, name] { world.cut_off(name, false); });
   });
 }
 
@@ -124,7 +143,8 @@
 
 void bad_runners(World &world, Instant from, Instant until) {
   world.at(from, [&world] {
-    for (int kind = 0; kind < 3; ++kind) world.set_runner_mood(world.service_name(kind, 0), {0.25, 0.03, 0.03, 0.01, 0.02});
+    for (int kind = 0; kind < 3; ++kind)
+      world.set_runner_mood(world.service_name(kind, 0), {0.25, 0.03, 0.03, 0.01, 0.02});
   });
   world.at(until, [&world] {
     for (int kind = 0; kind < 3; ++kind) world.set_runner_mood(world.service_name(kind, 0), {});
@@ -134,8 +154,10 @@
 void lose_workers(World &world, Instant from, Instant until) {
   often(world, from, until, seconds(5), [&world] {
     const int which = static_cast<int>(world.dice().below(static_cast<std::uint64_t>(world.shape().workers)));
-    if (world.dice().chance(0.5)) world.drain_worker(which, true);
-    else world.crash_worker(which);
+    if (world.dice().chance(0.5))
+      world.drain_worker(which, true);
+    else
+      world.crash_worker(which);
     world.at(world.now() + any_span(world, seconds(2), seconds(6)), [&world] { world.restore_workers(); });
   });
 }
@@ -150,7 +172,8 @@
   often(world, from, until, milliseconds(900), [&world] {
     const bool is_bound = world.dice().chance(0.5);
     std::string tag;
-    if (is_bound && world.leader() >= 0) tag = "v" + std::to_string(world.harbour(world.leader())->registry().version());
+    if (is_bound && world.leader() >= 0)
+      tag = "v" + std::to_string(world.harbour(world.leader())->registry().version());
     for (int at = 0; at < 2; ++at) world.write(world.dice().chance(0.4), tag, any_harbour(world));
   });
   kill_leader(world, from, until);
@@ -178,7 +201,8 @@
 
 void lose_stevedore(World &world, Instant from, Instant until) {
   often(world, from, until, seconds(6), [&world] {
-    const int which = world.owner_pilot(world.service_name(static_cast<int>(world.dice().below(2)), 0), stevedore_salt);
+    const int which =
+        world.owner_pilot(world.service_name(static_cast<int>(world.dice().below(2)), 0), stevedore_salt);
     if (which < 0) return;
     world.kill_pilot(which);
     world.at(world.now() + seconds(3), [&world, which] { world.start_pilot(which); });
@@ -206,7 +230,9 @@
 
 void everything(World &world, Instant from, Instant until) {
   using Prepare = void (*)(World &, Instant, Instant);
-  static constexpr Prepare kinds[] = {kill_leader, kill_pilots, freeze_any, disk_trouble, isolate_leader, cut_one, bad_runners, lose_workers, operators_race, lose_stevedore, bad_weather, crowd_all, lose_disk};
+  static constexpr Prepare kinds[] = {kill_leader, kill_pilots, freeze_any,   disk_trouble,   isolate_leader,
+                                      cut_one,     bad_runners, lose_workers, operators_race, lose_stevedore,
+                                      bad_weather, crowd_all,   lose_disk};
   for (int at = 0; at < 3; ++at) kinds[world.dice().below(std::size(kinds))](world, from, until);
 }
 } // namespace
@@ -249,12 +275,15 @@
   World world(seed, WorldShape{}, defect);
   world.at(seconds(4), [&world] { world.write(false, "", 0); });
   const auto first_write = [&world] {
-    const bool is_taken = std::any_of(world.writes().begin(), world.writes().end(), [](const WriteRecord &write) { return write.outcome == "taken"; });
+    const bool is_taken = std::any_of(world.writes().begin(), world.writes().end(),
+                                      [](const WriteRecord &write) { return write.outcome == "taken"; });
     if (!is_taken) world.write(false, "", any_harbour(world));
   };
-  for (Instant moment = seconds(6); moment < seconds(9); moment += milliseconds(1500)) world.at(moment, first_write);
+  for (Instant moment = seconds(6); moment < seconds(9); moment += milliseconds(1500))
+    world.at(moment, first_write);
   world.start_callers(seconds(10), calls_until);
-  for (Instant moment = seconds(12); moment < seconds(60); moment += milliseconds(3700)) world.at(moment, [&world] { world.write(world.dice().chance(0.3), "", any_harbour(world)); });
+  for (Instant moment = seconds(12); moment < seconds(60); moment += milliseconds(3700))
+    world.at(moment, [&world] { world.write(world.dice().chance(0.3), "", any_harbour(world)); });
   for (Instant moment = seconds(12); moment < seconds(60); moment += milliseconds(90))
     world.at(moment, [&world] {
       std::string key = "never-held-key";
@@ -266,7 +295,8 @@
       world.call(0, 0, "", 0, -1, key);
     });
   auto story = std::make_shared<std::string>();
-  for (Instant moment = seconds(10); moment < ends; moment += seconds(1)) world.at(moment, [&world, story] { *story += world.describe(); });
+  for (Instant moment = seconds(10); moment < ends; moment += seconds(1))
+    world.at(moment, [&world, story] { *story += world.describe(); });
   scenario.prepare(world, faults_from, faults_until);
   world.at(faults_until, [&world] { world.heal(); });
   world.at(faults_until + seconds(1), [&world] { world.heal(); });
--- a/packages/drydock/world.cpp
+++ b/packages/drydock/world.cpp
@@ -20,16 +20,19 @@
     durable.picture = *save.picture;
     durable.entries.clear();
   }
-  if (save.cut_from != 0) std::erase_if(durable.entries, [&](const Entry &entry) { return entry.index >= save.cut_from; });
+  if (save.cut_from != 0)
+    std::erase_if(durable.entries, [&](const Entry &entry) { return entry.index >= save.cut_from; });
   for (const Entry &entry : save.append) {
     std::erase_if(durable.entries, [&](const Entry &older) { return older.index >= entry.index; });
     if (entry.index > durable.picture.index) durable.entries.push_back(entry);
   }
 }
 
-World::World(std::uint64_t seed, WorldShape shape, Defect defect) : shape_(shape), dice_(seed), defect_(defect) {
+World::World(std::uint64_t seed, WorldShape shape, Defect defect)
+    : shape_(shape), dice_(seed), defect_(defect) {
   for (int at = 0; at < shape_.workers; ++at)
-    workers_.push_back({"w" + std::to_string(at), std::string(1, static_cast<char>('a' + at % shape_.zones)), shape_.worker_memory_mb, false});
+    workers_.push_back({"w" + std::to_string(at), std::string(1, static_cast<char>('a' + at % shape_.zones)),
+                        shape_.worker_memory_mb, false});
   watched_.resize(static_cast<std::size_t>(shape_.harbours));
   harbours_.resize(static_cast<std::size_t>(shape_.harbours));
   pilots_.resize(static_cast<std::size_t>(shape_.pilots));
@@ -53,11 +56,14 @@
 std::string World::manifest_text(int marker, int key_number) const {
   Json root;
   for (int at = 0; at < shape_.tenants; ++at)
-    root["tenants"][tenant_name(at)] = {{"keys", {"key-" + tenant_name(at) + "-00000000"}}, {"base", shape_.base}, {"burst", shape_.burst}};
+    root["tenants"][tenant_name(at)] = {
+        {"keys", {"key-" + tenant_name(at) + "-00000000"}}, {"base", shape_.base}, {"burst", shape_.burst}};
   root["tenants"]["marker"] = {{"base", marker + 1}};
-  root["tenants"]["rolling"] = {{"keys", {"rolling-key-" + std::to_string(key_number)}}, {"base", 50}, {"burst", 50}};
+  root["tenants"]["rolling"] = {
+      {"keys", {"rolling-key-" + std::to_string(key_number)}}, {"base", 50}, {"burst", 50}};
   const auto service = [&](const std::string &name, int slots, int least, int most, bool is_once, int worth) {
-    root["services"][name] = {{"image", "sim"}, {"memory_mb", 128}, {"slots", slots}, {"least", least}, {"most", most}, {"idle_s", 5}, {"once", is_once}, {"worth", worth}};
+    root["services"][name] = {{"image", "sim"}, {"memory_mb", 128}, {"slots", slots},  {"least", least},
+                              {"most", most},   {"idle_s", 5},      {"once", is_once}, {"worth", worth}};
     root["rules"][name] = "* /" + name + "/** to " + name;
   };
   for (int at = 0; at < shape_.hot; ++at) service(service_name(0, at), 4, 1, 6, false, 20);
@@ -67,7 +73,9 @@
   return root.dump(1);
 }
 
-void World::at(Instant moment, std::function<void()> deed) { queue_.push({std::max(moment, now_), ++order_, std::move(deed)}); }
+void World::at(Instant moment, std::function<void()> deed) {
+  queue_.push({std::max(moment, now_), ++order_, std::move(deed)});
+}
 
 void World::run_until(Instant moment) {
   while (!queue_.empty() && queue_.top().at <= moment) {
@@ -81,8 +89,10 @@
 }
 
 void World::defer(Process &process, std::function<void()> deed) {
-  if (process.is_frozen) process.held.push_back(std::move(deed));
-  else deed();
+  if (process.is_frozen)
+    process.held.push_back(std::move(deed));
+  else
+    deed();
 }
 
 void World::start_harbour(int which, bool has_lost_disk) {
@@ -112,14 +122,16 @@
   if (defect_ == Defect::early_acknowledge) options.fresh = 0;
   node.core = std::make_unique<Harbour>(self, seeds(), options, dice_.next(), node.disk.durable, local(node));
   watched_[static_cast<std::size_t>(which)] = 0;
-  at(now_ + static_cast<Span>(dice_.below(static_cast<std::uint64_t>(harbour_tick))), [this, which, incarnation = node.incarnation] { tick_harbour(which, incarnation); });
+  at(now_ + static_cast<Span>(dice_.below(static_cast<std::uint64_t>(harbour_tick))),
+     [this, which, incarnation = node.incarnation] { tick_harbour(which, incarnation); });
 }
 
 bool World::may_lose_disk() const {
   const int leads = leader();
   if (leads < 0) return false;
   for (int at = 0; at < shape_.harbours; ++at)
-    if (!is_harbour_up(at) || harbours_[static_cast<std::size_t>(at)].disk.mood != DiskMood::well) return false;
+    if (!is_harbour_up(at) || harbours_[static_cast<std::size_t>(at)].disk.mood != DiskMood::well)
+      return false;
   const Convoy &convoy = harbour(leads)->convoy();
   for (const Mate &mate : convoy.mates())
     if (mate.is_voter && convoy.match_of(mate.id) + 50 < convoy.last_index()) return false;
@@ -156,7 +168,8 @@
   if (defect_ == Defect::free_seconds) options.berth.second_share = options.berth.second_most = 1000;
   if (defect_ == Defect::loose_quota) options.purser.slack = 1.5;
   node.core = std::make_unique<Pilot>(node.self, seeds(), options, local(node));
-  at(now_ + static_cast<Span>(dice_.below(static_cast<std::uint64_t>(pilot_tick))), [this, which, incarnation = node.incarnation] { tick_pilot(which, incarnation); });
+  at(now_ + static_cast<Span>(dice_.below(static_cast<std::uint64_t>(pilot_tick))),
+     [this, which, incarnation = node.incarnation] { tick_pilot(which, incarnation); });
 }
 
 void World::kill_pilot(int which) {
@@ -179,11 +192,13 @@
 }
 
 void World::freeze(bool is_harbour, int which, Span span) {
-  Process &process = is_harbour ? static_cast<Process &>(harbours_[static_cast<std::size_t>(which)]) : pilots_[static_cast<std::size_t>(which)];
+  Process &process = is_harbour ? static_cast<Process &>(harbours_[static_cast<std::size_t>(which)])
+                                : pilots_[static_cast<std::size_t>(which)];
   if (!process.is_up || process.is_frozen) return;
   process.is_frozen = true;
   at(now_ + span, [this, is_harbour, which, incarnation = process.incarnation] {
-    Process &thawed = is_harbour ? static_cast<Process &>(harbours_[static_cast<std::size_t>(which)]) : pilots_[static_cast<std::size_t>(which)];
+    Process &thawed = is_harbour ? static_cast<Process &>(harbours_[static_cast<std::size_t>(which)])
+                                 : pilots_[static_cast<std::size_t>(which)];
     if (thawed.incarnation != incarnation) return;
     thawed.is_frozen = false;
     auto held = std::move(thawed.held);
@@ -194,7 +209,9 @@
 
 bool World::is_harbour_up(int which) const { return harbours_[static_cast<std::size_t>(which)].is_up; }
 bool World::is_pilot_up(int which) const { return pilots_[static_cast<std::size_t>(which)].is_up; }
-const Harbour *World::harbour(int which) const { return harbours_[static_cast<std::size_t>(which)].core.get(); }
+const Harbour *World::harbour(int which) const {
+  return harbours_[static_cast<std::size_t>(which)].core.get();
+}
 const Pilot *World::pilot(int which) const { return pilots_[static_cast<std::size_t>(which)].core.get(); }
 
 int World::leader() const {
@@ -214,14 +231,17 @@
   if (leads < 0) return -1;
   const auto ranked = rank_nodes(harbour(leads)->registry().roster().pilots, name, salt);
   for (int at = 0; at < shape_.pilots; ++at)
-    if (!ranked.empty() && is_pilot_up(at) && pilots_[static_cast<std::size_t>(at)].self.id == ranked[0]) return at;
+    if (!ranked.empty() && is_pilot_up(at) && pilots_[static_cast<std::size_t>(at)].self.id == ranked[0])
+      return at;
   return -1;
 }
 
 void World::set_cut(const std::string &left, const std::string &right, bool is_cut, bool both_ways) {
   const auto set = [&](const std::string &from, const std::string &to) {
-    if (is_cut) cuts_.insert({from, to});
-    else cuts_.erase({from, to});
+    if (is_cut)
+      cuts_.insert({from, to});
+    else
+      cuts_.erase({from, to});
   };
   set(left, right);
   if (both_ways) set(right, left);
@@ -280,7 +300,9 @@
   if (to.empty() || is_cut(from, to) || dice_.chance(weather_.lost)) return;
   const int copies = dice_.chance(weather_.doubled) ? 2 : 1;
   for (int copy = 0; copy < copies; ++copy) {
-    const Span delay = weather_.least + static_cast<Span>(dice_.below(static_cast<std::uint64_t>(weather_.most - weather_.least + 1)));
+    const Span delay =
+        weather_.least +
+        static_cast<Span>(dice_.below(static_cast<std::uint64_t>(weather_.most - weather_.least + 1)));
     at(now_ + delay, [this, from, to, envelope] {
       if (!is_cut(from, to)) deliver(to, envelope);
     });
@@ -346,9 +368,11 @@
   const Harbour *core = harbour(which);
   const Convoy &convoy = core->convoy();
   if (convoy.group() == 0) return;
-  if (groups_.insert(convoy.group()).second && groups_.size() > 1) raft_faults_.push_back("two-groups: " + harbour_name(which));
+  if (groups_.insert(convoy.group()).second && groups_.size() > 1)
+    raft_faults_.push_back("two-groups: " + harbour_name(which));
   if (convoy.is_leader()) {
-    const auto [found, is_new] = leader_of_term_.emplace(convoy.term(), harbours_[static_cast<std::size_t>(which)].disk.identity);
+    const auto [found, is_new] =
+        leader_of_term_.emplace(convoy.term(), harbours_[static_cast<std::size_t>(which)].disk.identity);
     if (!is_new && found->second != harbours_[static_cast<std::size_t>(which)].disk.identity)
       raft_faults_.push_back("two-leaders: term " + std::to_string(convoy.term()));
   }
@@ -358,7 +382,8 @@
     const Entry &entry = convoy.log()[++watched - convoy.first_index()];
     const std::string text = std::to_string(entry.term) + "/" + entry.body;
     const auto [found, is_new] = committed_.emplace(entry.index, text);
-    if (!is_new && found->second != text) raft_faults_.push_back("committed-differs: entry " + std::to_string(entry.index));
+    if (!is_new && found->second != text)
+      raft_faults_.push_back("committed-differs: entry " + std::to_string(entry.index));
   }
 }
 
@@ -409,7 +434,9 @@
   if (node.saves.empty() || node.is_writing || !node.is_up) return;
   if (node.disk.mood == DiskMood::stalled) return;
   node.is_writing = true;
-  const Span span = node.disk.mood == DiskMood::slow ? milliseconds(60) + static_cast<Span>(dice_.below(milliseconds(240))) : microseconds(300) + static_cast<Span>(dice_.below(milliseconds(3)));
+  const Span span = node.disk.mood == DiskMood::slow
+                        ? milliseconds(60) + static_cast<Span>(dice_.below(milliseconds(240)))
+                        : microseconds(300) + static_cast<Span>(dice_.below(milliseconds(3)));
   at(now_ + span, [this, which, incarnation = node.incarnation] {
     HarbourNode &writer = harbours_[static_cast<std::size_t>(which)];
     if (writer.incarnation != incarnation) return;
@@ -433,7 +460,8 @@
       if (target.saves.empty()) return;
       std::uint64_t ticket = 0;
       while (!target.saves.empty()) {
-        if (defect_ == Defect::forgotten_vote && target.saves.front().hard) target.saves.front().hard->vote = 0;
+        if (defect_ == Defect::forgotten_vote && target.saves.front().hard)
+          target.saves.front().hard->vote = 0;
         target.disk.commit(target.saves.front());
         ticket = target.saves.front().ticket;
         target.saves.pop_front();
@@ -478,11 +506,13 @@
   const Instant deadline = now_ + (carry.deadline - local(node));
   const int visits = defect_ == Defect::repeat_dispatch && dice_.chance(0.05) ? 2 : 1;
   for (int visit_number = 0; visit_number < visits; ++visit_number) {
-    at(now_ + microseconds(300) + visit_number * milliseconds(5), [this, pilot, incarnation, carry, deadline] {
+    at(now_ + microseconds(300) + visit_number * milliseconds(5), [this, pilot, incarnation, carry,
+                                                                   deadline] {
       CallEnd end;
       end.errand = carry.errand;
       const auto found = runners_.find(carry.runner);
-      if (found == runners_.end() || found->second.is_gone || found->second.address != carry.address || !found->second.is_ready) {
+      if (found == runners_.end() || found->second.is_gone || found->second.address != carry.address ||
+          !found->second.is_ready) {
         end.kind = CallKind::unreached;
         at(now_ + microseconds(300), [this, pilot, incarnation, end] { end_call(pilot, incarnation, end); });
         return;
@@ -542,7 +572,8 @@
         if (defect_ == Defect::ignore_slots) {
           CallEnd freed = end;
           freed.kind = CallKind::answered;
-          at(now_ + milliseconds(5), [this, pilot, incarnation, freed] { end_call(pilot, incarnation, freed); });
+          at(now_ + milliseconds(5),
+             [this, pilot, incarnation, freed] { end_call(pilot, incarnation, freed); });
           return;
         }
         CallEnd late;
@@ -554,7 +585,8 @@
       at(ends + microseconds(300), [this, pilot, incarnation, end, id = carry.runner, serial] {
         const auto running = runners_.find(id);
         CallEnd told = end;
-        if (running == runners_.end() || running->second.serial != serial || running->second.is_gone) told.kind = CallKind::lost;
+        if (running == runners_.end() || running->second.serial != serial || running->second.is_gone)
+          told.kind = CallKind::lost;
         end_call(pilot, incarnation, told);
       });
     });
@@ -578,8 +610,11 @@
       if (defect_ == Defect::leaving_unseen) picture.workers.back().is_draining = false;
     }
   for (const auto &[id, runner] : runners_) {
-    const RunnerPhase phase = runner.is_stopping && defect_ != Defect::leaving_unseen ? RunnerPhase::stopping : runner.is_ready ? RunnerPhase::ready : RunnerPhase::booting;
-    picture.runners.push_back({id, runner.record.service, runner.record.worker, runner.is_ready ? runner.address : std::string(), phase});
+    const RunnerPhase phase = runner.is_stopping && defect_ != Defect::leaving_unseen ? RunnerPhase::stopping
+                              : runner.is_ready                                       ? RunnerPhase::ready
+                                                                                      : RunnerPhase::booting;
+    picture.runners.push_back({id, runner.record.service, runner.record.worker,
+                               runner.is_ready ? runner.address : std::string(), phase});
   }
   listings_.emplace_back(now_, std::move(picture));
   while (listings_.size() > 1 && listings_[1].first <= now_ - shape_.list_late) listings_.pop_front();
@@ -607,8 +642,10 @@
   ask.ticket = next_ticket_++;
   const std::uint64_t ticket = ask.ticket;
   node.asks[ticket] = [this, ask, hops, then](const OperatorSay &say) {
-    if (!say.leader_http.empty() && hops > 0) operate(std::stoi(say.leader_http.substr(1)), ask, hops - 1, then);
-    else then(say);
+    if (!say.leader_http.empty() && hops > 0)
+      operate(std::stoi(say.leader_http.substr(1)), ask, hops - 1, then);
+    else
+      then(say);
   };
   at(now_ + seconds(10), [this, which, ticket] {
     auto &asks = harbours_[static_cast<std::size_t>(which)].asks;
@@ -658,10 +695,14 @@
     WriteRecord &answered = writes_[number];
     answered.answered = now_;
     answered.version = say.version;
-    if (say.status == 200) answered.outcome = "taken";
-    else if (say.status == 412 || say.status == 422 || say.status == 400 || say.status == -1) answered.outcome = "not-taken";
-    else if (say.status == 503 && say.body.find("not-taken") != std::string::npos) answered.outcome = "not-taken";
-    else answered.outcome = "unknown";
+    if (say.status == 200)
+      answered.outcome = "taken";
+    else if (say.status == 412 || say.status == 422 || say.status == 400 || say.status == -1)
+      answered.outcome = "not-taken";
+    else if (say.status == 503 && say.body.find("not-taken") != std::string::npos)
+      answered.outcome = "not-taken";
+    else
+      answered.outcome = "unknown";
   });
 }
 
@@ -683,7 +724,8 @@
     at(moment, [this] {
       const double roll = dice_.unit();
       const int kind = roll < 0.6 ? 0 : roll < 0.85 ? 1 : 2;
-      call(static_cast<int>(dice_.below(static_cast<std::uint64_t>(shape_.tenants))), kind, kind == 1 ? "k" + std::to_string(dice_.next()) : "", kind == 1 ? 2 : 0);
+      call(static_cast<int>(dice_.below(static_cast<std::uint64_t>(shape_.tenants))), kind,
+           kind == 1 ? "k" + std::to_string(dice_.next()) : "", kind == 1 ? 2 : 0);
     });
   }
 }
@@ -696,7 +738,8 @@
   }
 }
 
-void World::call(int tenant, int kind, const std::string &once_key, int tries_left, int pilot, const std::string &key) {
+void World::call(int tenant, int kind, const std::string &once_key, int tries_left, int pilot,
+                 const std::string &key) {
   const int which = pilot >= 0 ? pilot : static_cast<int>(dice_.below(pilots_.size()));
   PilotNode &node = pilots_[static_cast<std::size_t>(which)];
   const std::string id = "e" + std::to_string(next_errand_++);
@@ -709,8 +752,11 @@
   state.record.errand = id;
   state.record.tenant = key.empty() ? tenant_name(tenant) : "rolling";
   state.record.method = "POST";
-  const std::size_t pick = once_key.empty() ? dice_.below(static_cast<std::uint64_t>(count)) : stable_hash(once_key.data(), once_key.size()) % static_cast<std::uint64_t>(count);
-  state.record.target = "/" + service_name(kind, static_cast<int>(pick)) + "/" + (once_key.empty() ? id : once_key);
+  const std::size_t pick =
+      once_key.empty() ? dice_.below(static_cast<std::uint64_t>(count))
+                       : stable_hash(once_key.data(), once_key.size()) % static_cast<std::uint64_t>(count);
+  state.record.target =
+      "/" + service_name(kind, static_cast<int>(pick)) + "/" + (once_key.empty() ? id : once_key);
   state.record.body_digest = once_key.empty() ? id : once_key;
   state.record.once_key = once_key;
   state.record.sent_ns = now_;
@@ -783,20 +829,27 @@
     newest = std::max(newest, write.version);
     if (!versions.insert(write.version).second) fault("same-version-twice", std::to_string(write.version));
     if (!write.if_match.empty() && ++taken_over[write.if_match] > 1) fault("both-won", write.if_match);
-    result.counts["worst_write_ms"] = std::max<std::uint64_t>(result.counts["worst_write_ms"], static_cast<std::uint64_t>((write.answered - write.sent) / 1'000'000));
+    result.counts["worst_write_ms"] =
+        std::max<std::uint64_t>(result.counts["worst_write_ms"],
+                                static_cast<std::uint64_t>((write.answered - write.sent) / 1'000'000));
   }
   if (writes_.empty()) return;
   if (last_read_status_ != 200) {
     fault("not-read-back", std::to_string(last_read_status_));
     return;
   }
-  if (last_read_version_ < newest) fault("read-older", std::to_string(last_read_version_) + " < " + std::to_string(newest));
+  if (last_read_version_ < newest)
+    fault("read-older", std::to_string(last_read_version_) + " < " + std::to_string(newest));
   const Json read = Json::parse(last_read_, nullptr, false);
   const int marker = read["tenants"]["marker"].value("base", 0) - 1;
   for (const WriteRecord &write : writes_) {
-    if (write.outcome == "not-taken" && write.number == marker) fault("refused-took-hold", std::to_string(marker));
-    if (write.outcome == "taken" && write.version == last_read_version_ && !write.is_patch && write.bytes != last_read_) fault("read-differs", std::to_string(marker));
-    if (write.outcome == "taken" && write.version == last_read_version_ && write.number != marker) fault("read-differs", std::to_string(marker));
+    if (write.outcome == "not-taken" && write.number == marker)
+      fault("refused-took-hold", std::to_string(marker));
+    if (write.outcome == "taken" && write.version == last_read_version_ && !write.is_patch &&
+        write.bytes != last_read_)
+      fault("read-differs", std::to_string(marker));
+    if (write.outcome == "taken" && write.version == last_read_version_ && write.number != marker)
+      fault("read-differs", std::to_string(marker));
   }
 }
 
@@ -819,7 +872,8 @@
         if (holder.key != key) return false;
         return holder.write->outcome == "taken" ? holder.write->version > other.write->version : true;
       });
-      if (!may_hold_later && (earliest < 0 || other.write->answered < earliest)) earliest = other.write->answered;
+      if (!may_hold_later && (earliest < 0 || other.write->answered < earliest))
+        earliest = other.write->answered;
     }
     return earliest;
   };
@@ -835,7 +889,8 @@
     if (!revoked.contains(key->second)) revoked[key->second] = revoked_at(key->second);
     const Instant moment = revoked[key->second];
     if (moment >= 0 && visit.begun_ns > moment + milliseconds(50))
-      fault("revoked-key-ran", key->second + " " + std::to_string((visit.begun_ns - moment) / 1'000'000) + " ms after");
+      fault("revoked-key-ran",
+            key->second + " " + std::to_string((visit.begun_ns - moment) / 1'000'000) + " ms after");
   }
 }
 
@@ -864,7 +919,8 @@
   result.counts["open_calls"] = calls_open_.size() - calls_.size();
   std::vector<std::int64_t> rare;
   for (const CallRecord &call : calls_)
-    if (call.verdict == "run" && call.target.starts_with("/rare")) rare.push_back((call.answered_ns - call.sent_ns) / 1'000'000);
+    if (call.verdict == "run" && call.target.starts_with("/rare"))
+      rare.push_back((call.answered_ns - call.sent_ns) / 1'000'000);
   std::sort(rare.begin(), rare.end());
   if (!rare.empty()) {
     result.counts["rare_p95_ms"] = static_cast<std::uint64_t>(rare[rare.size() * 95 / 100]);
@@ -895,10 +951,14 @@
       continue;
     }
     const Convoy &convoy = core->convoy();
-    text += " id " + std::to_string(harbours_[static_cast<std::size_t>(at)].disk.identity % 10000) + " group " + std::to_string(convoy.group() % 10000) + " rank " +
-            std::to_string(static_cast<int>(convoy.rank())) + " term " + std::to_string(convoy.term()) + " last " + std::to_string(convoy.last_index()) + " commit " +
-            std::to_string(convoy.commit()) + " leader " + std::to_string(convoy.leader() % 10000) + " disk " + std::to_string(convoy.is_disk_well(local(harbours_[static_cast<std::size_t>(at)]))) + " mates";
-    for (const Mate &mate : convoy.mates()) text += " " + std::to_string(mate.id % 10000) + (mate.is_voter ? "v" : "l");
+    text += " id " + std::to_string(harbours_[static_cast<std::size_t>(at)].disk.identity % 10000) +
+            " group " + std::to_string(convoy.group() % 10000) + " rank " +
+            std::to_string(static_cast<int>(convoy.rank())) + " term " + std::to_string(convoy.term()) +
+            " last " + std::to_string(convoy.last_index()) + " commit " + std::to_string(convoy.commit()) +
+            " leader " + std::to_string(convoy.leader() % 10000) + " disk " +
+            std::to_string(convoy.is_disk_well(local(harbours_[static_cast<std::size_t>(at)]))) + " mates";
+    for (const Mate &mate : convoy.mates())
+      text += " " + std::to_string(mate.id % 10000) + (mate.is_voter ? "v" : "l");
     text += "\n";
   }
   return text;
@@ -906,8 +966,10 @@
 
 std::string World::fingerprint() const {
   std::string text;
-  for (const CallRecord &call : calls_) text += call.errand + call.verdict + call.reason + std::to_string(call.answered_ns) + ";";
-  for (const VisitRecord &visit : visits_) text += visit.errand + visit.runner + std::to_string(visit.begun_ns) + ";";
+  for (const CallRecord &call : calls_)
+    text += call.errand + call.verdict + call.reason + std::to_string(call.answered_ns) + ";";
+  for (const VisitRecord &visit : visits_)
+    text += visit.errand + visit.runner + std::to_string(visit.begun_ns) + ";";
   text += std::to_string(events_);
   return digest_hex(text);
 }
--- a/packages/drydock/world.hpp
+++ b/packages/drydock/world.hpp
@@ -55,7 +55,17 @@
 };
 
 /// A defect put in on purpose, to show that a checker can fail.
-enum class Defect : std::uint8_t { none, repeat_dispatch, stale_permit, forgotten_vote, ignore_slots, early_acknowledge, leaving_unseen, free_seconds, loose_quota };
+enum class Defect : std::uint8_t {
+  none,
+  repeat_dispatch,
+  stale_permit,
+  forgotten_vote,
+  ignore_slots,
+  early_acknowledge,
+  leaving_unseen,
+  free_seconds,
+  loose_quota
+};
 
 /// A whole deployment in virtual time round the daemons' own state machines. One seed, one run, always.
 class World {
@@ -72,7 +82,8 @@
 
   void start_callers(Instant from, Instant until);
   void crowd(int tenant, double rate, Instant from, Instant until, int pilot = -1);
-  void call(int tenant, int kind, const std::string &once_key, int tries_left, int pilot = -1, const std::string &key = {});
+  void call(int tenant, int kind, const std::string &once_key, int tries_left, int pilot = -1,
+            const std::string &key = {});
   void write(bool is_patch, const std::string &if_match, int harbour);
   void write_bytes(bool is_patch, std::string bytes, const std::string &if_match, int harbour);
   void read_back(int harbour);
@@ -161,7 +172,9 @@
     std::string key;
   };
 
-  Instant local(const Process &process) const { return process.offset + static_cast<Instant>(static_cast<double>(now_) * process.rate); }
+  Instant local(const Process &process) const {
+    return process.offset + static_cast<Instant>(static_cast<double>(now_) * process.rate);
+  }
   void defer(Process &process, std::function<void()> deed);
   void tick_harbour(int which, std::uint64_t incarnation);
   void tick_pilot(int which, std::uint64_t incarnation);
--- a/packages/harbour/harbour.cpp
+++ b/packages/harbour/harbour.cpp
@@ -243,7 +243,8 @@
   seat.wants.clear();
   for (const Want &want : pulse.wants) {
     const auto known = before.find(want.service);
-    if (known == before.end() || known->second.runners != want.runners || known->second.retire != want.retire) settle_at_ = now;
+    if (known == before.end() || known->second.runners != want.runners || known->second.retire != want.retire)
+      settle_at_ = now;
     seat.wants[want.service] = want;
   }
   Orders orders = orders_for(seat, now);
--- a/packages/hold/shelf.cpp
+++ b/packages/hold/shelf.cpp
@@ -149,7 +149,7 @@
   std::error_code fault;
   fs::create_directories(folder_, fault);
   if (fault) return HoldError{"cannot make " + folder_ + ": " + fault.message()};
-  
+
   const auto pictures = numbers(folder_, "pic-");
   if (!pictures.empty()) {
     const std::string path = folder_ + "/pic-" + std::to_string(pictures.back());
--- a/packages/hold/shelf.hpp
+++ b/packages/hold/shelf.hpp
@@ -22,8 +22,8 @@
   virtual std::variant<std::monostate, HoldError> write(const Save &save) = 0;
 };
 
-/// A data folder: segments `seg-N`, pictures `pic-N`, the node's own `identity`. A segment begins with the hard
-/// state of its time; a batch is one append and one sync.
+/// A data folder: segments `seg-N`, pictures `pic-N`, the node's own `identity`. A segment begins with the
+/// hard state of its time; a batch is one append and one sync.
 class DiskShelf final : public Shelf {
 public:
   explicit DiskShelf(std::string folder);
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -255,8 +255,9 @@
   ++till.recent;
   std::string steps;
   for (Step step : errand.bill.steps) steps += " " + std::string(step_name(step));
-  note(errand, now, "planned by manifest " + std::to_string(errand.bill.version) + ": tenant " + errand.bill.tenant + ", rule " +
-                        errand.bill.rule + ", service " + errand.bill.service + ", steps" + steps);
+  note(errand, now,
+       "planned by manifest " + std::to_string(errand.bill.version) + ": tenant " + errand.bill.tenant +
+           ", rule " + errand.bill.rule + ", service " + errand.bill.service + ", steps" + steps);
   if (errand.bill.is_paid) note(errand, now, "paid from the local purse");
   const bool is_full = afloat_.size() >= options_.errands_most;
   afloat_[id] = std::move(errand);
@@ -350,7 +351,8 @@
   ask.is_second = errand.tries > 0;
   ask.attempt = errand.attempt;
   ask.avoid = errand.avoid;
-  note(errand, now, "asks stevedore " + std::to_string(owner) + " for a slot, attempt " + std::to_string(errand.attempt));
+  note(errand, now,
+       "asks stevedore " + std::to_string(owner) + " for a slot, attempt " + std::to_string(errand.attempt));
   out.mail.push_back({owner, {}, ask});
 }
 
@@ -392,8 +394,9 @@
   const auto found = afloat_.find(say.errand);
   const auto state = static_cast<SlotState>(say.state);
   const bool is_owner = owner_of(say.service, stevedore_salt) == from;
-  const bool is_wanted = found != afloat_.end() && found->second.bill.steps[found->second.at] == Step::berth &&
-                         is_owner && found->second.attempt == say.attempt;
+  const bool is_wanted = found != afloat_.end() &&
+                         found->second.bill.steps[found->second.at] == Step::berth && is_owner &&
+                         found->second.attempt == say.attempt;
   if (!is_wanted) {
     const bool is_ours =
         found != afloat_.end() && found->second.is_carrying && found->second.attempt == say.attempt;
@@ -541,7 +544,9 @@
     reply.type = end->type;
     reply.body = end->body;
   }
-  note(errand, now, "ends: " + std::string(outcome_of(fate).reason) + ", verdict " + std::string(verdict_name(outcome_of(fate).verdict)) + (reply.why.empty() ? "" : ", " + reply.why));
+  note(errand, now,
+       "ends: " + std::string(outcome_of(fate).reason) + ", verdict " +
+           std::string(verdict_name(outcome_of(fate).verdict)) + (reply.why.empty() ? "" : ", " + reply.why));
   reply.story = std::move(errand.story);
   out.replies.push_back(std::move(reply));
   afloat_.erase(found);
@@ -556,7 +561,8 @@
     if (errand.bill.service == ask.service && errand.is_carrying)
       say.held.push_back({id, errand.runner, self_.id, errand.attempt, errand.bill.deadline - now});
   for (const LostSlot &lost : lost_)
-    if (lost.service == ask.service) say.held.push_back({lost.errand, lost.runner, self_.id, lost.attempt, 0});
+    if (lost.service == ask.service)
+      say.held.push_back({lost.errand, lost.runner, self_.id, lost.attempt, 0});
   stevedore_.describe_former(ask.service, ask.epoch, now, say);
   out.mail.push_back({from, {}, say});
 }
@@ -566,7 +572,8 @@
   if (tenant == nullptr || roster_.pilots.empty()) return false;
   std::size_t nodes = roster_.pilots.size();
   for (const PastRoster &past : roster_.past) nodes = std::max(nodes, past.pilots.size());
-  const double rate = options_.fallback_share * static_cast<double>(tenant->base) / static_cast<double>(nodes);
+  const double rate =
+      options_.fallback_share * static_cast<double>(tenant->base) / static_cast<double>(nodes);
   if (!till.is_fallback) {
     till.is_fallback = true;
     till.fallback_at = now;
@@ -642,7 +649,8 @@
   }
   till.unanswered_since = 0;
   till.is_fallback = false;
-  const bool is_doubled = say.tokens > 0 && std::find(till.seen.begin(), till.seen.end(), say.permit) != till.seen.end();
+  const bool is_doubled =
+      say.tokens > 0 && std::find(till.seen.begin(), till.seen.end(), say.permit) != till.seen.end();
   if (is_doubled) return;
   if (say.tokens > 0) till.seen.push_back(say.permit);
   if (till.seen.size() > 64) till.seen.pop_front();
@@ -692,7 +700,8 @@
         (purse->left(now) * 10 <= state.tokens * 3 || purse->dies_at() - now < milliseconds(60));
     if (is_low && till.rate * 0.15 >= 1.0 && till.deny_until <= now) ask_permit(tenant, now, out);
     const Tenant *declared = in_force_.charter ? in_force_.charter->tenant_named(till.name) : nullptr;
-    const double refill_s = declared == nullptr ? 0 : capacity_of(till.name) / static_cast<double>(declared->base);
+    const double refill_s =
+        declared == nullptr ? 0 : capacity_of(till.name) / static_cast<double>(declared->base);
     const Span idle = std::max(options_.eviction_least, static_cast<Span>(refill_s * 1e9));
     if (state.permit == 0 && till.line.empty() && now - purse->last_used() > idle) {
       rack_.evict(tenant);
--- a/packages/purser/purser.cpp
+++ b/packages/purser/purser.cpp
@@ -30,7 +30,8 @@
 
 void Purser::set_allowances(std::map<std::string, Allowance> allowances, Instant now) {
   const bool had_any = !allowances_.empty();
-  for (auto &[tenant, allowance] : allowances) allowance = {allowance.base * options_.slack, allowance.burst * options_.slack};
+  for (auto &[tenant, allowance] : allowances)
+    allowance = {allowance.base * options_.slack, allowance.burst * options_.slack};
   for (const auto &[tenant, allowance] : allowances) {
     Ledger &ledger = ledgers_[tenant];
     const bool is_new = !allowances_.contains(tenant);
@@ -93,7 +94,8 @@
           ++ledger.sequence;
           ledger.copied_at = 0;
         } else if (ledger.post != Post::awaiting || !is_unbroken) {
-          ledger.has_copy = ledger.post != Post::ready && ledger.post != Post::awaiting && is_copy_whole(tenant, ledger);
+          ledger.has_copy =
+              ledger.post != Post::ready && ledger.post != Post::awaiting && is_copy_whole(tenant, ledger);
           ledger.post = Post::awaiting;
           ledger.settled_at = 0;
           ledger.answers.clear();
@@ -133,8 +135,10 @@
   if (copy.epoch > roster_.epoch) return false;
   const PastRoster *before = nullptr;
   for (const PastRoster &past : roster_.past) {
-    if (past.epoch < copy.epoch) before = &past;
-    else if (owner_in(past.pilots, copy.tenant) != self_) return false;
+    if (past.epoch < copy.epoch)
+      before = &past;
+    else if (owner_in(past.pilots, copy.tenant) != self_)
+      return false;
   }
   if (before == nullptr || before->epoch + 1 != copy.epoch) return false;
   return owner_in(before->pilots, copy.tenant) == from || replica_in(before->pilots, copy.tenant) == from;
--- a/packages/signals/pack.hpp
+++ b/packages/signals/pack.hpp
@@ -2,10 +2,10 @@
 #include <boost/archive/archive_exception.hpp>
 #include <boost/archive/binary_iarchive.hpp>
 #include <boost/archive/binary_iarchive_impl.hpp>
+#include <boost/archive/binary_oarchive.hpp>
 #include <boost/archive/impl/archive_serializer_map.ipp>
 #include <boost/archive/impl/basic_binary_iarchive.ipp>
 #include <boost/archive/impl/basic_binary_iprimitive.ipp>
-#include <boost/archive/binary_oarchive.hpp>
 #include <boost/iostreams/device/array.hpp>
 #include <boost/iostreams/stream_buffer.hpp>
 #include <boost/serialization/map.hpp>
@@ -30,10 +30,11 @@
 }
 
 /// Reads a binary archive whose claimed sizes never exceed the bytes that are there.
-class BoundedArchive
-    : public boost::archive::binary_iarchive_impl<BoundedArchive, std::istream::char_type, std::istream::traits_type> {
+class BoundedArchive : public boost::archive::binary_iarchive_impl<BoundedArchive, std::istream::char_type,
+                                                                   std::istream::traits_type> {
 public:
-  using Base = boost::archive::binary_iarchive_impl<BoundedArchive, std::istream::char_type, std::istream::traits_type>;
+  using Base = boost::archive::binary_iarchive_impl<BoundedArchive, std::istream::char_type,
+                                                    std::istream::traits_type>;
   friend class boost::archive::detail::interface_iarchive<BoundedArchive>;
   friend class boost::archive::load_access;
   template <typename Value> void load_override(Value &value) { Base::load_override(value); }
@@ -45,7 +46,8 @@
   void load_override(bool &is_set) {
     unsigned char byte = 0;
     load_binary(&byte, 1);
-    if (byte > 1) throw boost::archive::archive_exception(boost::archive::archive_exception::input_stream_error);
+    if (byte > 1)
+      throw boost::archive::archive_exception(boost::archive::archive_exception::input_stream_error);
     is_set = byte == 1;
   }
   void load_override(std::string &text) {
@@ -54,11 +56,14 @@
     text.resize(checked(claimed));
     if (!text.empty()) load_binary(text.data(), text.size());
   }
-  BoundedArchive(std::streambuf &buffer, std::size_t limit) : Base(buffer, pack_flags), limit_(limit) { init(pack_flags); }
+  BoundedArchive(std::streambuf &buffer, std::size_t limit) : Base(buffer, pack_flags), limit_(limit) {
+    init(pack_flags);
+  }
 
 private:
   std::size_t checked(std::size_t claimed) const {
-    if (claimed > limit_) throw boost::archive::archive_exception(boost::archive::archive_exception::input_stream_error);
+    if (claimed > limit_)
+      throw boost::archive::archive_exception(boost::archive::archive_exception::input_stream_error);
     return claimed;
   }
   std::size_t limit_;
--- a/packages/surveyor/surveyor.cpp
+++ b/packages/surveyor/surveyor.cpp
@@ -61,13 +61,16 @@
     }
     const std::size_t most = most_in_window(moments, 5 * second_ns);
     const double allowed = static_cast<double>(5 * declared->base + declared->burst);
-    const auto share = [allowed](std::size_t number) { return static_cast<std::uint64_t>(100.0 * static_cast<double>(number) / allowed); };
+    const auto share = [allowed](std::size_t number) {
+      return static_cast<std::uint64_t>(100.0 * static_cast<double>(number) / allowed);
+    };
     auto &worst = found.audit.counts["worst_5s_admitted_percent"];
     worst = std::max(worst, share(most));
     auto &worst_run = found.audit.counts["worst_5s_run_percent"];
     worst_run = std::max(worst_run, share(most_in_window(visited[tenant], 5 * second_ns)));
     if (static_cast<double>(most) > allowed * 1.1 + 5)
-      found("over-allowance", tenant + " " + std::to_string(most) + " in 5 s, allowed " + std::to_string(allowed));
+      found("over-allowance",
+            tenant + " " + std::to_string(most) + " in 5 s, allowed " + std::to_string(allowed));
   }
   std::map<std::string, std::vector<const CallRecord *>> by_tenant;
   for (const CallRecord &call : calls)
@@ -190,7 +193,8 @@
     if (visit.running > visit.slots)
       found("slots",
             visit.runner + " ran " + std::to_string(visit.running) + " of " + std::to_string(visit.slots));
-    if (visit.leaving_ms > 3500) found("leaving-got-work", visit.runner + " after " + std::to_string(visit.leaving_ms) + " ms");
+    if (visit.leaving_ms > 3500)
+      found("leaving-got-work", visit.runner + " after " + std::to_string(visit.leaving_ms) + " ms");
     auto &leaving = result.counts["worst_leaving_ms"];
     leaving = std::max(leaving, static_cast<std::uint64_t>(visit.leaving_ms));
     if (visit.has_key) found("key-leaked", visit.runner + " saw a key");
--- a/programs/dockyard/main.cpp
+++ b/programs/dockyard/main.cpp
@@ -217,8 +217,9 @@
 
   bool take_pace() {
     const Instant now = tide_.now();
-    tokens_ =
-        std::min<double>(static_cast<double>(options_.pace), tokens_ + static_cast<double>(options_.pace) * static_cast<double>(now - pace_at_) / 1e9);
+    tokens_ = std::min<double>(static_cast<double>(options_.pace),
+                               tokens_ + static_cast<double>(options_.pace) *
+                                             static_cast<double>(now - pace_at_) / 1e9);
     pace_at_ = now;
     if (tokens_ < 1) return false;
     tokens_ -= 1;
--- a/programs/drydock/main.cpp
+++ b/programs/drydock/main.cpp
@@ -29,17 +29,23 @@
     for (std::size_t at = next++; at < jobs.size(); at = next++) {
       const RunResult result = run_scenario(*jobs[at].scenario, jobs[at].seed, defect);
       std::lock_guard guard(mutex);
-      for (const auto &[name, number] : result.audit.counts) figures[jobs[at].scenario->name][name].push_back(number);
+      for (const auto &[name, number] : result.audit.counts)
+        figures[jobs[at].scenario->name][name].push_back(number);
       if (must_tell) {
-        for (const auto &[name, number] : result.audit.counts) std::cout << "  " << name << " " << number << "\n";
+        for (const auto &[name, number] : result.audit.counts)
+          std::cout << "  " << name << " " << number << "\n";
         if (trace == "mates") std::cout << result.story;
         if (!trace.empty()) {
           for (const VisitRecord &visit : result.visits)
             if (visit.runner == trace || visit.errand == trace || visit.service == trace)
-              std::cout << visit.begun_ns / 1'000'000 << " visit " << visit.errand << " " << visit.service << " " << visit.runner << " running " << visit.running << (visit.has_run ? "" : " refused") << "\n";
+              std::cout << visit.begun_ns / 1'000'000 << " visit " << visit.errand << " " << visit.service
+                        << " " << visit.runner << " running " << visit.running
+                        << (visit.has_run ? "" : " refused") << "\n";
           for (const CallRecord &call : result.calls)
             if (call.errand == trace || call.tenant == trace || call.reason == trace)
-              std::cout << call.sent_ns / 1'000'000 << "-" << call.answered_ns / 1'000'000 << " call " << call.errand << " " << call.target << " " << call.status << " " << call.reason << "\n";
+              std::cout << call.sent_ns / 1'000'000 << "-" << call.answered_ns / 1'000'000 << " call "
+                        << call.errand << " " << call.target << " " << call.status << " " << call.reason
+                        << "\n";
         }
         std::cout << "fingerprint " << result.fingerprint << "\n";
       }
@@ -53,7 +59,8 @@
 
 std::uint64_t at_share(std::vector<std::uint64_t> values, double share) {
   std::sort(values.begin(), values.end());
-  return values.empty() ? 0 : values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+  return values.empty() ? 0
+                        : values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
 }
 } // namespace
 
@@ -67,7 +74,8 @@
   flags.whole("seeds", many, "How many seeds");
   flags.whole("threads", threads, "Runs at the same time");
   flags.whole("defect", defect, "Defect put in on purpose, 1 to 8");
-  flags.text("trace", sweep.trace, "Errand, runner, service, tenant or reason whose records are printed; 'mates' for the group");
+  flags.text("trace", sweep.trace,
+             "Errand, runner, service, tenant or reason whose records are printed; 'mates' for the group");
   const auto read_flags = flags.read(count, words);
   if (const auto *end = std::get_if<EndNow>(&read_flags)) {
     (end->code == 0 ? std::cout : std::cerr) << end->text;
@@ -76,7 +84,8 @@
   sweep.defect = static_cast<Defect>(defect);
   for (const Scenario &scenario : all_scenarios()) {
     if (!name.empty() && scenario.name != name) continue;
-    for (long seed = from; seed < from + many; ++seed) sweep.jobs.push_back({&scenario, static_cast<std::uint64_t>(seed)});
+    for (long seed = from; seed < from + many; ++seed)
+      sweep.jobs.push_back({&scenario, static_cast<std::uint64_t>(seed)});
   }
   if (sweep.jobs.empty()) {
     std::cerr << "drydock: no such scenario\n";
@@ -85,7 +94,8 @@
   sweep.must_tell = sweep.jobs.size() == 1;
   {
     std::vector<std::unique_ptr<Duty>> crew;
-    for (long at = 0; at < threads; ++at) crew.push_back(std::make_unique<Duty>("drydock", [&sweep] { sweep.work(); }));
+    for (long at = 0; at < threads; ++at)
+      crew.push_back(std::make_unique<Duty>("drydock", [&sweep] { sweep.work(); }));
   }
   int bad = 0;
   for (const Scenario &scenario : all_scenarios()) {
@@ -93,9 +103,16 @@
     if (found == sweep.figures.end()) continue;
     auto &figures = found->second;
     bad += sweep.bad[scenario.name];
-    std::cout << scenario.name << ": runs " << figures["calls"].size() << ", bad " << sweep.bad[scenario.name] << ", calls p50 " << at_share(figures["calls"], 0.5)
-              << ", run p50 " << at_share(figures["verdict_run"], 0.5) << ", back s p50 " << at_share(figures["back_after_s"], 0.5) << " most " << at_share(figures["back_after_s"], 1.0)
-              << ", wrong 429 p50 " << at_share(figures["wrongly_refused"], 0.5) << " most " << at_share(figures["wrongly_refused"], 1.0) << ", 5 s % admitted " << at_share(figures["worst_5s_admitted_percent"], 1.0) << " run " << at_share(figures["worst_5s_run_percent"], 1.0) << ", rare ms p95 " << at_share(figures["rare_p95_ms"], 0.5) << " most " << at_share(figures["rare_most_ms"], 0.5) << ", worst write ms " << at_share(figures["worst_write_ms"], 1.0) << "\n";
+    std::cout << scenario.name << ": runs " << figures["calls"].size() << ", bad " << sweep.bad[scenario.name]
+              << ", calls p50 " << at_share(figures["calls"], 0.5) << ", run p50 "
+              << at_share(figures["verdict_run"], 0.5) << ", back s p50 "
+              << at_share(figures["back_after_s"], 0.5) << " most " << at_share(figures["back_after_s"], 1.0)
+              << ", wrong 429 p50 " << at_share(figures["wrongly_refused"], 0.5) << " most "
+              << at_share(figures["wrongly_refused"], 1.0) << ", 5 s % admitted "
+              << at_share(figures["worst_5s_admitted_percent"], 1.0) << " run "
+              << at_share(figures["worst_5s_run_percent"], 1.0) << ", rare ms p95 "
+              << at_share(figures["rare_p95_ms"], 0.5) << " most " << at_share(figures["rare_most_ms"], 0.5)
+              << ", worst write ms " << at_share(figures["worst_write_ms"], 1.0) << "\n";
   }
   return bad == 0 ? 0 : 1;
 }
--- a/programs/fleet/main.cpp
+++ b/programs/fleet/main.cpp
@@ -6,9 +6,9 @@
 #include <httplib.h>
 #include <iostream>
 #include <memory>
-#include <sstream>
 #include <netinet/in.h>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -177,7 +177,8 @@
               << std::flush;
     std::unique_ptr<Duty> storm;
     if (!options_.storm.empty()) storm = std::make_unique<Duty>("storm", [this] { run_storm(); });
-    const int sent = call({"shipper", "--pilots", pilot_https(), "--manifest", manifest_, "--mix", mix_, "--rate",
+    const int sent =
+        call({"shipper", "--pilots", pilot_https(), "--manifest", manifest_, "--mix", mix_, "--rate",
               std::to_string(options_.rate), "--seconds", std::to_string(options_.seconds_long), "--threads",
               std::to_string(options_.threads), "--journal", calls});
     storm.reset();
@@ -279,8 +280,9 @@
         return;
       } else if (storm == "runners") {
         tell("runners misbehave, a worker drains, another crashes");
-        set_mischief(", \"refuse\": 0.05, \"lose\": 0.01, \"garbage\": 0.02, \"truncate\": 0.01, \"foreign\": 0.01, "
-                     "\"hang\": 0.002, \"crash\": 0.005");
+        set_mischief(
+            ", \"refuse\": 0.05, \"lose\": 0.01, \"garbage\": 0.02, \"truncate\": 0.01, \"foreign\": 0.01, "
+            "\"hang\": 0.002, \"crash\": 0.005");
         touch_yard("/v1/workers/w1/drain", "");
         rests(4);
         touch_yard("/v1/workers/w1/restore", "");
@@ -323,8 +325,9 @@
       if (!wait_pilots()) return false;
       const std::string journal = options_.folder + "/after.jsonl";
       fs::remove(journal);
-      call({"shipper", "--pilots", pilot_https(), "--manifest", manifest_, "--mix", mix_, "--rate", "60", "--seconds",
-            "1", "--threads", "32", "--seed", std::to_string(++after_seed_), "--journal", journal});
+      call({"shipper", "--pilots", pilot_https(), "--manifest", manifest_, "--mix", mix_, "--rate", "60",
+            "--seconds", "1", "--threads", "32", "--seed", std::to_string(++after_seed_), "--journal",
+            journal});
       std::ifstream lines(journal);
       int good = 0, all = 0;
       for (std::string line; std::getline(lines, line); ++all)
@@ -420,7 +423,9 @@
   flags.real("rate", options.rate, "Errands a second");
   flags.real("seconds", options.seconds_long, "How long to send; 0 sends nothing");
   flags.whole("threads", options.threads, "Callers at the same time");
-  flags.text("storm", options.storm, "What fails meanwhile: kill-leader, lose-disk, kill-pilot, freeze, kill-all, restart or runners");
+  flags.text(
+      "storm", options.storm,
+      "What fails meanwhile: kill-leader, lose-disk, kill-pilot, freeze, kill-all, restart or runners");
   flags.whole("seed", options.seed, "Seed of the storm");
   flags.mark("stay", options.must_stay, "Keep the deployment up afterwards");
   const auto read_flags = flags.read(count, words);
@@ -430,7 +435,8 @@
   }
   options.binaries = fs::canonical("/proc/self/exe").parent_path();
   const bool is_own_folder = options.folder.empty();
-  if (is_own_folder) options.folder = (fs::temp_directory_path() / ("fleet-" + std::to_string(getpid()))).string();
+  if (is_own_folder)
+    options.folder = (fs::temp_directory_path() / ("fleet-" + std::to_string(getpid()))).string();
   catch_stops();
   Fleet fleet(options);
   const int outcome = fleet.run();
--- a/programs/logbook/main.cpp
+++ b/programs/logbook/main.cpp
@@ -49,18 +49,22 @@
       return 0;
     }
     const Json root = Json::parse(heard.body, nullptr, false);
-    std::cout << "errand " << errand << " at " << root.value("pilot", "") << ": " << root.value("verdict", "") << ", " << root.value("reason", "") << "\n";
+    std::cout << "errand " << errand << " at " << root.value("pilot", "") << ": " << root.value("verdict", "")
+              << ", " << root.value("reason", "") << "\n";
     const Json story = root.value("story", Json::array());
-    for (const Json &line : story) std::cout << "  " << line.value("after_us", 0) << " us  " << line.value("what", "") << "\n";
+    for (const Json &line : story)
+      std::cout << "  " << line.value("after_us", 0) << " us  " << line.value("what", "") << "\n";
     return 0;
   }
   std::cerr << "logbook: no pilot that answered remembers " << errand << "\n";
-  for (const std::string &place : away) std::cerr << "  " << place << " could not be asked; the errand may have ended there\n";
+  for (const std::string &place : away)
+    std::cerr << "  " << place << " could not be asked; the errand may have ended there\n";
   return away.empty() ? 1 : 3;
 }
 
 /// Plans a request against the manifest in force without sending it.
-int tell_would(const std::vector<std::string> &harbours, const std::string &token, const std::string &what, const std::string &key, const std::string &once_key) {
+int tell_would(const std::vector<std::string> &harbours, const std::string &token, const std::string &what,
+               const std::string &key, const std::string &once_key) {
   const auto space = what.find(' ');
   if (space == std::string::npos) {
     std::cerr << "logbook: --would takes \"METHOD TARGET\"\n";
@@ -84,12 +88,15 @@
     head.idempotency_key = once_key;
     const auto planned = plan_errand(**charter, 0, head, 0);
     if (const auto *fate = std::get_if<Fate>(&planned)) {
-      std::cout << "would be answered " << outcome_of(*fate).status << " " << outcome_of(*fate).reason << ", verdict " << verdict_name(outcome_of(*fate).verdict) << "\n";
+      std::cout << "would be answered " << outcome_of(*fate).status << " " << outcome_of(*fate).reason
+                << ", verdict " << verdict_name(outcome_of(*fate).verdict) << "\n";
       return 0;
     }
     const Waybill &bill = std::get<Waybill>(planned);
     const Tenant *tenant = (*charter)->tenant_named(bill.tenant);
-    std::cout << "tenant " << bill.tenant << " (base " << tenant->base << ", burst " << tenant->burst << "), rule " << bill.rule << ", service " << bill.service << (bill.is_once ? ", once" : "") << "\nsteps:";
+    std::cout << "tenant " << bill.tenant << " (base " << tenant->base << ", burst " << tenant->burst
+              << "), rule " << bill.rule << ", service " << bill.service << (bill.is_once ? ", once" : "")
+              << "\nsteps:";
     for (Step step : bill.steps) std::cout << " " << step_name(step);
     std::cout << "\nwaits at most " << bill.deadline / 1'000'000 << " ms\n";
     return 0;
--- a/programs/pilotd/main.cpp
+++ b/programs/pilotd/main.cpp
@@ -72,10 +72,17 @@
     const auto found = stories_.find(errand);
     if (found == stories_.end()) return {};
     const Reply &reply = found->second;
-    nlohmann::json root{{"errand", errand}, {"pilot", options_.http}, {"service", reply.service}, {"rule", reply.rule},
-                        {"manifest_version", reply.version}, {"runner", reply.runner}, {"reason", outcome_of(reply.fate).reason},
-                        {"verdict", verdict_name(outcome_of(reply.fate).verdict)}, {"story", nlohmann::json::array()}};
-    for (const StoryLine &line : reply.story) root["story"].push_back({{"after_us", line.after / 1000}, {"what", line.text}});
+    nlohmann::json root{{"errand", errand},
+                        {"pilot", options_.http},
+                        {"service", reply.service},
+                        {"rule", reply.rule},
+                        {"manifest_version", reply.version},
+                        {"runner", reply.runner},
+                        {"reason", outcome_of(reply.fate).reason},
+                        {"verdict", verdict_name(outcome_of(reply.fate).verdict)},
+                        {"story", nlohmann::json::array()}};
+    for (const StoryLine &line : reply.story)
+      root["story"].push_back({{"after_us", line.after / 1000}, {"what", line.text}});
     return root.dump(2) + "\n";
   }
   std::string counters_json() override {
--- a/programs/shipper/main.cpp
+++ b/programs/shipper/main.cpp
@@ -218,7 +218,8 @@
   flags.real("seconds", options.seconds_long, "How long to send");
   flags.whole("threads", options.threads, "Callers at the same time");
   flags.whole("seed", seed, "Seed of the mix");
-  flags.text("audit", audit_visits, "Compare --journal with the runners' records in this file instead of sending");
+  flags.text("audit", audit_visits,
+             "Compare --journal with the runners' records in this file instead of sending");
   const auto read_flags = flags.read(count, words);
   if (const auto *end = std::get_if<EndNow>(&read_flags)) {
     (end->code == 0 ? std::cout : std::cerr) << end->text;
--- a/tests/convoy_test.cpp
+++ b/tests/convoy_test.cpp
@@ -43,7 +43,8 @@
       Recovered &disk = seats[id].disk;
       if (save.hard) disk.hard = *save.hard;
       if (save.hard && forgets_vote) disk.hard.vote = 0;
-      if (save.cut_from != 0) std::erase_if(disk.entries, [&](const Entry &entry) { return entry.index >= save.cut_from; });
+      if (save.cut_from != 0)
+        std::erase_if(disk.entries, [&](const Entry &entry) { return entry.index >= save.cut_from; });
       disk.entries.insert(disk.entries.end(), save.append.begin(), save.append.end());
       ConvoyOutput out;
       seats[id].mate->saved(save.ticket, now, out);
@@ -93,7 +94,9 @@
   trio.take(3, std::move(again));
   trio.sync(3);
   for (const auto &[from, posted] : trio.mail)
-    if (const auto *say = std::get_if<VoteSay>(&posted.signal); say != nullptr && posted.to == 2 && say->is_granted) return true;
+    if (const auto *say = std::get_if<VoteSay>(&posted.signal);
+        say != nullptr && posted.to == 2 && say->is_granted)
+      return true;
   return false;
 }
 } // namespace
@@ -118,7 +121,10 @@
   every_order(4, [](const std::vector<std::size_t> &order) {
     Trio trio;
     trio.now += seconds(2);
-    const std::pair<NodeId, VoteAsk> asks[] = {{1, {5, 7, 0, 0, false}}, {2, {5, 7, 0, 0, false}}, {1, {5, 7, 0, 0, false}}, {2, {5, 6, 0, 0, false}}};
+    const std::pair<NodeId, VoteAsk> asks[] = {{1, {5, 7, 0, 0, false}},
+                                               {2, {5, 7, 0, 0, false}},
+                                               {1, {5, 7, 0, 0, false}},
+                                               {2, {5, 6, 0, 0, false}}};
     std::set<NodeId> granted;
     for (std::size_t at : order) {
       ConvoyOutput out;
@@ -127,7 +133,9 @@
       trio.sync(3);
     }
     for (const auto &[from, posted] : trio.mail)
-      if (const auto *say = std::get_if<VoteSay>(&posted.signal); say != nullptr && say->is_granted && say->term == 7) granted.insert(posted.to);
+      if (const auto *say = std::get_if<VoteSay>(&posted.signal);
+          say != nullptr && say->is_granted && say->term == 7)
+        granted.insert(posted.to);
     LONGS_EQUAL(1, granted.size());
   });
 }
@@ -177,7 +185,8 @@
   const NodeId other = leader == 1 ? 2 : 1;
   const std::uint64_t commit = trio.seats[other].mate->commit();
   ConvoyOutput out;
-  trio.seats[other].mate->step(leader, PictureAsk{5, trio.seats[leader].mate->term(), 0, 0, trio.now, {}, "old"}, trio.now, out);
+  trio.seats[other].mate->step(
+      leader, PictureAsk{5, trio.seats[leader].mate->term(), 0, 0, trio.now, {}, "old"}, trio.now, out);
   CHECK(!out.load.has_value());
   CHECK(trio.seats[other].mate->commit() >= commit);
 }
--- a/tests/fuzz_test.cpp
+++ b/tests/fuzz_test.cpp
@@ -10,21 +10,29 @@
 
 using namespace wharf;
 
-TEST_GROUP(Fuzz) {
-  std::string spoil(std::string text, Dice & dice) {
-    const std::uint64_t changes = 1 + dice.below(4);
-    for (std::uint64_t at = 0; at < changes && !text.empty(); ++at) {
-      const std::size_t place = dice.below(text.size());
-      switch (dice.below(4)) {
-      case 0: text[place] = static_cast<char>(dice.below(256)); break;
-      case 1: text.erase(place, 1 + dice.below(8)); break;
-      case 2: text.insert(place, text.substr(dice.below(text.size()), dice.below(16))); break;
-      default: text.resize(place); break;
-      }
-    }
-    return text;
+TEST_GROUP(Fuzz){
+    std::string spoil(std::string text, Dice &dice){const std::uint64_t changes = 1 + dice.below(4);
+for (std::uint64_t at = 0; at < changes && !text.empty(); ++at) {
+  const std::size_t place = dice.below(text.size());
+  switch (dice.below(4)) {
+  case 0:
+    text[place] = static_cast<char>(dice.below(256));
+    break;
+  case 1:
+    text.erase(place, 1 + dice.below(8));
+    break;
+  case 2:
+    text.insert(place, text.substr(dice.below(text.size()), dice.below(16)));
+    break;
+  default:
+    text.resize(place);
+    break;
   }
-};
+}
+return text;
+}
+}
+;
 
 TEST(Fuzz, frames) {
   Orders orders;
@@ -59,7 +67,8 @@
 }
 
 TEST(Fuzz, manifests) {
-  const std::string sound = R"({"tenants": {"t": {"keys": ["12345678"], "base": 5, "burst": 9}}, "services": {"s": {"image": "i", "slots": 2, "once": true}}, "rules": {"r": "GET|PUT /a/*/** for t to s weight 3"}, "limits": {"wait_most_ms": 9000}})";
+  const std::string sound =
+      R"({"tenants": {"t": {"keys": ["12345678"], "base": 5, "burst": 9}}, "services": {"s": {"image": "i", "slots": 2, "once": true}}, "rules": {"r": "GET|PUT /a/*/** for t to s weight 3"}, "limits": {"wait_most_ms": 9000}})";
   CHECK(std::holds_alternative<std::shared_ptr<const Charter>>(read_charter(sound)));
   Dice dice(3);
   int refused = 0;
@@ -79,7 +88,8 @@
   for (int round = 0; round < 20000; ++round) {
     const std::string text = spoil(sound, dice);
     const auto compiled = compile_rule("r", text);
-    if (const auto *error = std::get_if<RuleError>(&compiled)) CHECK(error->line >= 1 && error->column >= 1 && !error->what.empty());
+    if (const auto *error = std::get_if<RuleError>(&compiled))
+      CHECK(error->line >= 1 && error->column >= 1 && !error->what.empty());
   }
 }
 
@@ -92,7 +102,8 @@
     DiskShelf shelf(folder);
     shelf.open();
     Save save;
-    for (std::uint64_t index = 1; index <= 6; ++index) save.append.push_back({index, 1, 1, "entry body " + std::to_string(index)});
+    for (std::uint64_t index = 1; index <= 6; ++index)
+      save.append.push_back({index, 1, 1, "entry body " + std::to_string(index)});
     shelf.write(save);
     std::ifstream file(path, std::ios::binary);
     sound.assign(std::istreambuf_iterator<char>(file), {});
--- a/tests/purse_test.cpp
+++ b/tests/purse_test.cpp
@@ -9,19 +9,19 @@
 
 using namespace wharf;
 
-TEST_GROUP(Purse) {
-  std::uint32_t spend_all(Purse & purse, Instant now, int threads, int tries) {
-    std::atomic<std::uint32_t> spent{0};
-    std::vector<std::unique_ptr<Duty>> crew;
-    for (int at = 0; at < threads; ++at)
-      crew.push_back(std::make_unique<Duty>("spender", [&] {
-        for (int number = 0; number < tries; ++number)
-          if (purse.spend(now)) ++spent;
-      }));
-    crew.clear();
-    return spent;
-  }
-};
+TEST_GROUP(Purse){std::uint32_t spend_all(Purse & purse, Instant now, int threads,
+                                          int tries){std::atomic<std::uint32_t> spent{0};
+std::vector<std::unique_ptr<Duty>> crew;
+for (int at = 0; at < threads; ++at)
+  crew.push_back(std::make_unique<Duty>("spender", [&] {
+    for (int number = 0; number < tries; ++number)
+      if (purse.spend(now)) ++spent;
+  }));
+crew.clear();
+return spent;
+}
+}
+;
 
 TEST(Purse, it_starts_empty_and_never_gives_more_than_its_permit) {
   Purse purse(150);
@@ -52,7 +52,8 @@
         if (purse.spend(seconds(2))) ++spent;
     }));
   std::uint64_t told = 0;
-  for (std::uint64_t permit = 1; permit <= 3000; ++permit) told += purse.install({permit, 50, seconds(1), milliseconds(100), seconds(1000)}, seconds(2)).spent;
+  for (std::uint64_t permit = 1; permit <= 3000; ++permit)
+    told += purse.install({permit, 50, seconds(1), milliseconds(100), seconds(1000)}, seconds(2)).spent;
   is_over = true;
   crew.clear();
   told += purse.install({}, seconds(2)).spent;
--- a/tests/purser_test.cpp
+++ b/tests/purser_test.cpp
@@ -75,7 +75,9 @@
   std::uint32_t worst = 0, all = 0;
   for (std::size_t from = 0; from < grants.size(); ++from) {
     std::uint32_t sum = 0;
-    for (std::size_t at = from; at < grants.size() && grants[at].first < grants[from].first + seconds(5); ++at) sum += grants[at].second;
+    for (std::size_t at = from; at < grants.size() && grants[at].first < grants[from].first + seconds(5);
+         ++at)
+      sum += grants[at].second;
     worst = std::max(worst, sum);
     all += grants[from].second;
   }
@@ -154,7 +156,8 @@
   rig.pilot.tick(rig.now + milliseconds(400), out);
   for (const Posted &posted : out.mail)
     if (const auto *made = std::get_if<PermitAsk>(&posted.signal))
-      for (const PermitReturn &item : made->returns) CHECK(!(item.permit == 77 && item.is_final && item.spent == 0));
+      for (const PermitReturn &item : made->returns)
+        CHECK(!(item.permit == 77 && item.is_final && item.spent == 0));
 }
 
 TEST(Purser, a_handover_that_came_before_the_roster_is_not_acknowledged) {
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -43,8 +43,10 @@
     list.term = 1;
     list.version = version;
     list.has_manifest = true;
-    list.manifest = R"({"tenants": {")" + tenant + R"(": {"keys": [")" + key + R"("], "base": 100}}, "services": {")" + service +
-                    R"(": {"image": "i", "slots": 4, "once": true}}, "rules": {"r": "* /** to )" + service + R"("}})";
+    list.manifest = R"({"tenants": {")" + tenant + R"(": {"keys": [")" + key +
+                    R"("], "base": 100}}, "services": {")" + service +
+                    R"(": {"image": "i", "slots": 4, "once": true}}, "rules": {"r": "* /** to )" + service +
+                    R"("}})";
     list.roster.epoch = 1;
     list.roster.pilots = {rig_self, rig_other};
     list.roster.is_first = true;
