--- a/packages/berth/berth.cpp
+++ b/packages/berth/berth.cpp
@@ -352,28 +352,23 @@
     });
   const auto held = berth.granted.find(free.errand);
   if (held == berth.granted.end()) return;
-  const std::uint32_t attempt = berth.hulls[held->second].taken[free.errand].attempt;
+  Hull &hull = berth.hulls[held->second];
+  const Slot slot = hull.taken[free.errand];
   const bool is_cancel = free.runner.empty();
-  if (is_cancel ? attempt > free.attempt : (held->second != free.runner || attempt != free.attempt)) return;
-  const auto hull = berth.hulls.find(held->second);
+  if (is_cancel ? slot.attempt > free.attempt : (held->second != free.runner || slot.attempt != free.attempt))
+    return;
   const auto end = static_cast<SlotEnd>(free.end);
-  if (hull != berth.hulls.end()) {
-    if (end == SlotEnd::lost) {
-      hull->second.must_retire = true;
-      return;
-    }
-    const auto slot = hull->second.taken.find(free.errand);
-    if (slot != hull->second.taken.end()) {
-      if (end == SlotEnd::answered)
-        berth.serve_guess = (berth.serve_guess * 7 + (now - slot->second.since)) / 8;
-      hull->second.taken.erase(slot);
-    }
-    if (end == SlotEnd::unreached) {
-      hull->second.rests_until = now + options_.unreached_rest;
-      if (++hull->second.strikes >= 3) hull->second.must_retire = true;
-    } else if (end == SlotEnd::answered) {
-      hull->second.strikes = 0;
-    }
+  if (end == SlotEnd::lost) {
+    hull.must_retire = true;
+    return;
+  }
+  hull.taken.erase(free.errand);
+  if (end == SlotEnd::answered) {
+    berth.serve_guess = (berth.serve_guess * 7 + (now - slot.since)) / 8;
+    hull.strikes = 0;
+  } else if (end == SlotEnd::unreached) {
+    hull.rests_until = now + options_.unreached_rest;
+    if (++hull.strikes >= 3) hull.must_retire = true;
   }
   berth.granted.erase(held);
   serve(free.service, berth, now, out);
--- a/packages/bosun/flags.cpp
+++ b/packages/bosun/flags.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <cstdlib>
+#include <iostream>
 #include <memory>
 #include <sstream>
 
@@ -23,6 +24,11 @@
 }
 } // namespace
 
+int EndNow::say() const {
+  (code == 0 ? std::cout : std::cerr) << text;
+  return code;
+}
+
 Flags::Flags(std::string program, std::string rest) : program_(std::move(program)), rest_(std::move(rest)) {}
 
 void Flags::other(std::string name, std::function<std::string(const std::string &)> take,
--- a/packages/bosun/flags.hpp
+++ b/packages/bosun/flags.hpp
@@ -12,6 +12,8 @@
 struct EndNow {
   int code = 0;
   std::string text;
+  /// Prints the text, on standard error unless the end is a good one; the code to end with.
+  int say() const;
 };
 
 /// A tool's command line, read by popt; owns all that popt hands out.
--- a/packages/bosun/options.cpp
+++ b/packages/bosun/options.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <sstream>
 
+#include "bosun/words.hpp"
 #include "hawser/hawser.hpp"
 
 namespace wharf {
@@ -22,16 +23,6 @@
 bool is_level(std::string_view text) {
   return text == "trace" || text == "debug" || text == "info" || text == "warning" || text == "error";
 }
-std::vector<std::string> split_commas(std::string_view text) {
-  std::vector<std::string> parts;
-  while (!text.empty()) {
-    const auto comma = text.find(',');
-    parts.emplace_back(text.substr(0, comma));
-    if (comma == std::string_view::npos) break;
-    text.remove_prefix(comma + 1);
-  }
-  return parts;
-}
 bool is_seeds(std::string_view text) {
   const auto parts = split_commas(text);
   return (parts.size() == 1 || parts.size() == 3) && std::all_of(parts.begin(), parts.end(), is_address);
--- a/packages/drydock/world.cpp
+++ b/packages/drydock/world.cpp
@@ -670,9 +670,7 @@
     write_bytes(true, Json{{"tenants", {{"marker", {{"base", number + 1}}}}}}.dump(), if_match, harbour);
     return;
   }
-  const std::string old_key = "rolling-key-" + std::to_string(key_number_);
   ++key_number_;
-  key_revoked_[old_key] = {now_, 0};
   write_bytes(false, manifest_text(number, key_number_), if_match, harbour);
 }
 
@@ -764,13 +762,13 @@
   const std::string presented = key.empty() ? "key-" + tenant_name(tenant) + "-00000000" : key;
   key_of_errand_[id] = presented;
   if (!node.is_up || node.is_leaving) {
-    at(now_ + milliseconds(1), [this, id, which] { settle_call(id, nullptr, which); });
+    at(now_ + milliseconds(1), [this, id] { settle_call(id, nullptr); });
     return;
   }
-  node.waiting[id] = [this, id, which](const Reply *reply) { settle_call(id, reply, which); };
+  node.waiting[id] = [this, id](const Reply *reply) { settle_call(id, reply); };
   at(now_ + seconds(10), [this, id, which] {
     PilotNode &slow = pilots_[static_cast<std::size_t>(which)];
-    if (slow.waiting.erase(id) != 0) settle_call(id, nullptr, which);
+    if (slow.waiting.erase(id) != 0) settle_call(id, nullptr);
   });
   ErrandHead head;
   head.id = id;
@@ -797,7 +795,7 @@
   });
 }
 
-void World::settle_call(const std::string &id, const Reply *reply, int) {
+void World::settle_call(const std::string &id, const Reply *reply) {
   const auto found = calls_open_.find(id);
   if (found == calls_open_.end()) return;
   CallState state = found->second;
@@ -816,10 +814,6 @@
 }
 
 void World::judge_writes(Audit &result) const {
-  const auto fault = [&](const std::string &kind, const std::string &what) {
-    ++result.counts["fault_" + kind];
-    result.faults.push_back(kind + ": " + what);
-  };
   Version newest = 0;
   std::map<std::string, int> taken_over;
   std::set<Version> versions;
@@ -827,29 +821,30 @@
     ++result.counts["writes_" + write.outcome];
     if (write.outcome != "taken") continue;
     newest = std::max(newest, write.version);
-    if (!versions.insert(write.version).second) fault("same-version-twice", std::to_string(write.version));
-    if (!write.if_match.empty() && ++taken_over[write.if_match] > 1) fault("both-won", write.if_match);
+    if (!versions.insert(write.version).second)
+      result.add("same-version-twice", std::to_string(write.version));
+    if (!write.if_match.empty() && ++taken_over[write.if_match] > 1) result.add("both-won", write.if_match);
     result.counts["worst_write_ms"] =
         std::max<std::uint64_t>(result.counts["worst_write_ms"],
                                 static_cast<std::uint64_t>((write.answered - write.sent) / 1'000'000));
   }
   if (writes_.empty()) return;
   if (last_read_status_ != 200) {
-    fault("not-read-back", std::to_string(last_read_status_));
+    result.add("not-read-back", std::to_string(last_read_status_));
     return;
   }
   if (last_read_version_ < newest)
-    fault("read-older", std::to_string(last_read_version_) + " < " + std::to_string(newest));
+    result.add("read-older", std::to_string(last_read_version_) + " < " + std::to_string(newest));
   const Json read = Json::parse(last_read_, nullptr, false);
   const int marker = read["tenants"]["marker"].value("base", 0) - 1;
   for (const WriteRecord &write : writes_) {
     if (write.outcome == "not-taken" && write.number == marker)
-      fault("refused-took-hold", std::to_string(marker));
+      result.add("refused-took-hold", std::to_string(marker));
     if (write.outcome == "taken" && write.version == last_read_version_ && !write.is_patch &&
         write.bytes != last_read_)
-      fault("read-differs", std::to_string(marker));
+      result.add("read-differs", std::to_string(marker));
     if (write.outcome == "taken" && write.version == last_read_version_ && write.number != marker)
-      fault("read-differs", std::to_string(marker));
+      result.add("read-differs", std::to_string(marker));
   }
 }
 
@@ -881,16 +876,12 @@
   for (const VisitRecord &visit : visits_) {
     const auto key = key_of_errand_.find(visit.errand);
     if (key == key_of_errand_.end() || key->second.starts_with("key-")) continue;
-    const auto fault = [&](const std::string &kind, const std::string &what) {
-      ++result.counts["fault_" + kind];
-      result.faults.push_back(kind + ": " + what);
-    };
-    if (key->second.starts_with("never-")) fault("unheld-key-ran", key->second);
+    if (key->second.starts_with("never-")) result.add("unheld-key-ran", key->second);
     if (!revoked.contains(key->second)) revoked[key->second] = revoked_at(key->second);
     const Instant moment = revoked[key->second];
     if (moment >= 0 && visit.begun_ns > moment + milliseconds(50))
-      fault("revoked-key-ran",
-            key->second + " " + std::to_string((visit.begun_ns - moment) / 1'000'000) + " ms after");
+      result.add("revoked-key-ran",
+                 key->second + " " + std::to_string((visit.begun_ns - moment) / 1'000'000) + " ms after");
   }
 }
 
@@ -907,8 +898,7 @@
     if (counts.first * 100 < counts.second * 95) back = second + 1;
   result.counts["back_after_s"] = static_cast<std::uint64_t>(back);
   if (back > 12) {
-    ++result.counts["fault_slow-return"];
-    result.faults.push_back("slow-return: " + std::to_string(back) + " s");
+    result.add("slow-return", std::to_string(back) + " s");
   }
 }
 
@@ -926,10 +916,7 @@
     result.counts["rare_p95_ms"] = static_cast<std::uint64_t>(rare[rare.size() * 95 / 100]);
     result.counts["rare_most_ms"] = static_cast<std::uint64_t>(rare.back());
   }
-  for (const std::string &fault : raft_faults_) {
-    ++result.counts["fault_raft"];
-    result.faults.push_back("raft: " + fault);
-  }
+  for (const std::string &fault : raft_faults_) result.add("raft", fault);
   result.counts["longest_drain_ms"] = static_cast<std::uint64_t>(longest_drain_ / 1'000'000);
   if (dropped_in_drain_ > 0) {
     result.counts["fault_dropped-in-drain"] = dropped_in_drain_;
--- a/packages/drydock/world.hpp
+++ b/packages/drydock/world.hpp
@@ -185,7 +185,7 @@
   void write_next(int which);
   void carry(int pilot, const Carry &carry);
   void end_call(int pilot, std::uint64_t incarnation, CallEnd end);
-  void settle_call(const std::string &id, const Reply *reply, int pilot);
+  void settle_call(const std::string &id, const Reply *reply);
   void list_platform();
   void platform_tick();
   void operate(int which, OperatorAsk ask, int hops, std::function<void(const OperatorSay &)> then);
@@ -223,7 +223,6 @@
   Version last_read_version_ = 0;
   int last_read_status_ = 0;
   int key_number_ = 0;
-  std::map<std::string, std::pair<Instant, Instant>> key_revoked_;
   Defect defect_ = Defect::none;
   std::map<std::uint64_t, NodeId> leader_of_term_;
   std::map<std::uint64_t, std::string> committed_;
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -82,8 +82,12 @@
   return ranked.empty() ? 0 : ranked[0];
 }
 
+const Tenant *Pilot::declared(const std::string &tenant) const {
+  return in_force_.charter ? in_force_.charter->tenant_named(tenant) : nullptr;
+}
+
 double Pilot::capacity_of(const std::string &tenant) const {
-  const Tenant *found = in_force_.charter ? in_force_.charter->tenant_named(tenant) : nullptr;
+  const Tenant *found = declared(tenant);
   return found == nullptr ? 0 : static_cast<double>(found->base + found->burst);
 }
 
@@ -296,8 +300,8 @@
     }
     const std::uint32_t tenant = tenant_index(errand.bill.tenant);
     Till &till = tills_[tenant];
-    const Tenant *declared = in_force_.charter ? in_force_.charter->tenant_named(till.name) : nullptr;
-    const double base = declared == nullptr ? 0 : static_cast<double>(declared->base);
+    const Tenant *plan = declared(till.name);
+    const double base = plan == nullptr ? 0 : static_cast<double>(plan->base);
     const auto most = static_cast<std::size_t>(std::max(4.0, base * options_.silent_line_share));
     const bool is_silent = till.unanswered_since != 0 && now - till.unanswered_since > options_.silent_owner;
     if (is_silent && till.line.size() >= most) {
@@ -568,7 +572,7 @@
 }
 
 bool Pilot::spend_fallback(Till &till, Instant now) {
-  const Tenant *tenant = in_force_.charter ? in_force_.charter->tenant_named(till.name) : nullptr;
+  const Tenant *tenant = declared(till.name);
   if (tenant == nullptr || roster_.pilots.empty()) return false;
   std::size_t nodes = roster_.pilots.size();
   for (const PastRoster &past : roster_.past) nodes = std::max(nodes, past.pilots.size());
@@ -699,9 +703,8 @@
         !is_dead && state.permit != 0 && state.spent > 0 &&
         (purse->left(now) * 10 <= state.tokens * 3 || purse->dies_at() - now < milliseconds(60));
     if (is_low && till.rate * 0.15 >= 1.0 && till.deny_until <= now) ask_permit(tenant, now, out);
-    const Tenant *declared = in_force_.charter ? in_force_.charter->tenant_named(till.name) : nullptr;
-    const double refill_s =
-        declared == nullptr ? 0 : capacity_of(till.name) / static_cast<double>(declared->base);
+    const Tenant *plan = declared(till.name);
+    const double refill_s = plan == nullptr ? 0 : capacity_of(till.name) / static_cast<double>(plan->base);
     const Span idle = std::max(options_.eviction_least, static_cast<Span>(refill_s * 1e9));
     if (state.permit == 0 && till.line.empty() && now - purse->last_used() > idle) {
       rack_.evict(tenant);
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -169,6 +169,7 @@
   void serve_line(std::uint32_t tenant, Instant now, PilotOutput &out);
   void tend_till(std::uint32_t tenant, Instant now, PilotOutput &out);
   bool spend_fallback(Till &till, Instant now);
+  const Tenant *declared(const std::string &tenant) const;
   double capacity_of(const std::string &tenant) const;
   NodeId owner_of(const std::string &name, std::uint64_t salt) const;
   void send_pulse(Instant now, PilotOutput &out);
--- a/packages/surveyor/surveyor.hpp
+++ b/packages/surveyor/surveyor.hpp
@@ -30,6 +30,11 @@
 struct Audit {
   std::map<std::string, std::uint64_t> counts;
   std::vector<std::string> faults;
+  /// Counts a fault of a kind and lists it.
+  void add(const std::string &kind, const std::string &what) {
+    ++counts["fault_" + kind];
+    faults.push_back(kind + ": " + what);
+  }
 };
 
 std::vector<CallRecord> read_calls(const std::string &lines);
--- a/programs/dockyard/main.cpp
+++ b/programs/dockyard/main.cpp
@@ -403,10 +403,7 @@
   flags.whole("boot-ms", options.boot_ms, "How long a runner boots");
   flags.whole("late-ms", options.late_ms, "How late lists are");
   const auto read_flags = flags.read(count, words);
-  if (const auto *end = std::get_if<EndNow>(&read_flags)) {
-    (end->code == 0 ? std::cout : std::cerr) << end->text;
-    return end->code;
-  }
+  if (const auto *end = std::get_if<EndNow>(&read_flags)) return end->say();
   catch_stops();
   Yard yard(options);
   return yard.run();
--- a/programs/drydock/main.cpp
+++ b/programs/drydock/main.cpp
@@ -77,10 +77,7 @@
   flags.text("trace", sweep.trace,
              "Errand, runner, service, tenant or reason whose records are printed; 'mates' for the group");
   const auto read_flags = flags.read(count, words);
-  if (const auto *end = std::get_if<EndNow>(&read_flags)) {
-    (end->code == 0 ? std::cout : std::cerr) << end->text;
-    return end->code;
-  }
+  if (const auto *end = std::get_if<EndNow>(&read_flags)) return end->say();
   sweep.defect = static_cast<Defect>(defect);
   for (const Scenario &scenario : all_scenarios()) {
     if (!name.empty() && scenario.name != name) continue;
--- a/programs/fleet/main.cpp
+++ b/programs/fleet/main.cpp
@@ -8,13 +8,13 @@
 #include <memory>
 #include <netinet/in.h>
 #include <nlohmann/json.hpp>
-#include <sstream>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include "bosun/door.hpp"
 #include "bosun/flags.hpp"
+#include "bosun/words.hpp"
 #include "hawser/hawser.hpp"
 
 namespace {
@@ -346,10 +346,8 @@
     const pid_t pid = spawn(control({"get"}), options_.folder + "/read-back.json");
     int state = 0;
     waitpid(pid, &state, 0);
-    std::ostringstream sent, read;
-    sent << std::ifstream(manifest_).rdbuf();
-    read << std::ifstream(options_.folder + "/read-back.json").rdbuf();
-    return sent.str() == read.str();
+    const auto sent = slurp(manifest_);
+    return sent && sent == slurp(options_.folder + "/read-back.json");
   }
 
   bool wait_pilots() {
@@ -429,10 +427,7 @@
   flags.whole("seed", options.seed, "Seed of the storm");
   flags.mark("stay", options.must_stay, "Keep the deployment up afterwards");
   const auto read_flags = flags.read(count, words);
-  if (const auto *end = std::get_if<EndNow>(&read_flags)) {
-    (end->code == 0 ? std::cout : std::cerr) << end->text;
-    return end->code;
-  }
+  if (const auto *end = std::get_if<EndNow>(&read_flags)) return end->say();
   options.binaries = fs::canonical("/proc/self/exe").parent_path();
   const bool is_own_folder = options.folder.empty();
   if (is_own_folder)
--- a/programs/logbook/main.cpp
+++ b/programs/logbook/main.cpp
@@ -1,10 +1,10 @@
 #include <httplib.h>
 #include <iostream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
 #include "bosun/door.hpp"
 #include "bosun/flags.hpp"
+#include "bosun/words.hpp"
 #include "hawser/hawser.hpp"
 #include "pilot/waybill.hpp"
 
@@ -12,13 +12,6 @@
 using namespace wharf;
 using Json = nlohmann::json;
 
-std::vector<std::string> split_list(const std::string &text) {
-  std::vector<std::string> parts;
-  std::stringstream list(text);
-  for (std::string item; std::getline(list, item, ',');) parts.push_back(item);
-  return parts;
-}
-
 struct Heard {
   int status = 0;
   std::string body;
@@ -118,15 +111,12 @@
   flags.text("once-key", once_key, "The caller's Idempotency-Key, for --would");
   flags.mark("json", is_json, "Print what the pilot said");
   const auto read_flags = flags.read(count, words);
-  if (const auto *end = std::get_if<EndNow>(&read_flags)) {
-    (end->code == 0 ? std::cout : std::cerr) << end->text;
-    return end->code;
-  }
+  if (const auto *end = std::get_if<EndNow>(&read_flags)) return end->say();
   const auto &rest = std::get<std::vector<std::string>>(read_flags);
-  if (!would.empty()) return tell_would(split_list(harbours), token, would, key, once_key);
+  if (!would.empty()) return tell_would(split_commas(harbours), token, would, key, once_key);
   if (rest.size() != 1 || pilots.empty()) {
     std::cerr << "logbook: --pilots and one errand, or --would, are needed; see --help\n";
     return 2;
   }
-  return tell_story(split_list(pilots), rest[0], is_json);
+  return tell_story(split_commas(pilots), rest[0], is_json);
 }
--- a/programs/pilotd/main.cpp
+++ b/programs/pilotd/main.cpp
@@ -202,10 +202,7 @@
 
 int main(int count, char **words) {
   auto read = read_launch(ProgramKind::pilotd, count, words);
-  if (const auto *end = std::get_if<EndNow>(&read)) {
-    (end->code == 0 ? std::cout : std::cerr) << end->text;
-    return end->code;
-  }
+  if (const auto *end = std::get_if<EndNow>(&read)) return end->say();
   const ProcessOptions options = std::get<Launch>(read).options;
   start_log("pilotd", options.log_level);
   catch_stops();
--- a/programs/shipper/main.cpp
+++ b/programs/shipper/main.cpp
@@ -6,6 +6,7 @@
 
 #include "bosun/door.hpp"
 #include "bosun/flags.hpp"
+#include "bosun/words.hpp"
 #include "hawser/hawser.hpp"
 #include "seal/seal.hpp"
 #include "surveyor/surveyor.hpp"
@@ -21,14 +22,6 @@
   bool is_once = false;
 };
 
-std::optional<std::string> slurp(const std::string &path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) return std::nullopt;
-  std::ostringstream bytes;
-  bytes << file.rdbuf();
-  return bytes.str();
-}
-
 /// Fills `{low-high}` with a number from that range, as wide as `low` is written.
 std::string fill(std::string_view pattern, Dice &dice) {
   std::string text;
@@ -221,10 +214,7 @@
   flags.text("audit", audit_visits,
              "Compare --journal with the runners' records in this file instead of sending");
   const auto read_flags = flags.read(count, words);
-  if (const auto *end = std::get_if<EndNow>(&read_flags)) {
-    (end->code == 0 ? std::cout : std::cerr) << end->text;
-    return end->code;
-  }
+  if (const auto *end = std::get_if<EndNow>(&read_flags)) return end->say();
   const auto bytes = slurp(manifest);
   auto read = read_charter(bytes.value_or(""));
   const auto *charter = std::get_if<std::shared_ptr<const Charter>>(&read);
@@ -243,8 +233,7 @@
   std::vector<std::pair<std::string, std::string>> keys;
   for (const Tenant &tenant : (*charter)->tenants)
     for (const std::string &key : tenant.keys) keys.emplace_back(tenant.name, key);
-  std::stringstream list(pilots);
-  for (std::string item; std::getline(list, item, ',');) options.pilots.push_back(item);
+  options.pilots = split_commas(pilots);
   if (mix.empty() || keys.empty() || options.pilots.empty()) {
     std::cerr << "shipper: --pilots, --mix and a manifest with keys are needed\n";
     return 2;
--- a/programs/wharfctl/main.cpp
+++ b/programs/wharfctl/main.cpp
@@ -7,6 +7,7 @@
 
 #include "bosun/door.hpp"
 #include "bosun/flags.hpp"
+#include "bosun/words.hpp"
 #include "charter/charter.hpp"
 #include "hawser/hawser.hpp"
 
@@ -143,13 +144,6 @@
   return Exit::unknown;
 }
 
-std::optional<std::string> slurp(const std::string &path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) return std::nullopt;
-  std::ostringstream bytes;
-  bytes << file.rdbuf();
-  return bytes.str();
-}
 } // namespace
 
 int main(int count, char **words) {
@@ -162,14 +156,10 @@
   flags.mark("json", control.is_json, "Print what the API said");
   flags.whole("seconds", control.seconds_long, "How long to try or wait");
   const auto read_flags = flags.read(count, words);
-  if (const auto *end = std::get_if<EndNow>(&read_flags)) {
-    (end->code == 0 ? std::cout : std::cerr) << end->text;
-    return end->code;
-  }
+  if (const auto *end = std::get_if<EndNow>(&read_flags)) return end->say();
   const auto &rest = std::get<std::vector<std::string>>(read_flags);
   const std::string verb = rest.empty() ? "" : rest[0], file = rest.size() < 2 ? "" : rest[1];
-  std::stringstream list(places);
-  for (std::string item; std::getline(list, item, ',');) control.places.push_back(item);
+  control.places = split_commas(places);
 
   if (verb == "options") {
     std::cout << describe_options();
