Take over on proof that a pilot ended; never replay an answer that is not whole

A purser was replaced only when silence and its 2 s permit had run out, and a successor that knew nothing began one second in debt. A new pilot at an address proves that the one before there has ended; rosters keep addresses, pulses name whom they replace, and time since then pays the debt. Pursers and stevedores act 1.2 s on a permit, and tenants evidently within their allowance wait up to 1.5 s for a permit instead of being refused. Ruled out: asking all pilots what they spent (the dead cannot answer). 2. A once answer above 64 KiB was kept without its body and replayed so. A picture above the frame limit could never reach a mate. It goes in parts of 1 MiB, and again from the start after a restart in its middle. 4. If-Match v0 and patches on no manifest were not bound: two could both win.

--- a/packages/charter/charter.cpp
+++ b/packages/charter/charter.cpp
@@ -191,6 +191,10 @@
   reader.only(value, path, {WHARF_LIMIT_OPTIONS(WHARF_NAME_NUMBER, WHARF_NAME_FLAG, WHARF_NAME_TEXT)});
   if (item.wait_default_ms > item.wait_most_ms)
     reader.fault(path + ".wait_default_ms", "is above wait_most_ms");
+  if (item.claim_keep_s * 1000 < item.wait_most_ms * 2)
+    reader.fault(path + ".claim_keep_s", "must be at least twice wait_most_ms");
+  if (item.unknown_keep_s < item.claim_keep_s)
+    reader.fault(path + ".unknown_keep_s", "is below claim_keep_s");
 }
 
 template <typename Item, typename ReadItem>
--- a/packages/charter/options.hpp
+++ b/packages/charter/options.hpp
@@ -21,4 +21,5 @@
   NUMBER(wait_most_ms, 30000, 50, 600000, "The longest a caller may say it waits.")                          \
   NUMBER(body_most_bytes, 1048576, 0, 16777216, "The largest body an errand or an answer may have.")         \
   NUMBER(pending_most, 256, 1, 100000, "Errands one service may hold pending.")                              \
-  NUMBER(claim_keep_s, 900, 60, 86400, "Seconds the record of a once errand is kept after it ended.")
+  NUMBER(claim_keep_s, 900, 60, 86400, "Seconds the answer of a once errand is kept after it ended.")        \
+  NUMBER(unknown_keep_s, 86400, 900, 604800, "Seconds a once errand with no known end blocks its repeats.")
--- a/packages/convoy/convoy.cpp
+++ b/packages/convoy/convoy.cpp
@@ -216,13 +216,21 @@
 void Convoy::send_append(NodeId to, Instant now, ConvoyOutput &out) {
   Progress &progress = progress_[to];
   if (progress.next <= base_.index) {
-    if (progress.pictured != 0 && now - progress.pictured < seconds(1)) {
+    if (progress.picture_index != base_.index) {
+      progress.picture_index = base_.index;
+      progress.picture_held = 0;
+      progress.pictured = 0;
+    }
+    if (progress.pictured != 0 && now - progress.pictured < options_.picture_again) {
       out.mail.push_back({to, {}, AppendAsk{hard_.group, hard_.term, base_.index, base_.term, 0, now, {}}});
       return;
     }
     progress.pictured = now;
-    out.mail.push_back(
-        {to, {}, PictureAsk{hard_.group, hard_.term, base_.index, base_.term, now, base_.mates, base_.body}});
+    PictureAsk part{hard_.group, hard_.term, base_.index, base_.term, now, base_.mates, {}, 0, 0};
+    part.offset = std::min<std::uint64_t>(progress.picture_held, base_.body.size());
+    part.total = base_.body.size();
+    part.body = base_.body.substr(part.offset, options_.picture_part);
+    out.mail.push_back({to, {}, std::move(part)});
     return;
   }
   AppendAsk ask{hard_.group, hard_.term, progress.next - 1, term_at(progress.next - 1), commit_, now, {}};
@@ -353,6 +361,8 @@
     handle(from, *taken, now, out);
   else if (const auto *picture = std::get_if<PictureAsk>(&signal))
     handle(from, *picture, now, out);
+  else if (const auto *held = std::get_if<PictureSay>(&signal))
+    handle(from, *held, now, out);
   finish(now, out);
 }
 
@@ -464,6 +474,20 @@
     send_append(from, now, out);
 }
 
+void Convoy::handle(NodeId from, const PictureSay &say, Instant now, ConvoyOutput &out) {
+  const auto found = progress_.find(from);
+  if (!is_leader() || say.group != hard_.group || say.term != hard_.term || found == progress_.end()) return;
+  Progress &progress = found->second;
+  progress.heard = now;
+  progress.acked = std::max(progress.acked, say.sent_at);
+  if (say.index != base_.index || progress.next > base_.index) return;
+  const bool has_grown = say.held > progress.picture_held;
+  progress.picture_held = say.held;
+  if (!has_grown) return;
+  progress.pictured = 0;
+  send_append(from, now, out);
+}
+
 void Convoy::handle(NodeId from, const PictureAsk &ask, Instant now, ConvoyOutput &out) {
   if (ask.group != hard_.group || ask.term < hard_.term) return;
   follow(ask.term, from, now, out);
@@ -476,8 +500,17 @@
         {from, {}, AppendSay{hard_.group, hard_.term, std::min(synced_, commit_), true, ask.sent_at}});
     return;
   }
+  if (arriving_.index != ask.index || arriving_.term != ask.last_term)
+    arriving_ = {ask.index, ask.last_term, {}, {}};
+  if (ask.offset == arriving_.body.size()) arriving_.body += ask.body;
+  if (arriving_.body.size() < ask.total) {
+    out.mail.push_back(
+        {from, {}, PictureSay{hard_.group, hard_.term, ask.index, arriving_.body.size(), ask.sent_at}});
+    return;
+  }
   log_.clear();
-  base_ = Picture{ask.index, ask.last_term, ask.mates, ask.body};
+  base_ = Picture{ask.index, ask.last_term, ask.mates, std::move(arriving_.body)};
+  arriving_ = {};
   commit_ = delivered_ = verified_ = ask.index;
   synced_ = 0;
   remember_mates();
--- a/packages/convoy/convoy.hpp
+++ b/packages/convoy/convoy.hpp
@@ -60,6 +60,8 @@
   Span disk_patience = milliseconds(1500);
   std::size_t batch_entries = 256;
   std::size_t batch_bytes = 1u << 20;
+  std::size_t picture_part = 1u << 20;
+  Span picture_again = milliseconds(500);
 };
 
 /// One mate of our Raft group, as a pure state machine: input and time in; mail and saves out.
@@ -110,6 +112,7 @@
   struct Progress {
     std::uint64_t next = 1, match = 0;
     Instant acked = 0, heard = 0, pictured = 0, stepped_back = 0;
+    std::uint64_t picture_index = 0, picture_held = 0;
   };
   struct Waiting {
     std::uint64_t ticket = 0, last_index = 0, last_term = 0;
@@ -124,6 +127,7 @@
   void handle(NodeId from, const AppendAsk &ask, Instant now, ConvoyOutput &out);
   void handle(NodeId from, const AppendSay &say, Instant now, ConvoyOutput &out);
   void handle(NodeId from, const PictureAsk &ask, Instant now, ConvoyOutput &out);
+  void handle(NodeId from, const PictureSay &say, Instant now, ConvoyOutput &out);
 
   void follow(std::uint64_t term, NodeId leader, Instant now, ConvoyOutput &out);
   void campaign(bool is_trial, Instant now, ConvoyOutput &out);
@@ -146,7 +150,7 @@
   ConvoyOptions options_;
   Dice dice_;
   HardState hard_;
-  Picture base_;
+  Picture base_, arriving_;
   std::deque<Entry> log_;
   std::vector<Mate> mates_;
   std::uint64_t mates_index_ = 0;
--- a/packages/gangway/gangway.cpp
+++ b/packages/gangway/gangway.cpp
@@ -158,7 +158,9 @@
     }
     const bool is_replay = reply.fate == Fate::replayed;
     response.status = is_replay ? reply.status : returned.status;
-    if (!is_replay)
+    if (is_replay)
+      for (const KeptHeader &header : reply.headers) response.headers.emplace(header.name, header.value);
+    else
       for (const auto &[name, value] : returned.headers)
         if (!is_own_header(name) && lower_of(name) != "content-type") response.headers.emplace(name, value);
     const std::string &type = is_replay ? reply.type : returned.type;
--- a/packages/harbour/harbour.cpp
+++ b/packages/harbour/harbour.cpp
@@ -68,6 +68,7 @@
   if (is_leader == was_leader_) return;
   was_leader_ = is_leader;
   seats_.clear();
+  ended_.clear();
   notes_.clear();
   views_.clear();
   ++views_stamp_;
@@ -170,7 +171,7 @@
       absorb(std::move(step), now, out);
     }
   } else if (const auto *pulse = std::get_if<Pulse>(&signal)) {
-    answer_pulse(envelope.from, *pulse, now, out);
+    answer_pulse(envelope, *pulse, now, out);
   } else if (const auto *claim = std::get_if<ClaimAsk>(&signal)) {
     const auto index =
         is_leading() ? propose(PutClaim{claim->key, claim->errand, claim->digest}, now, out) : std::nullopt;
@@ -227,12 +228,44 @@
   absorb(std::move(step), now, out);
 }
 
-void Harbour::answer_pulse(NodeId from, const Pulse &pulse, Instant now, HarbourOutput &out) {
+std::string Harbour::address_of_pilot(NodeId pilot) const {
+  const auto seat = seats_.find(pilot);
+  if (seat != seats_.end()) return seat->second.address;
+  const Roster &roster = registry_.roster();
+  for (std::size_t at = 0; at < roster.pilots.size() && at < roster.addresses.size(); ++at)
+    if (roster.pilots[at] == pilot) return roster.addresses[at];
+  return {};
+}
+
+Span Harbour::quiet_for(Instant now) const {
+  Instant last = 0;
+  for (const PastRoster &past : registry_.roster().past)
+    for (NodeId pilot : past.pilots) {
+      const auto found = ended_.find(pilot);
+      if (found == ended_.end()) return 0;
+      last = std::max(last, found->second);
+    }
+  return last == 0 ? 0 : std::max<Span>(0, now - last);
+}
+
+void Harbour::answer_pulse(const Envelope &envelope, const Pulse &pulse, Instant now, HarbourOutput &out) {
+  const NodeId from = envelope.from;
   if (!is_leading()) {
     out.mail.push_back({from, {}, NotLeader{convoy_.leader()}});
     return;
   }
+  if (ended_.contains(from)) return;
+  for (NodeId ended : pulse.replaces) {
+    if (ended == from) continue;
+    const Instant moment = now - std::min(now, pulse.up_for);
+    const auto [found, is_new] = ended_.emplace(ended, moment);
+    found->second = std::min(found->second, moment);
+    if (!is_new) continue;
+    seats_.erase(ended);
+    settle_at_ = now;
+  }
   Seat &seat = seats_[from];
+  seat.address = envelope.from_address;
   seat.last_pulse = now;
   seat.last_sent_at = std::max(seat.last_sent_at, pulse.sent_at);
   seat.version = std::max(seat.version, pulse.version);
@@ -250,6 +283,7 @@
   Orders orders = orders_for(seat, now);
   orders.sent_at = pulse.sent_at;
   seat.permit_until = now + options_.fresh + options_.drift;
+  seat.duty_until = now + options_.duty + options_.drift;
   out.mail.push_back({from, {}, std::move(orders)});
   settle_writes(now, out);
 }
@@ -265,6 +299,7 @@
   }
   orders.roster = registry_.roster();
   orders.settled = settled_epoch(now);
+  orders.quiet = quiet_for(now);
   if (platform_at_ != 0 && seat.stamp != views_stamp_) {
     orders.has_runners = true;
     orders.runners_stamp = views_stamp_;
@@ -294,7 +329,7 @@
   if (!is_leading() || now < floor_) return 0;
   Epoch lowest = registry_.roster().epoch;
   for (const auto &[pilot, seat] : seats_)
-    if (seat.permit_until > now) lowest = std::min(lowest, seat.epoch);
+    if (seat.duty_until > now) lowest = std::min(lowest, seat.epoch);
   return lowest;
 }
 
@@ -380,10 +415,11 @@
   PutManifest put;
   put.write_id = ask.write_id;
   put.base = registry_.version();
-  bool is_bound = ask.verb == OperatorVerb::patch_manifest;
-  if (!ask.if_match.empty() && ask.if_match != "*") {
-    const auto version = version_of_tag(ask.if_match);
-    if (!version || *version != registry_.version()) {
+  put.is_bound = ask.verb == OperatorVerb::patch_manifest;
+  if (!ask.if_match.empty()) {
+    const bool is_any = ask.if_match == "*";
+    const auto version = is_any ? std::optional<Version>(registry_.version()) : version_of_tag(ask.if_match);
+    if (!version || *version != registry_.version() || (is_any && *version == 0)) {
       OperatorSay say{ask.ticket, 412, registry_.version(), {}, {}};
       say.body = Json{{"outcome", "not-taken"},
                       {"why", "another version is in force"},
@@ -393,7 +429,7 @@
       out.answers.push_back(std::move(say));
       return;
     }
-    is_bound = true;
+    put.is_bound = put.is_bound || !is_any;
   }
   put.bytes = ask.body;
   std::optional<CharterErrors> errors;
@@ -413,7 +449,6 @@
         {ask.ticket, errors->is_syntax ? 400 : 422, registry_.version(), faults_json(errors->faults), {}});
     return;
   }
-  if (!is_bound || put.base == 0) put.base = 0;
   Proposal proposal;
   proposal.term = convoy_.term();
   proposal.operator_ticket = ask.ticket;
@@ -569,7 +604,7 @@
     if (!seat.is_leaving && now - seat.last_pulse < options_.pilot_silence) wanted.push_back(pilot);
   if (now - convoy_.led_since() < options_.pilot_silence)
     for (NodeId pilot : roster.pilots)
-      if (!seats_.contains(pilot)) wanted.push_back(pilot);
+      if (!seats_.contains(pilot) && !ended_.contains(pilot)) wanted.push_back(pilot);
   std::sort(wanted.begin(), wanted.end());
   if (wanted == roster.pilots || wanted.empty()) {
     roster_differs_since_ = 0;
@@ -580,7 +615,9 @@
   const std::size_t count = wanted.size();
   is_roster_proposed_ = true;
   roster_index_ = convoy_.last_index() + 1;
-  if (!propose(PutRoster{std::move(wanted)}, now, out))
+  std::vector<std::string> addresses;
+  for (NodeId pilot : wanted) addresses.push_back(address_of_pilot(pilot));
+  if (!propose(PutRoster{std::move(wanted), std::move(addresses)}, now, out))
     is_roster_proposed_ = false;
   else
     out.lines.push_back("roster of " + std::to_string(count) + " pilots");
--- a/packages/harbour/harbour.hpp
+++ b/packages/harbour/harbour.hpp
@@ -70,8 +70,10 @@
 struct HarbourOptions {
   ConvoyOptions convoy;
   Span fresh = seconds(2);
+  /// How long a pilot may act as purser or stevedore on one permit; shorter, so that successors start sooner.
+  Span duty = milliseconds(1200);
   Span drift = milliseconds(100);
-  Span pilot_silence = milliseconds(1500);
+  Span pilot_silence = milliseconds(1100);
   Span enrol_gather = milliseconds(300);
   Span voter_silence = seconds(3);
   Span learner_silence = seconds(15);
@@ -109,11 +111,12 @@
 
 private:
   struct Seat {
-    Instant permit_until = 0, last_pulse = 0, last_sent_at = 0;
+    Instant permit_until = 0, duty_until = 0, last_pulse = 0, last_sent_at = 0;
     Version version = 0;
     Epoch epoch = 0;
     std::uint64_t stamp = 0;
     bool is_leaving = false;
+    std::string address;
     std::map<std::string, Want> wants;
   };
   struct Proposal {
@@ -142,7 +145,10 @@
   void apply(const Entry &entry, Instant now, HarbourOutput &out);
   std::optional<std::uint64_t> propose(const Command &command, Instant now, HarbourOutput &out);
   void lead_changed(Instant now, HarbourOutput &out);
-  void answer_pulse(NodeId from, const Pulse &pulse, Instant now, HarbourOutput &out);
+  void answer_pulse(const Envelope &envelope, const Pulse &pulse, Instant now, HarbourOutput &out);
+  /// How long ago all pilots of earlier rosters had provably ended; 0 when some may still act.
+  Span quiet_for(Instant now) const;
+  std::string address_of_pilot(NodeId pilot) const;
   Orders orders_for(const Seat &seat, Instant now) const;
   void push_orders(Instant now, HarbourOutput &out);
   Version settled_version(Instant now) const;
@@ -176,6 +182,8 @@
   bool was_leader_ = false;
   Instant floor_ = 0;
   std::map<NodeId, Seat> seats_;
+  /// Pilots that ended before another began at their address, and when at the latest.
+  std::map<NodeId, Instant> ended_;
   std::map<std::uint64_t, Proposal> proposals_;
   std::vector<WaitingWrite> writes_;
   std::vector<WaitingRead> reads_;
--- a/packages/harbour/registry.cpp
+++ b/packages/harbour/registry.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t writes_kept = 256;
 constexpr std::size_t past_kept = 12;
 constexpr std::size_t claims_most = 400'000;
+constexpr std::size_t answer_bytes_most = 32u << 20;
 constexpr std::int64_t release_keep_ms = 120'000;
 
 struct PackCommand {
@@ -27,10 +28,10 @@
   std::map<std::string, RunnerRecord> runners;
   std::map<std::string, ClaimRecord> claims;
   std::map<std::string, std::int64_t> released;
-  std::int64_t clock_ms = 0, claim_keep_ms = 0;
+  std::int64_t clock_ms = 0, claim_keep_ms = 0, unknown_keep_ms = 0;
   std::uint64_t next_runner = 1;
   WHARF_CARRY(secret, manifest, version, write_ids, write_versions, roster, runners, claims, released,
-              clock_ms, claim_keep_ms, next_runner)
+              clock_ms, claim_keep_ms, unknown_keep_ms, next_runner)
 };
 } // namespace
 
@@ -42,6 +43,12 @@
   return !bytes.empty() && unpack_choice(static_cast<unsigned char>(bytes[0]), bytes.substr(1), command);
 }
 
+std::size_t ClaimRecord::answer_bytes() const {
+  std::size_t bytes = type.size() + body.size();
+  for (const KeptHeader &header : headers) bytes += header.name.size() + header.value.size();
+  return bytes;
+}
+
 Applied Registry::apply(const Command &command) {
   return std::visit([this](const auto &one) { return apply_one(one); }, command);
 }
@@ -65,15 +72,18 @@
       return applied;
     }
   }
-  if (command.base != 0 && command.base != version_) {
+  if (command.is_bound && command.base != version_) {
     applied.is_taken = false;
     applied.version = version_;
     return applied;
   }
   manifest_ = command.bytes;
   applied.version = ++version_;
-  if (auto read = read_charter(manifest_); auto *charter = std::get_if<std::shared_ptr<const Charter>>(&read))
+  if (auto read = read_charter(manifest_);
+      auto *charter = std::get_if<std::shared_ptr<const Charter>>(&read)) {
     claim_keep_ms_ = (*charter)->limits.claim_keep_s * 1000;
+    unknown_keep_ms_ = (*charter)->limits.unknown_keep_s * 1000;
+  }
   if (!command.write_id.empty()) {
     writes_.emplace_back(command.write_id, version_);
     if (writes_.size() > writes_kept) writes_.pop_front();
@@ -83,12 +93,13 @@
 
 Applied Registry::apply_one(const PutRoster &command) {
   if (roster_.epoch != 0) {
-    roster_.past.push_back({roster_.epoch, roster_.pilots});
+    roster_.past.push_back({roster_.epoch, roster_.pilots, roster_.addresses});
     if (roster_.past.size() > past_kept) roster_.past.erase(roster_.past.begin());
   }
   roster_.is_first = roster_.epoch == 0;
   ++roster_.epoch;
   roster_.pilots = command.pilots;
+  roster_.addresses = command.addresses;
   return {};
 }
 
@@ -139,6 +150,7 @@
     say.status = record.status;
     say.type = record.type;
     say.body = record.body;
+    say.headers = record.headers;
   }
   return applied;
 }
@@ -156,26 +168,44 @@
   }
   if (!is_ours) return {};
   ClaimRecord &record = found->second;
-  record.state =
-      static_cast<std::uint8_t>(closed_as == ClosedAs::run ? ClaimState::recorded : ClaimState::unknown);
-  record.status = close.status;
-  record.type = close.type;
-  record.body = close.body;
   record.touched_ms = clock_ms_;
+  if (closed_as != ClosedAs::run) {
+    record.state = static_cast<std::uint8_t>(ClaimState::unknown);
+    return {};
+  }
+  ClaimRecord kept = record;
+  kept.state = static_cast<std::uint8_t>(ClaimState::recorded);
+  kept.status = close.status;
+  kept.type = close.type;
+  kept.body = close.body;
+  kept.headers = close.headers;
+  if (!close.is_whole || answer_bytes_ + kept.answer_bytes() > answer_bytes_most) {
+    record.state = static_cast<std::uint8_t>(ClaimState::not_kept);
+    return {};
+  }
+  answer_bytes_ += kept.answer_bytes();
+  record = std::move(kept);
   return {};
 }
 
 Applied Registry::apply_one(const PutClock &command) {
   clock_ms_ += std::max<std::int64_t>(0, command.elapsed_ms);
-  std::erase_if(claims_,
-                [this](const auto &item) { return clock_ms_ - item.second.touched_ms > claim_keep_ms_; });
+  std::erase_if(claims_, [this](const auto &item) {
+    const auto state = static_cast<ClaimState>(item.second.state);
+    const bool has_end = state == ClaimState::recorded || state == ClaimState::not_kept;
+    const std::int64_t keep_ms = has_end ? claim_keep_ms_ : std::max(claim_keep_ms_, unknown_keep_ms_);
+    const bool is_over = clock_ms_ - item.second.touched_ms > keep_ms;
+    if (is_over) answer_bytes_ -= item.second.answer_bytes();
+    return is_over;
+  });
   std::erase_if(released_, [this](const auto &item) { return clock_ms_ - item.second > release_keep_ms; });
   return {};
 }
 
 std::string Registry::picture() const {
-  State state{secret_,   manifest_, version_,       {},          {}, roster_, runners_, claims_,
-              released_, clock_ms_, claim_keep_ms_, next_runner_};
+  State state{secret_,        manifest_,        version_,    {},        {},
+              roster_,        runners_,         claims_,     released_, clock_ms_,
+              claim_keep_ms_, unknown_keep_ms_, next_runner_};
   for (const auto &[id, version] : writes_) {
     state.write_ids.push_back(id);
     state.write_versions.push_back(version);
@@ -195,9 +225,12 @@
   roster_ = state.roster;
   runners_ = state.runners;
   claims_ = state.claims;
+  answer_bytes_ = 0;
+  for (const auto &[key, record] : claims_) answer_bytes_ += record.answer_bytes();
   released_ = state.released;
   clock_ms_ = state.clock_ms;
   if (state.claim_keep_ms != 0) claim_keep_ms_ = state.claim_keep_ms;
+  if (state.unknown_keep_ms != 0) unknown_keep_ms_ = state.unknown_keep_ms;
   next_runner_ = state.next_runner;
   return true;
 }
--- a/packages/harbour/registry.hpp
+++ b/packages/harbour/registry.hpp
@@ -13,15 +13,17 @@
   std::string secret;
   WHARF_CARRY(secret)
 };
-/// Takes a manifest; `base` is the version it must replace, or 0 for whichever.
+/// Takes a manifest; a bound one only in place of version `base`, which is 0 when there is none yet.
 struct PutManifest {
   std::string bytes, write_id;
   Version base = 0;
-  WHARF_CARRY(bytes, write_id, base)
+  bool is_bound = false;
+  WHARF_CARRY(bytes, write_id, base, is_bound)
 };
 struct PutRoster {
   std::vector<NodeId> pilots;
-  WHARF_CARRY(pilots)
+  std::vector<std::string> addresses;
+  WHARF_CARRY(pilots, addresses)
 };
 /// A runner as the group has decided on it.
 struct RunnerRecord {
@@ -65,7 +67,10 @@
   std::uint8_t state = 0;
   std::int32_t status = 0;
   std::int64_t touched_ms = 0;
-  WHARF_CARRY(errand, digest, type, body, state, status, touched_ms)
+  std::vector<KeptHeader> headers;
+  WHARF_CARRY(errand, digest, type, body, state, status, touched_ms, headers)
+  /// Bytes of the answer kept here.
+  std::size_t answer_bytes() const;
 };
 
 /// The replicated state: the same commands in the same order give the same state on every mate.
@@ -86,6 +91,7 @@
   /// The version an operator's write already became, or 0.
   Version version_of_write(const std::string &write_id) const;
   void set_claim_keep(std::int64_t keep_ms) { claim_keep_ms_ = keep_ms; }
+  std::size_t answer_bytes() const { return answer_bytes_; }
   std::uint64_t next_runner() const { return next_runner_; }
 
 private:
@@ -104,7 +110,8 @@
   std::map<std::string, RunnerRecord> runners_;
   std::map<std::string, ClaimRecord> claims_;
   std::map<std::string, std::int64_t> released_;
-  std::int64_t clock_ms_ = 0, claim_keep_ms_ = 900'000;
+  std::size_t answer_bytes_ = 0;
+  std::int64_t clock_ms_ = 0, claim_keep_ms_ = 900'000, unknown_keep_ms_ = 86'400'000;
   std::uint64_t next_runner_ = 1;
 };
 
--- a/packages/hold/shelf.cpp
+++ b/packages/hold/shelf.cpp
@@ -17,8 +17,8 @@
 
 namespace {
 namespace fs = std::filesystem;
-constexpr std::string_view segment_mark = "WHJSEG01";
-constexpr std::string_view file_mark = "WHJFIL01";
+constexpr std::string_view segment_mark = "WHJSEG02";
+constexpr std::string_view file_mark = "WHJFIL02";
 constexpr std::size_t segment_limit = 8u << 20;
 
 std::string record(char kind, std::string_view body) {
--- a/packages/lighter/lighter.cpp
+++ b/packages/lighter/lighter.cpp
@@ -1,6 +1,7 @@
 #include "lighter/lighter.hpp"
 
 #include <algorithm>
+#include <strings.h>
 
 #include "hawser/hawser.hpp"
 #include "seal/seal.hpp"
@@ -129,6 +130,9 @@
   end.status = result->status;
   end.type = type;
   end.body = body;
+  for (const auto &[name, value] : result->headers)
+    if (!is_own_header(name) && strcasecmp(name.c_str(), "content-type") != 0)
+      end.headers.push_back({name, value});
   returned.status = result->status;
   returned.type = type;
   returned.body = std::move(body);
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -12,9 +12,9 @@
 }
 } // namespace
 
-Pilot::Pilot(Member self, std::vector<std::string> seeds, PilotOptions options, Instant)
+Pilot::Pilot(Member self, std::vector<std::string> seeds, PilotOptions options, Instant now)
     : self_(self), options_(options), rollcall_(self, std::move(seeds), RollcallOptions{}),
-      purser_(self.id, options.purser), stevedore_(self.id, options.berth) {}
+      purser_(self.id, options.purser), stevedore_(self.id, options.berth), born_(now) {}
 
 InForce Pilot::in_force() const {
   std::lock_guard guard(in_force_mutex_);
@@ -161,6 +161,14 @@
   pulse.runners_term = runners_term_;
   pulse.is_leaving = is_leaving_;
   pulse.wants = stevedore_.wants(now);
+  pulse.up_for = now - born_;
+  const auto note_replaced = [&](const std::vector<NodeId> &pilots,
+                                 const std::vector<std::string> &addresses) {
+    for (std::size_t at = 0; at < pilots.size() && at < addresses.size(); ++at)
+      if (pilots[at] != self_.id && addresses[at] == self_.address) pulse.replaces.push_back(pilots[at]);
+  };
+  note_replaced(roster_.pilots, roster_.addresses);
+  for (const PastRoster &past : roster_.past) note_replaced(past.pilots, past.addresses);
   if (leader_ != 0 && now - heard_leader_at_ < options_.leader_silence) {
     send_leader(pulse, out);
     return;
@@ -188,8 +196,9 @@
   }
   if (orders.sent_at != 0)
     fresh_until_ = std::max(fresh_until_, orders.sent_at + options_.fresh - orders.age);
-  purser_.set_fresh_until(fresh_until_);
-  stevedore_.set_fresh_until(fresh_until_);
+  purser_.set_fresh_until(fresh_until_ - options_.fresh + options_.duty);
+  stevedore_.set_fresh_until(fresh_until_ - options_.fresh + options_.duty);
+  purser_.set_quiet(orders.quiet);
   if (orders.roster.epoch > roster_.epoch) {
     roster_ = orders.roster;
     is_switched = true;
@@ -303,7 +312,9 @@
     Till &till = tills_[tenant];
     const Tenant *plan = declared(till.name);
     const double base = plan == nullptr ? 0 : static_cast<double>(plan->base);
-    const auto most = static_cast<std::size_t>(std::max(4.0, base * options_.silent_line_share));
+    const bool may_wait = plan != nullptr && is_modest(till, *plan);
+    const double share = may_wait ? 1.5 : options_.silent_line_share;
+    const auto most = static_cast<std::size_t>(std::max(4.0, base * share));
     const bool is_silent = till.unanswered_since != 0 && now - till.unanswered_since > options_.silent_owner;
     if (is_silent && till.line.size() >= most) {
       finish(id, Fate::no_permit, seconds(1), now, out, nullptr, "purser-silent");
@@ -365,8 +376,10 @@
   const auto found = afloat_.find(say.errand);
   if (found == afloat_.end() || found->second.bill.steps[found->second.at] != Step::claim) return;
   Afloat &errand = found->second;
-  static constexpr const char *names[] = {"first", "in flight", "recorded", "unknown", "mismatch", "refused"};
-  note(errand, now, std::string("claim answered: ") + (say.state < 6 ? names[say.state] : "?"));
+  static constexpr const char *names[] = {"first",    "in flight", "recorded", "unknown",
+                                          "mismatch", "refused",   "not kept"};
+  note(errand, now,
+       std::string("claim answered: ") + (say.state < std::size(names) ? names[say.state] : "?"));
   switch (static_cast<ClaimState>(say.state)) {
   case ClaimState::first:
     next_step(say.errand, now, out);
@@ -377,6 +390,7 @@
     end.status = say.status;
     end.type = say.type;
     end.body = say.body;
+    end.headers = say.headers;
     finish(say.errand, Fate::replayed, 0, now, out, &end, say.first_errand);
     return;
   }
@@ -389,6 +403,10 @@
     errand.has_claimed = false;
     finish(say.errand, Fate::key_reused, 0, now, out);
     return;
+  case ClaimState::not_kept:
+    errand.has_claimed = false;
+    finish(say.errand, Fate::not_kept, 0, now, out, nullptr, say.first_errand);
+    return;
   case ClaimState::refused:
     finish(say.errand, Fate::no_runner, seconds(1), now, out, nullptr, "claims-full");
     return;
@@ -512,8 +530,14 @@
   close.closed_as = static_cast<std::uint8_t>(as);
   if (as == ClosedAs::run && end != nullptr) {
     close.status = end->status;
-    close.type = end->type;
-    close.body = end->body.size() <= options_.record_most ? end->body : std::string();
+    std::size_t bytes = end->type.size() + end->body.size();
+    for (const KeptHeader &header : end->headers) bytes += header.name.size() + header.value.size();
+    close.is_whole = bytes <= options_.record_most;
+    if (close.is_whole) {
+      close.type = end->type;
+      close.body = end->body;
+      close.headers = end->headers;
+    }
   }
   send_leader(close, out);
   closing_.push_back({std::move(close), now + options_.claim_again, now + seconds(120)});
@@ -550,6 +574,7 @@
     reply.status = end->status;
     reply.type = end->type;
     reply.body = end->body;
+    reply.headers = end->headers;
   }
   note(errand, now,
        "ends: " + std::string(outcome_of(fate).reason) + ", verdict " +
@@ -574,6 +599,17 @@
   out.mail.push_back({from, {}, say});
 }
 
+bool Pilot::is_modest(const Till &till, const Tenant &tenant) const {
+  const double nodes = static_cast<double>(std::max<std::size_t>(1, roster_.pilots.size()));
+  return till.rate * nodes <= options_.modest_share * static_cast<double>(tenant.base);
+}
+
+Span Pilot::patience_of(const Afloat &errand) {
+  const Tenant *tenant = declared(errand.bill.tenant);
+  const bool may_wait = tenant != nullptr && is_modest(tills_[tenant_index(tenant->name)], *tenant);
+  return may_wait ? options_.modest_patience : options_.permit_patience;
+}
+
 bool Pilot::spend_fallback(Till &till, Instant now) {
   const Tenant *tenant = declared(till.name);
   if (tenant == nullptr || roster_.pilots.empty()) return false;
@@ -791,7 +827,7 @@
       finish(id, errand.first_fate ? *errand.first_fate : Fate::waited_unsent, seconds(1), now, out);
     } else if (!is_fresh(now)) {
       finish(id, Fate::stale, seconds(1), now, out);
-    } else if (step == Step::pay && now - errand.waiting_since > options_.permit_patience) {
+    } else if (step == Step::pay && now - errand.waiting_since > patience_of(errand)) {
       finish(id, Fate::no_permit, seconds(1), now, out);
     } else if (step == Step::claim && now - errand.asked_at >= options_.claim_again) {
       ask_claim(errand, now, out);
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -36,6 +36,7 @@
   Span retry_after = 0;
   int status = 0;
   std::string type, body, why;
+  std::vector<KeptHeader> headers;
   std::vector<StoryLine> story;
 };
 
@@ -54,15 +55,20 @@
   CallKind kind = CallKind::lost;
   int status = 0;
   std::string type, body;
+  std::vector<KeptHeader> headers;
 };
 
 struct PilotOptions {
   Span pulse = milliseconds(250);
   Span pulse_least = milliseconds(30);
   Span fresh = seconds(2);
+  Span duty = milliseconds(1200);
   Span leader_silence = milliseconds(600);
   Span permit_again = milliseconds(100);
   Span permit_patience = milliseconds(400);
+  /// The wait for a permit of a tenant that evidently keeps within its allowance.
+  Span modest_patience = milliseconds(1500);
+  double modest_share = 0.7;
   Span report_again = milliseconds(100);
   /// How often a permit with errands still held is told again.
   Span held_again = seconds(1);
@@ -75,6 +81,7 @@
   Span berth_again = milliseconds(150);
   Span free_again = milliseconds(200);
   Span eviction_least = seconds(5);
+  /// The largest answer, headers and all, that is kept for repeats.
   std::size_t record_most = 65536;
   std::size_t errands_most = 4096;
   std::size_t tries_most = 2;
@@ -174,10 +181,13 @@
               const CallEnd *end = nullptr, std::string why = {});
   void free_slot(const Afloat &errand, SlotEnd end, Instant now, PilotOutput &out);
   void close_claim(const Afloat &errand, ClosedAs as, const CallEnd *end, Instant now, PilotOutput &out);
+  Span patience_of(const Afloat &errand);
   std::optional<Fate> recheck(const Afloat &errand, Instant now) const;
   void ask_permit(std::uint32_t tenant, Instant now, PilotOutput &out);
   void serve_line(std::uint32_t tenant, Instant now, PilotOutput &out);
   void tend_till(std::uint32_t tenant, Instant now, PilotOutput &out);
+  /// True when all nodes together, sending as much as this one, would stay below the tenant's base.
+  bool is_modest(const Till &till, const Tenant &tenant) const;
   bool spend_fallback(Till &till, Instant now);
   /// Notes that a paid errand went out or ended, so that its charge begins to age.
   void note_gone(Afloat &errand, Instant now);
@@ -214,7 +224,7 @@
   std::map<std::string, RunnerView> runners_;
   std::uint64_t runners_stamp_ = 0, runners_term_ = 0;
   NodeId leader_ = 0;
-  Instant fresh_until_ = 0, pulse_at_ = 0, heard_leader_at_ = 0;
+  Instant born_ = 0, fresh_until_ = 0, pulse_at_ = 0, heard_leader_at_ = 0;
   Instant pulsed_at_ = 0;
   std::uint64_t told_wants_ = 0;
   bool is_leaving_ = false;
--- a/packages/purser/purser.cpp
+++ b/packages/purser/purser.cpp
@@ -148,7 +148,8 @@
   ++unknown_starts_;
   ledger.charges.clear();
   ledger.blind_before = roster_.epoch;
-  ledger.tokens = -allowance.base;
+  const double passed = static_cast<double>(std::max<Span>(0, quiet_ - options_.life)) / 1e9;
+  ledger.tokens = std::min(allowance.base + allowance.burst, allowance.base * (passed - 1.0));
   ledger.refilled_at = now;
 }
 
@@ -264,9 +265,8 @@
     ledger.charges.push_back({item.permit, from, item.spent - item.gone, item.spent, item.gone,
                               now + options_.life + options_.quota_window, true, true});
   }
-  std::erase_if(ledger.charges, [](const Entry &entry) {
-    return entry.tokens == 0 && (!entry.is_open || entry.is_final);
-  });
+  std::erase_if(ledger.charges,
+                [](const Entry &entry) { return entry.tokens == 0 && (!entry.is_open || entry.is_final); });
   for (const Entry &entry : ledger.closed) {
     if (!ledger.charges.empty()) {
       Entry &last = ledger.charges.back();
--- a/packages/purser/purser.hpp
+++ b/packages/purser/purser.hpp
@@ -32,6 +32,9 @@
   void set_roster(const Roster &roster, Epoch settled, Instant now, Outbox &out);
   /// Until when this node may act as an owner at all.
   void set_fresh_until(Instant until) { fresh_until_ = until; }
+  /// How long ago every pilot of earlier rosters had provably ended; a debt of unknown grants is paid by
+  /// that.
+  void set_quiet(Span quiet) { quiet_ = quiet; }
   void step(NodeId from, const Signal &signal, Instant now, Outbox &out);
   void tick(Instant now, Outbox &out);
 
@@ -102,6 +105,7 @@
   Roster roster_;
   Epoch settled_ = 0;
   Instant settled_at_ = 0, fresh_until_ = 0;
+  Span quiet_ = 0;
   std::uint64_t granted_ = 0, denied_ = 0, unknown_starts_ = 0;
 };
 
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -104,13 +104,20 @@
   Instant sent_at = 0;
   WHARF_CARRY(group, term, match, is_taken, sent_at)
 };
-/// A whole picture of the state, for a mate too far behind for entries.
+/// A part of a picture of the state, for a mate too far behind for entries.
 struct PictureAsk {
   std::uint64_t group = 0, term = 0, index = 0, last_term = 0;
   Instant sent_at = 0;
   std::vector<Mate> mates;
   std::string body;
-  WHARF_CARRY(group, term, index, last_term, sent_at, mates, body)
+  std::uint64_t offset = 0, total = 0;
+  WHARF_CARRY(group, term, index, last_term, sent_at, mates, body, offset, total)
+};
+/// How much of a picture a mate holds in one piece.
+struct PictureSay {
+  std::uint64_t group = 0, term = 0, index = 0, held = 0;
+  Instant sent_at = 0;
+  WHARF_CARRY(group, term, index, held, sent_at)
 };
 
 /// What a stevedore wishes for one service.
@@ -134,7 +141,8 @@
 struct PastRoster {
   Epoch epoch = 0;
   std::vector<NodeId> pilots;
-  WHARF_CARRY(epoch, pilots)
+  std::vector<std::string> addresses;
+  WHARF_CARRY(epoch, pilots, addresses)
 };
 
 /// Who serves as purser and stevedore, by epoch.
@@ -143,7 +151,9 @@
   std::vector<NodeId> pilots;
   std::vector<PastRoster> past;
   bool is_first = false;
-  WHARF_CARRY(epoch, pilots, past, is_first)
+  /// Where each pilot listens, in the order of `pilots`.
+  std::vector<std::string> addresses;
+  WHARF_CARRY(epoch, pilots, past, is_first, addresses)
 };
 
 /// Ranks nodes for a name by highest random weight; the first is its owner, the second its replica.
@@ -158,7 +168,10 @@
   std::uint64_t runners_stamp = 0, runners_term = 0;
   bool is_leaving = false;
   std::vector<Want> wants;
-  WHARF_CARRY(sent_at, version, epoch, runners_stamp, runners_term, is_leaving, wants)
+  /// Pilots that once listened where this one does; they have ended before this one began.
+  std::vector<NodeId> replaces;
+  Span up_for = 0;
+  WHARF_CARRY(sent_at, version, epoch, runners_stamp, runners_term, is_leaving, wants, replaces, up_for)
 };
 
 /// The leader's answer: a freshness permit and whatever is newer than the pilot has.
@@ -171,10 +184,12 @@
   std::string manifest;
   Roster roster;
   Epoch settled = 0;
+  /// How long ago every pilot of the rosters before had provably ended; 0 when some may live.
+  Span quiet = 0;
   std::uint64_t runners_stamp = 0;
   bool has_runners = false;
   std::vector<RunnerView> runners;
-  WHARF_CARRY(sent_at, age, term, version, has_manifest, manifest, roster, settled, runners_stamp,
+  WHARF_CARRY(sent_at, age, term, version, has_manifest, manifest, roster, settled, quiet, runners_stamp,
               has_runners, runners)
 };
 
@@ -189,7 +204,16 @@
   recorded = 2,
   unknown = 3,
   mismatch = 4,
-  refused = 5
+  refused = 5,
+  /// It ran, and its answer was too large to keep.
+  not_kept = 6
+};
+
+/// One header of an answer that is kept.
+struct KeptHeader {
+  std::string name, value;
+  WHARF_CARRY(name, value)
+  bool operator==(const KeptHeader &) const = default;
 };
 
 struct ClaimAsk {
@@ -201,7 +225,8 @@
   std::uint8_t state = 0;
   std::int32_t status = 0;
   std::string type, body, first_errand;
-  WHARF_CARRY(errand, state, status, type, body, first_errand)
+  std::vector<KeptHeader> headers;
+  WHARF_CARRY(errand, state, status, type, body, first_errand, headers)
 };
 enum class ClosedAs : std::uint8_t { not_run = 0, run = 1, unknown = 2 };
 struct CloseAsk {
@@ -209,7 +234,10 @@
   std::uint8_t closed_as = 0;
   std::int32_t status = 0;
   std::string type, body;
-  WHARF_CARRY(key, errand, closed_as, status, type, body)
+  std::vector<KeptHeader> headers;
+  /// False when the answer was too large to be kept whole; then nothing of it is here.
+  bool is_whole = true;
+  WHARF_CARRY(key, errand, closed_as, status, type, body, headers, is_whole)
 };
 struct CloseSay {
   std::string errand;
@@ -321,10 +349,10 @@
 };
 
 /// Everything our processes say to each other.
-using Signal =
-    std::variant<Muster, FoundAsk, FoundSay, FoundOrder, VoteAsk, VoteSay, AppendAsk, AppendSay, PictureAsk,
-                 Pulse, Orders, NotLeader, ClaimAsk, ClaimSay, CloseAsk, CloseSay, PermitAsk, PermitSay,
-                 LedgerCopy, LedgerAck, SlotAsk, SlotSay, SlotFree, SlotFreed, InventoryAsk, InventorySay>;
+using Signal = std::variant<Muster, FoundAsk, FoundSay, FoundOrder, VoteAsk, VoteSay, AppendAsk, AppendSay,
+                            PictureAsk, Pulse, Orders, NotLeader, ClaimAsk, ClaimSay, CloseAsk, CloseSay,
+                            PermitAsk, PermitSay, LedgerCopy, LedgerAck, SlotAsk, SlotSay, SlotFree,
+                            SlotFreed, InventoryAsk, InventorySay, PictureSay>;
 
 /// A signal with its sender.
 struct Envelope {
--- a/packages/verdict/verdict.cpp
+++ b/packages/verdict/verdict.cpp
@@ -42,6 +42,8 @@
     return {409, Verdict::unknown, "claimed-in-flight", true};
   case Fate::key_reused:
     return {422, Verdict::not_run, "key-reused", false};
+  case Fate::not_kept:
+    return {409, Verdict::run, "answer-not-kept", false};
   }
   return {};
 }
--- a/packages/verdict/verdict.hpp
+++ b/packages/verdict/verdict.hpp
@@ -30,6 +30,7 @@
   replayed,
   in_flight,
   key_reused,
+  not_kept,
 };
 
 /// Status, verdict and reason; the one place where a fate becomes an answer.
--- a/tests/convoy_test.cpp
+++ b/tests/convoy_test.cpp
@@ -186,7 +186,7 @@
   const std::uint64_t commit = trio.seats[other].mate->commit();
   ConvoyOutput out;
   trio.seats[other].mate->step(
-      leader, PictureAsk{5, trio.seats[leader].mate->term(), 0, 0, trio.now, {}, "old"}, trio.now, out);
+      leader, PictureAsk{5, trio.seats[leader].mate->term(), 0, 0, trio.now, {}, "old", 0, 3}, trio.now, out);
   CHECK(!out.load.has_value());
   CHECK(trio.seats[other].mate->commit() >= commit);
 }
@@ -204,3 +204,58 @@
   }
   CHECK(sent <= 1);
 }
+
+TEST(Convoy, a_picture_comes_in_parts_and_again_from_the_start_after_a_restart_in_its_middle) {
+  Trio trio;
+  const NodeId leader = trio.elect_first();
+  const NodeId behind = leader == 1 ? 2 : 1;
+  ConvoyOutput out;
+  trio.seats[leader].mate->propose("x", trio.now, out);
+  trio.take(leader, std::move(out));
+  std::erase_if(trio.mail, [&](const auto &item) { return item.second.to == behind; });
+  for (int round = 0; round < 4; ++round) {
+    std::erase_if(trio.mail, [&](const auto &item) { return item.second.to == behind; });
+    trio.sync(leader);
+    trio.sync(6 - leader - behind);
+    trio.pass_on();
+  }
+  const std::string body(2'500'000, 'p');
+  ConvoyOutput compacted;
+  trio.seats[leader].mate->compact(trio.seats[leader].mate->commit(), body, compacted);
+  LONGS_EQUAL(1, compacted.saves.size());
+  trio.take(leader, std::move(compacted));
+  trio.sync(leader);
+  trio.start(behind);
+  std::size_t parts = 0, largest = 0;
+  bool has_restarted = false;
+  std::optional<Picture> loaded;
+  for (int round = 0; round < 200 && !loaded; ++round) {
+    trio.now += milliseconds(80);
+    ConvoyOutput tick;
+    trio.seats[leader].mate->tick(trio.now, tick);
+    trio.take(leader, std::move(tick));
+    for (int hop = 0; hop < 12 && !trio.mail.empty() && !loaded; ++hop) {
+      auto mail = std::move(trio.mail);
+      trio.mail.clear();
+      for (auto &[from, posted] : mail) {
+        if (const auto *part = std::get_if<PictureAsk>(&posted.signal)) {
+          ++parts;
+          largest = std::max(largest, part->body.size());
+        }
+        ConvoyOutput step;
+        trio.seats[posted.to].mate->step(from, posted.signal, trio.now, step);
+        if (step.load) loaded = step.load;
+        trio.take(posted.to, std::move(step));
+        trio.sync(posted.to);
+        if (parts == 2 && !has_restarted) {
+          has_restarted = true;
+          trio.start(behind);
+        }
+      }
+    }
+  }
+  CHECK(loaded.has_value());
+  LONGS_EQUAL(body.size(), loaded->body.size());
+  CHECK(largest <= 1u << 20);
+  CHECK(parts >= 5 && parts <= 12);
+}
--- a/tests/purser_test.cpp
+++ b/tests/purser_test.cpp
@@ -18,7 +18,7 @@
     made.pilots = history.back();
     history.pop_back();
     Epoch past = epoch - history.size();
-    for (auto &pilots : history) made.past.push_back({past++, pilots});
+    for (auto &pilots : history) made.past.push_back({past++, pilots, {}});
     made.is_first = made.past.empty();
     return made;
   }
--- a/tests/slots_test.cpp
+++ b/tests/slots_test.cpp
@@ -13,7 +13,7 @@
     PilotOutput out;
     rig.pilot.arrive(rig.bill("e"), rig.now, out);
     rig.pilot.receive({rig_other, "q", rig.grant("e", "r1", 0)}, rig.now, out);
-    rig.pilot.call_ended({"e", CallKind::refused, 0, {}, {}}, rig.now, out);
+    rig.pilot.call_ended({"e", CallKind::refused, 0, {}, {}, {}}, rig.now, out);
     LONGS_EQUAL(1, out.carries.size());
     const SlotSay late[] = {rig.grant("e", "r1", 0), rig.grant("e", "r2", 1), rig.grant("e", "r1", 0)};
     for (std::size_t at : order) rig.pilot.receive({rig_other, "q", late[at]}, rig.now, out);
@@ -58,3 +58,37 @@
     CHECK(stevedore.slots_taken("r2") <= 1);
   });
 }
+
+TEST(Slots, an_answer_too_large_to_keep_is_closed_as_not_whole_and_a_repeat_is_told_so) {
+  for (const std::size_t size : {std::size_t{1000}, std::size_t{70'000}}) {
+    PilotRig rig;
+    PilotOutput out;
+    rig.pilot.arrive(rig.bill("e", "once-key"), rig.now, out);
+    ClaimSay first;
+    first.errand = "e";
+    rig.pilot.receive({rig_leader, "h", first}, rig.now, out);
+    rig.pilot.receive({rig_other, "q", rig.grant("e", "r1", 0)}, rig.now, out);
+    out = {};
+    rig.pilot.call_ended({"e", CallKind::answered, 200, "t", std::string(size, 'x'), {{"ETag", "1"}}},
+                         rig.now, out);
+    int closes = 0;
+    for (const Posted &posted : out.mail)
+      if (const auto *close = std::get_if<CloseAsk>(&posted.signal)) {
+        ++closes;
+        CHECK_EQUAL(size <= 65536, close->is_whole);
+        LONGS_EQUAL(size <= 65536 ? size : 0, close->body.size());
+        LONGS_EQUAL(size <= 65536 ? 1 : 0, close->headers.size());
+      }
+    LONGS_EQUAL(1, closes);
+  }
+  PilotRig rig;
+  PilotOutput out;
+  rig.pilot.arrive(rig.bill("e", "once-key"), rig.now, out);
+  ClaimSay again;
+  again.errand = "e";
+  again.state = static_cast<std::uint8_t>(ClaimState::not_kept);
+  rig.pilot.receive({rig_leader, "h", again}, rig.now, out);
+  LONGS_EQUAL(1, out.replies.size());
+  CHECK(out.replies[0].fate == Fate::not_kept);
+  LONGS_EQUAL(409, outcome_of(out.replies[0].fate).status);
+}
