Try every change on measured behaviour before it is taken

Cause: a write was checked by itself only; one that led all busy rules to one runner was taken and starved every tenant. Change: pilots tell what they measure by rule and tenant with their pulse; the leader keeps three minutes and, before proposing a write, foretells refusals, runners, memory and starts over the last minute's mix, beside the same for the manifest in force. Beyond the manifest's declared bounds: 422 with the numbers. Allowances and keys never stand in the way. wharfctl try and try-patch do it without writing; 30 s later the status sets what came beside the forecast. Ruled out: replaying traffic or a shadow deployment (a sampling wait). Conclusion: refused changes take hold nowhere; a new leader with too few measurements says so and falls back on the static checks.

--- a/packages/bridge/bridge.cpp
+++ b/packages/bridge/bridge.cpp
@@ -76,6 +76,10 @@
     ask.verb = OperatorVerb::put_manifest;
   else if (path == "/v1/manifest" && request.method == "PATCH")
     ask.verb = OperatorVerb::patch_manifest;
+  else if (path == "/v1/trial" && request.method == "PUT")
+    ask.verb = OperatorVerb::try_manifest;
+  else if (path == "/v1/trial" && request.method == "PATCH")
+    ask.verb = OperatorVerb::try_patch;
   else if (path == "/v1/version" && request.method == "GET")
     ask.verb = OperatorVerb::get_version;
   else if (path == "/v1/status" && request.method == "GET")
--- a/packages/charter/charter.cpp
+++ b/packages/charter/charter.cpp
@@ -197,6 +197,11 @@
     reader.fault(path + ".unknown_keep_s", "is below claim_keep_s");
 }
 
+void read_trial(Reader &reader, const Json &value, const std::string &path, TrialBounds &item) {
+  WHARF_TRIAL_OPTIONS(WHARF_READ_NUMBER, WHARF_READ_FLAG, WHARF_READ_TEXT)
+  reader.only(value, path, {WHARF_TRIAL_OPTIONS(WHARF_NAME_NUMBER, WHARF_NAME_FLAG, WHARF_NAME_TEXT)});
+}
+
 template <typename Item, typename ReadItem>
 void read_named(Reader &reader, const Json &root, const char *member, std::vector<Item> &into,
                 std::unordered_map<std::string, std::uint32_t> &index, ReadItem read_item) {
@@ -276,12 +281,15 @@
   CharterErrors errors;
   Reader reader(errors.faults);
   if (reader.object(root, "$")) {
-    reader.only(root, "$", {"tenants", "services", "rules", "limits"});
+    reader.only(root, "$", {"tenants", "services", "rules", "limits", "trial"});
     read_named(reader, root, "tenants", charter->tenants, charter->tenant_index, read_tenant);
     read_named(reader, root, "services", charter->services, charter->service_index, read_service);
     const auto limits = root.find("limits");
     if (limits != root.end() && reader.object(*limits, "$.limits"))
       read_limits(reader, *limits, "$.limits", charter->limits);
+    const auto trial = root.find("trial");
+    if (trial != root.end() && reader.object(*trial, "$.trial"))
+      read_trial(reader, *trial, "$.trial", charter->trial);
     check_keys(reader, *charter);
     read_rules(reader, root, *charter);
   }
@@ -322,6 +330,8 @@
   WHARF_SERVICE_OPTIONS(WHARF_TELL_NUMBER, WHARF_TELL_FLAG, WHARF_TELL_TEXT)
   page << "\n## `limits`\n\n" << head;
   WHARF_LIMIT_OPTIONS(WHARF_TELL_NUMBER, WHARF_TELL_FLAG, WHARF_TELL_TEXT)
+  page << "\n## `trial`\n\n" << head;
+  WHARF_TRIAL_OPTIONS(WHARF_TELL_NUMBER, WHARF_TELL_FLAG, WHARF_TELL_TEXT)
   page << "\n## `rules.NAME`\n\nOne rule in the rule language: "
           "`METHOD[|METHOD] PATH [for TENANT[|TENANT]] to SERVICE [weight N][, SERVICE [weight N]]`. "
           "`*` as a method means any; in a path `*` is one part and a last `**` all that follows. "
--- a/packages/charter/charter.hpp
+++ b/packages/charter/charter.hpp
@@ -33,6 +33,11 @@
   WHARF_LIMIT_OPTIONS(WHARF_FIELD_NUMBER, WHARF_FIELD_FLAG, WHARF_FIELD_TEXT)
 };
 
+/// What a change may come to by its trial; the bounds that hold are those of the new manifest.
+struct TrialBounds {
+  WHARF_TRIAL_OPTIONS(WHARF_FIELD_NUMBER, WHARF_FIELD_FLAG, WHARF_FIELD_TEXT)
+};
+
 /// One fault in a manifest, by JSON path.
 struct Fault {
   std::string path, what;
@@ -43,6 +48,7 @@
   std::vector<Tenant> tenants;
   std::vector<Service> services;
   Limits limits;
+  TrialBounds trial;
   Compass compass;
   std::unordered_map<std::string, std::uint32_t> tenant_of_key, tenant_index, service_index;
 
--- a/packages/charter/options.hpp
+++ b/packages/charter/options.hpp
@@ -16,6 +16,12 @@
   FLAG(once, false, "An errand of this service must never run twice.")                                       \
   NUMBER(worth, 1, 1, 1000, "What a call is worth next to other services' calls.")
 
+#define WHARF_TRIAL_OPTIONS(NUMBER, FLAG, TEXT)                                                              \
+  NUMBER(refused_most_percent, 5, 0, 100, "Share of a tenant's measured errands a change may newly refuse.") \
+  NUMBER(memory_most_percent, 100, 1, 1000, "Share of the workers' memory that a change may come to need.")  \
+  NUMBER(starts_most_s, 10, 1, 3600, "Seconds of the platform's pace that a change's starts may take.")      \
+  NUMBER(measured_least, 200, 1, 100000000, "Errands of the last minute below which nothing is foretold.")
+
 #define WHARF_LIMIT_OPTIONS(NUMBER, FLAG, TEXT)                                                              \
   NUMBER(wait_default_ms, 5000, 50, 600000, "How long a caller waits when it does not say.")                 \
   NUMBER(wait_most_ms, 30000, 50, 600000, "The longest a caller may say it waits.")                          \
--- a/packages/drydock/perils.cpp
+++ b/packages/drydock/perils.cpp
@@ -252,6 +252,29 @@
   });
 }
 
+void starving_changes(World &world, Instant from, Instant until) {
+  world.at(seconds(10), [&world] {
+    for (int at = 0; at < world.shape().hot; ++at) {
+      RunnerMood mood;
+      mood.slow = milliseconds(90);
+      world.set_runner_mood(world.service_name(0, at), mood);
+    }
+  });
+  often(world, from + seconds(6), until, milliseconds(900), [&world] {
+    std::string tag;
+    const int leads = world.leader();
+    if (leads >= 0 && world.dice().chance(0.5))
+      tag = "v" + std::to_string(world.harbour(leads)->registry().version());
+    if (leads >= 0 && world.dice().chance(0.15)) {
+      bounce_harbour(world, leads, seconds(1));
+      return;
+    }
+    if (leads < 0 || world.now() - world.led_since(leads) < seconds(8)) return;
+    world.write_starving(tag, any_harbour(world));
+    if (world.dice().chance(0.5)) world.write(false, tag, any_harbour(world));
+  });
+}
+
 void large_answers(World &world, Instant from, Instant until) {
   world.at(from, [&world] {
     for (int at = 0; at < world.shape().once; ++at)
@@ -296,6 +319,8 @@
       {"closing-fault", "a fault in the last seconds, then the manifest is read", closing_fault},
       {"fault-in-recovery", "all die, and some again while the rest recover", fault_in_recovery},
       {"restless-voters", "voters restart all the time while leaders are cut off", restless_voters, 200},
+      {"starving-changes", "changes that would starve tenants race with sound ones while leaders die",
+       starving_changes, 60},
       {"large-answers", "once answers too large to keep, repeated by impatient callers", large_answers, 60},
   };
   return list;
--- a/packages/drydock/world.cpp
+++ b/packages/drydock/world.cpp
@@ -136,6 +136,7 @@
   options.platform_pace = shape_.pace;
   options.compact_entries = 400;
   if (defect_ == Defect::early_acknowledge) options.fresh = 0;
+  options.must_try = defect_ != Defect::untried;
   node.core = std::make_unique<Harbour>(self, seeds_, options, dice_.next(), node.disk.durable, local(node));
   watched_[static_cast<std::size_t>(which)] = 0;
   at(now_ + static_cast<Span>(dice_.below(static_cast<std::uint64_t>(harbour_tick))),
@@ -289,6 +290,11 @@
   return found;
 }
 
+Instant World::led_since(int which) const {
+  const HarbourNode &node = harbours_[static_cast<std::size_t>(which)];
+  return now_ - (local(node) - node.core->convoy().led_since());
+}
+
 int World::owner_pilot(const std::string &name, std::uint64_t salt) const {
   const int leads = leader();
   if (leads < 0) return -1;
@@ -628,7 +634,7 @@
       end.kind = CallKind::answered;
       end.status = 200;
       end.body = "answer to " + carry.errand;
-      Span serve = milliseconds(5) + static_cast<Span>(dice_.below(milliseconds(25)));
+      Span serve = milliseconds(5) + static_cast<Span>(dice_.below(milliseconds(25))) + mood.slow;
       bool has_crashed = false;
       if (falls(mood.refuse)) {
         end.kind = CallKind::refused;
@@ -813,6 +819,17 @@
   });
 }
 
+void World::write_starving(const std::string &if_match, int harbour) {
+  const int number = static_cast<int>(writes_.size());
+  Json root = Json::parse(manifest_text(number, ++key_number_));
+  const std::string narrow = service_name(0, 0);
+  root["services"][narrow]["slots"] = root["services"][narrow]["most"] = 1;
+  for (int at = 0; at < shape_.hot; ++at)
+    root["rules"][service_name(0, at)] = "* /" + service_name(0, at) + "/** to " + narrow;
+  write_bytes(false, root.dump(1), if_match, harbour);
+  writes_.back().is_starving = true;
+}
+
 void World::read_back(int harbour) {
   OperatorAsk ask;
   ask.verb = OperatorVerb::get_manifest;
@@ -961,6 +978,9 @@
   std::set<Version> versions;
   for (const WriteRecord &write : writes_) {
     ++result.counts["writes_" + write.outcome];
+    if (write.is_starving) ++result.counts["starving_" + write.outcome];
+    if (write.is_starving && write.outcome == "taken")
+      result.add("starving-change-taken", std::to_string(write.number));
     if (write.outcome != "taken") continue;
     newest = std::max(newest, write.version);
     if (!versions.insert(write.version).second)
--- a/packages/drydock/world.hpp
+++ b/packages/drydock/world.hpp
@@ -51,12 +51,15 @@
 /// How runners of a service misbehave, as shares of their visits.
 struct RunnerMood {
   double refuse = 0, lose = 0, garbage = 0, hang = 0, crash = 0, large = 0;
+  /// Added to every visit.
+  Span slow = 0;
 };
 
 /// One write an operator made, as the operator saw it.
 struct WriteRecord {
   int number = 0;
-  bool is_patch = false;
+  /// A starving write would refuse most of what callers send.
+  bool is_patch = false, is_starving = false;
   std::string bytes, if_match, write_id, outcome = "pending";
   Version version = 0;
   Instant sent = 0, answered = 0;
@@ -82,7 +85,8 @@
   invented_errand,
   key_passed,
   emptied_record,
-  lying_disk
+  lying_disk,
+  untried
 };
 
 /// A whole deployment in virtual time round the daemons' own state machines. One seed, one run, always.
@@ -113,6 +117,8 @@
   bool has_read_back() const { return last_read_status_ == 200; }
   void write(bool is_patch, const std::string &if_match, int harbour);
   void write_bytes(bool is_patch, std::string bytes, const std::string &if_match, int harbour);
+  /// A whole manifest that leads all busy rules to one runner of one slot.
+  void write_starving(const std::string &if_match, int harbour);
   void read_back(int harbour);
 
   void kill_harbour(int which);
@@ -148,6 +154,8 @@
   void leave_pilot(int which);
 
   int leader() const;
+  /// When a leading harbour came to lead, by this world's time.
+  Instant led_since(int which) const;
   int owner_pilot(const std::string &name, std::uint64_t salt) const;
   bool is_harbour_up(int which) const;
   bool is_pilot_up(int which) const;
--- a/packages/harbour/harbour.cpp
+++ b/packages/harbour/harbour.cpp
@@ -18,6 +18,15 @@
   return Json{{"outcome", "not-taken"}, {"faults", list}}.dump(2) + "\n";
 }
 
+bool is_writing(OperatorVerb verb) {
+  return verb == OperatorVerb::put_manifest || verb == OperatorVerb::patch_manifest;
+}
+
+std::string figure_text(double figure) {
+  std::string text = std::to_string(figure);
+  return text.substr(0, text.find('.') + 2);
+}
+
 /// Reads `"v12"`, `v12` or `12`; nothing when it names no version.
 std::optional<Version> version_of_tag(std::string_view tag) {
   while (!tag.empty() && (tag.front() == '"' || tag.front() == ' ' || tag.front() == 'v'))
@@ -69,6 +78,8 @@
   was_leader_ = is_leader;
   seats_.clear();
   ended_.clear();
+  almanac_.clear();
+  outlook_ = {};
   notes_.clear();
   views_.clear();
   ++views_stamp_;
@@ -137,7 +148,8 @@
     out.answers.push_back(std::move(say));
     return;
   }
-  writes_.push_back({proposal.operator_ticket, applied.version});
+  writes_.push_back({proposal.operator_ticket, applied.version, std::move(proposal.trial)});
+  outlook_ = {applied.version, now, false, std::move(proposal.foretold), {}, 0};
   push_orders(now, out);
 }
 
@@ -273,6 +285,7 @@
     seats_.erase(ended);
     settle_at_ = now;
   }
+  almanac_.add(pulse.soundings, now);
   Seat &seat = seats_[from];
   seat.address = envelope.from_address;
   seat.last_pulse = now;
@@ -348,7 +361,9 @@
   std::erase_if(writes_, [&](const WaitingWrite &write) {
     if (write.version > settled) return false;
     OperatorSay say{write.ticket, 200, write.version, {}, {}};
-    say.body = Json{{"outcome", "taken"}, {"version", write.version}}.dump(2) + "\n";
+    Json answer{{"outcome", "taken"}, {"version", write.version}};
+    if (!write.trial.empty()) answer["trial"] = Json::parse(write.trial);
+    say.body = answer.dump(2) + "\n";
     out.answers.push_back(std::move(say));
     return true;
   });
@@ -390,10 +405,10 @@
 void Harbour::operate(OperatorAsk ask, Instant now, HarbourOutput &out) {
   if (!is_leading()) {
     OperatorSay say{ask.ticket, 503, 0, {}, leader_http()};
-    say.body = Json{{"outcome", ask.verb >= OperatorVerb::put_manifest ? "not-taken" : "not-read"},
-                    {"why", "no leader is known here"}}
-                   .dump(2) +
-               "\n";
+    say.body =
+        Json{{"outcome", is_writing(ask.verb) ? "not-taken" : "not-read"}, {"why", "no leader is known here"}}
+            .dump(2) +
+        "\n";
     out.answers.push_back(std::move(say));
     return;
   }
@@ -408,15 +423,19 @@
     return;
   case OperatorVerb::put_manifest:
   case OperatorVerb::patch_manifest:
+  case OperatorVerb::try_manifest:
+  case OperatorVerb::try_patch:
     write_manifest(std::move(ask), now, out);
     return;
   }
 }
 
 void Harbour::write_manifest(OperatorAsk ask, Instant now, HarbourOutput &out) {
-  if (!ask.write_id.empty()) {
+  const bool is_try = ask.verb == OperatorVerb::try_manifest || ask.verb == OperatorVerb::try_patch;
+  const bool is_patch = ask.verb == OperatorVerb::patch_manifest || ask.verb == OperatorVerb::try_patch;
+  if (!ask.write_id.empty() && !is_try) {
     if (const Version earlier = registry_.version_of_write(ask.write_id); earlier != 0) {
-      writes_.push_back({ask.ticket, earlier});
+      writes_.push_back({ask.ticket, earlier, {}});
       settle_writes(now, out);
       return;
     }
@@ -424,7 +443,7 @@
   PutManifest put;
   put.write_id = ask.write_id;
   put.base = registry_.version();
-  put.is_bound = ask.verb == OperatorVerb::patch_manifest;
+  put.is_bound = is_patch;
   if (!ask.if_match.empty()) {
     const bool is_any = ask.if_match == "*";
     const auto version = is_any ? std::optional<Version>(registry_.version()) : version_of_tag(ask.if_match);
@@ -442,23 +461,49 @@
   }
   put.bytes = ask.body;
   std::optional<CharterErrors> errors;
-  if (ask.verb == OperatorVerb::patch_manifest) {
+  if (is_patch) {
     auto merged = merge_charter(registry_.manifest(), ask.body);
     if (auto *faults = std::get_if<CharterErrors>(&merged))
       errors = *faults;
     else
       put.bytes = std::get<std::string>(std::move(merged));
   }
+  std::shared_ptr<const Charter> next;
   if (!errors) {
     auto read = read_charter(put.bytes);
-    if (auto *faults = std::get_if<CharterErrors>(&read)) errors = *faults;
+    if (auto *faults = std::get_if<CharterErrors>(&read))
+      errors = *faults;
+    else
+      next = std::get<std::shared_ptr<const Charter>>(std::move(read));
   }
   if (errors) {
     out.answers.push_back(
         {ask.ticket, errors->is_syntax ? 400 : 422, registry_.version(), faults_json(errors->faults), {}});
     return;
   }
+  Trial trial = try_change(charter_.get(), *next, almanac_.measured(now), yard());
+  if (!options_.must_try) trial.breaches.clear();
+  const std::string figures = trial_json(trial);
+  if (is_try || !trial.breaches.empty()) {
+    Json answer{{"outcome", !is_try                  ? "not-taken"
+                            : trial.breaches.empty() ? "would-be-taken"
+                                                     : "would-not-be-taken"},
+                {"version", registry_.version()},
+                {"trial", Json::parse(figures)}};
+    if (!trial.breaches.empty()) {
+      answer["why"] = "the trial on measured behaviour breaks a declared bound";
+      for (const Breach &breach : trial.breaches)
+        answer["faults"].push_back(
+            {{"path", breach.what},
+             {"what", "foretold " + figure_text(breach.figure) + ", bound " + figure_text(breach.bound)}});
+    }
+    out.answers.push_back(
+        {ask.ticket, trial.breaches.empty() ? 200 : 422, registry_.version(), answer.dump(2) + "\n", {}});
+    return;
+  }
   Proposal proposal;
+  proposal.trial = figures;
+  proposal.foretold = std::move(trial);
   proposal.term = convoy_.term();
   proposal.operator_ticket = ask.ticket;
   proposal.ask = std::move(ask);
@@ -470,6 +515,33 @@
   }
 }
 
+Yard Harbour::yard() const {
+  Yard result;
+  result.is_known = platform_at_ != 0 && !platform_.workers.empty();
+  result.pace = options_.platform_pace;
+  for (const WorkerSeen &worker : platform_.workers) {
+    if (worker.is_draining) continue;
+    result.memory_mb += worker.memory_mb;
+    result.largest_worker_mb = std::max<std::uint64_t>(result.largest_worker_mb, worker.memory_mb);
+  }
+  for (const auto &[id, record] : registry_.runners())
+    if (!record.is_leaving) ++result.runners[record.service];
+  return result;
+}
+
+void Harbour::judge_outlook(Instant now) {
+  if (outlook_.version == 0 || outlook_.is_judged || now - outlook_.taken_at < options_.outlook_after) return;
+  outlook_.is_judged = true;
+  std::map<std::string, double> arrived, refused;
+  for (const Measure &line : almanac_.measured(now, outlook_.taken_at).lines) {
+    arrived[line.tenant] += line.per_second;
+    refused[line.tenant] += line.refused_per_second;
+  }
+  for (const auto &[tenant, per_second] : arrived)
+    if (per_second > 0) outlook_.came[tenant] = 100.0 * refused[tenant] / per_second;
+  for (const auto &[id, record] : registry_.runners()) outlook_.runners += record.is_leaving ? 0 : 1;
+}
+
 void Harbour::tick(Instant now, HarbourOutput &out) {
   rollcall_.tick(now, out.mail);
   ConvoyOutput step;
@@ -495,6 +567,7 @@
     propose(PutClock{(now - clock_at_) / 1'000'000}, now, out);
     clock_at_ = now;
   }
+  judge_outlook(now);
   tend_mates(now, out);
   tend_roster(now, out);
   tend_runners(now, out);
@@ -860,6 +933,23 @@
   root["settled_epoch"] = settled_epoch(now);
   root["term"] = convoy_.term();
   root["group"] = std::to_string(convoy_.group());
+  if (outlook_.version != 0) {
+    Json item{{"version", outlook_.version},
+              {"is_measured", outlook_.trial.is_measured},
+              {"is_judged", outlook_.is_judged}};
+    std::uint32_t foretold = 0;
+    for (const auto &[name, service] : outlook_.trial.next.services) foretold += service.runners;
+    item["runners"] = {{"foretold", foretold}};
+    if (outlook_.is_judged) item["runners"]["came"] = outlook_.runners;
+    for (const auto &[tenant, one] : outlook_.trial.next.tenants) {
+      item["tenants"][tenant] = {{"foretold_refused_percent", one.refused_percent}};
+      const auto came = outlook_.came.find(tenant);
+      if (came == outlook_.came.end()) continue;
+      item["tenants"][tenant]["came_refused_percent"] = came->second;
+      item["tenants"][tenant]["error"] = came->second - one.refused_percent;
+    }
+    root["last_change"] = std::move(item);
+  }
   root["mates"] = Json::array();
   for (const Mate &mate : convoy_.mates()) {
     const Member *member = rollcall_.find(mate.id);
--- a/packages/harbour/harbour.hpp
+++ b/packages/harbour/harbour.hpp
@@ -10,6 +10,7 @@
 #include "convoy/convoy.hpp"
 #include "harbour/registry.hpp"
 #include "rollcall/rollcall.hpp"
+#include "seatrial/seatrial.hpp"
 
 namespace wharf {
 
@@ -18,7 +19,9 @@
   get_version,
   get_status,
   put_manifest,
-  patch_manifest
+  patch_manifest,
+  try_manifest,
+  try_patch
 };
 
 /// One call of the operators' API, already read.
@@ -82,6 +85,10 @@
   Span leave_most = seconds(35);
   Span stop_grace = seconds(5);
   Span clock_every = seconds(5);
+  /// How long after a change what was foretold is set beside what came.
+  Span outlook_after = seconds(30);
+  /// False only to show that a checker can fail.
+  bool must_try = true;
   double platform_pace = 80;
   std::uint64_t compact_entries = 20'000;
   std::size_t compact_bytes = 16u << 20;
@@ -123,6 +130,8 @@
     std::uint64_t term = 0;
     std::uint64_t operator_ticket = 0;
     OperatorAsk ask;
+    std::string trial;
+    Trial foretold;
     NodeId pilot = 0;
     bool is_claim = false, is_close = false;
     std::string errand;
@@ -130,6 +139,16 @@
   struct WaitingWrite {
     std::uint64_t ticket = 0;
     Version version = 0;
+    std::string trial;
+  };
+  /// The newest change's trial, to be set beside what came of it.
+  struct Outlook {
+    Version version = 0;
+    Instant taken_at = 0;
+    bool is_judged = false;
+    Trial trial;
+    std::map<std::string, double> came;
+    std::uint32_t runners = 0;
   };
   struct WaitingRead {
     OperatorAsk ask;
@@ -158,6 +177,9 @@
   void settle_writes(Instant now, HarbourOutput &out);
   void settle_reads(Instant now, HarbourOutput &out);
   void write_manifest(OperatorAsk ask, Instant now, HarbourOutput &out);
+  Yard yard() const;
+  /// Sets what was foretold of the newest change beside what was measured since.
+  void judge_outlook(Instant now);
   void refuse_operator(std::uint64_t ticket, int status, std::string outcome, std::string why,
                        HarbourOutput &out);
   void tend_founding(Instant now, HarbourOutput &out);
@@ -194,6 +216,8 @@
   Instant roster_differs_since_ = 0, settle_at_ = 0, clock_at_ = 0, found_at_ = 0;
   PlatformPicture platform_;
   Instant platform_at_ = 0;
+  Almanac almanac_;
+  Outlook outlook_;
   std::map<std::string, RunnerNote> notes_;
   std::vector<RunnerView> views_;
   std::uint64_t views_stamp_ = 0;
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -170,6 +170,10 @@
   note_replaced(roster_.pilots, roster_.addresses);
   for (const PastRoster &past : roster_.past) note_replaced(past.pilots, past.addresses);
   if (leader_ != 0 && now - heard_leader_at_ < options_.leader_silence) {
+    if (now - sounded_at_ >= options_.sound_again) {
+      sounded_at_ = now;
+      pulse.soundings = soundings_.take(options_.soundings_most);
+    }
     send_leader(pulse, out);
     return;
   }
@@ -268,6 +272,7 @@
   Till &till = tills_[tenant];
   till.name = errand.bill.tenant;
   ++till.recent;
+  soundings_.arrived(errand.bill.tenant, errand.bill.rule, errand.bill.service, errand.bill.call);
   std::string steps;
   for (Step step : errand.bill.steps) steps += " " + std::string(step_name(step));
   note(errand, now,
@@ -461,6 +466,7 @@
   ++errand.at;
   ++errand.tries;
   errand.is_carrying = true;
+  errand.carried_at = now;
   note_gone(errand, now);
   if (errand.tries > 1) count("second_tries");
   count("carried");
@@ -477,6 +483,7 @@
   note(errand, now, "call to " + errand.runner + " ended: " + ends[static_cast<std::size_t>(end.kind)]);
   switch (end.kind) {
   case CallKind::answered:
+    soundings_.done(errand.bill.tenant, errand.bill.rule, now - errand.carried_at);
     free_slot(errand, SlotEnd::answered, now, out);
     finish(end.errand, Fate::answered, 0, now, out, &end);
     break;
@@ -562,6 +569,9 @@
   note_gone(errand, now);
   if (step == Step::pay) std::erase(tills_[tenant_index(errand.bill.tenant)].line, id);
   count(fate_counter(fate));
+  if (fate == Fate::over_quota || fate == Fate::no_runner || fate == Fate::refused ||
+      fate == Fate::waited_unsent)
+    soundings_.refused(errand.bill.tenant, errand.bill.rule, fate == Fate::over_quota);
   Reply reply;
   reply.errand = id;
   reply.service = errand.bill.service;
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -14,6 +14,7 @@
 #include "purse/purse.hpp"
 #include "purser/purser.hpp"
 #include "rollcall/rollcall.hpp"
+#include "soundings/soundings.hpp"
 
 namespace wharf {
 
@@ -62,6 +63,8 @@
 struct PilotOptions {
   Span pulse = milliseconds(250);
   Span pulse_least = milliseconds(30);
+  Span sound_again = seconds(1);
+  std::size_t soundings_most = 300;
   Span fresh = seconds(2);
   Span duty = milliseconds(1200);
   Span leader_silence = milliseconds(600);
@@ -131,7 +134,7 @@
     std::string runner, avoid;
     std::size_t tries = 0;
     std::uint32_t attempt = 0;
-    Instant asked_at = 0, waiting_since = 0;
+    Instant asked_at = 0, waiting_since = 0, carried_at = 0;
     bool has_claimed = false, is_granted = false, is_carrying = false, has_gone = false;
     std::optional<Fate> first_fate;
     std::vector<StoryLine> story;
@@ -206,6 +209,8 @@
   Rollcall rollcall_;
   Purser purser_;
   Stevedore stevedore_;
+  Soundings soundings_;
+  Instant sounded_at_ = 0;
   PurseRack rack_;
   mutable std::mutex in_force_mutex_;
   InForce in_force_;
--- a/packages/pilot/waybill.cpp
+++ b/packages/pilot/waybill.cpp
@@ -39,6 +39,7 @@
   bill.tenant = tenant->name;
   bill.service = service->name;
   bill.rule = rule->name;
+  bill.call = head.method + " " + head.target;
   bill.key = head.key;
   bill.version = version;
   bill.worth = static_cast<std::uint32_t>(service->worth);
--- a/packages/pilot/waybill.hpp
+++ b/packages/pilot/waybill.hpp
@@ -24,6 +24,8 @@
 /// The plan of an errand: data only, made before anything is done.
 struct Waybill {
   std::string id, tenant, service, rule, key, claim_key, claim_digest;
+  /// Method and target as they came.
+  std::string call;
   Version version = 0;
   std::uint32_t worth = 1;
   bool is_once = false, is_paid = false;
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -160,6 +160,16 @@
 std::vector<NodeId> rank_nodes(const std::vector<NodeId> &nodes, std::string_view name, std::uint64_t salt);
 constexpr std::uint64_t purser_salt = 11, stevedore_salt = 23;
 
+/// What a pilot measured of one tenant's errands under one rule since it last told.
+struct Sounding {
+  std::string tenant, rule, service;
+  std::uint32_t arrived = 0, done = 0, refused = 0, over_quota = 0;
+  std::uint64_t busy_us = 0;
+  /// A few calls as they came: method and target.
+  std::vector<std::string> samples;
+  WHARF_CARRY(tenant, rule, service, arrived, done, refused, over_quota, busy_us, samples)
+};
+
 /// A pilot's report to the leader and its ask for a freshness permit.
 struct Pulse {
   Instant sent_at = 0;
@@ -171,7 +181,9 @@
   /// Pilots that once listened where this one does; they have ended before this one began.
   std::vector<NodeId> replaces;
   Span up_for = 0;
-  WHARF_CARRY(sent_at, version, epoch, runners_stamp, runners_term, is_leaving, wants, replaces, up_for)
+  std::vector<Sounding> soundings;
+  WHARF_CARRY(sent_at, version, epoch, runners_stamp, runners_term, is_leaving, wants, replaces, up_for,
+              soundings)
 };
 
 /// The leader's answer: a freshness permit and whatever is newer than the pilot has.
--- a/programs/wharfctl/main.cpp
+++ b/programs/wharfctl/main.cpp
@@ -60,6 +60,21 @@
   }
 }
 
+/// What a trial foretold, beside what is.
+void print_trial(const Json &trial, std::ostream &out) {
+  out << "  trial over " << trial.value("measured_errands", 0) << " measured errands";
+  if (trial.contains("note")) out << ": " << trial.value("note", "");
+  out << "\n";
+  const Json now = trial.value("now", Json::object()), foretold = trial.value("foretold", Json::object());
+  for (const char *figure : {"runners", "memory_mb", "starts"})
+    out << "  " << figure << ": " << now.value(figure, 0) << " -> " << foretold.value(figure, 0) << "\n";
+  const Json tenants = foretold.value("tenants", Json::object());
+  for (const auto &item : tenants.items())
+    out << "  tenant " << item.key() << ": " << item.value().value("per_second", 0.0) << " a second, refused "
+        << item.value().value("refused_percent", 0.0) << " %, over quota "
+        << item.value().value("over_quota_percent", 0.0) << " %\n";
+}
+
 int finish(const Control &control, const Said &said, const std::string &what) {
   if (said.status == 0) {
     std::cerr << "wharfctl: no harbourd answered\n";
@@ -72,6 +87,7 @@
   const Json answer = Json::parse(said.body, nullptr, false);
   if (said.status < 300) {
     std::cout << what << ": version " << answer.value("version", 0) << "\n";
+    if (answer.contains("trial")) print_trial(answer["trial"], std::cout);
     return Exit::done;
   }
   std::cerr << "wharfctl: " << said.status << " "
@@ -79,6 +95,7 @@
   if (answer.is_object() && answer.contains("faults"))
     for (const Json &fault : answer["faults"])
       std::cerr << "  " << fault.value("path", "") << ": " << fault.value("what", "") << "\n";
+  if (answer.is_object() && answer.contains("trial")) print_trial(answer["trial"], std::cerr);
   return said.status == 503 ? Exit::unknown : Exit::refused;
 }
 
@@ -149,7 +166,8 @@
 int main(int count, char **words) {
   Control control;
   std::string places;
-  Flags flags("wharfctl", "apply FILE | patch FILE | get | version | status | wait | check FILE | options");
+  Flags flags("wharfctl", "apply FILE | patch FILE | try FILE | try-patch FILE | get | version | status | "
+                          "wait | check FILE | options");
   flags.text("at", places, "Operators' addresses of harbourd, separated by commas");
   flags.text("token", control.token, "The operators' token");
   flags.text("if-match", control.if_match, "Write only over this version");
@@ -166,7 +184,7 @@
     return Exit::done;
   }
   std::string body;
-  if (verb == "apply" || verb == "patch" || verb == "check") {
+  if (verb == "apply" || verb == "patch" || verb == "check" || verb == "try" || verb == "try-patch") {
     const auto bytes = slurp(file);
     if (!bytes) {
       std::cerr << "wharfctl: '" << file << "' cannot be read\n";
@@ -193,6 +211,9 @@
     return finish(control, call(control, "PUT", "/v1/manifest", body, random_id()), "applied");
   if (verb == "patch")
     return finish(control, call(control, "PATCH", "/v1/manifest", body, random_id()), "patched");
+  if (verb == "try" || verb == "try-patch")
+    return finish(control, call(control, verb == "try" ? "PUT" : "PATCH", "/v1/trial", body, ""),
+                  "would be taken");
   if (verb == "wait") return wait_settled(control);
   if (verb == "get" || verb == "version" || verb == "status") {
     const Said said = call(control, "GET", verb == "get" ? "/v1/manifest" : "/v1/" + verb, "", "");
