Let worth decide where tokens, places, starts and memory are short; spread runners

Cause: in a crowd a tenant's confirmations were refused like its status calls; starts planned earlier went first whatever they were for; a service with one runner lost it with its zone.

--- a/packages/berth/berth.cpp
+++ b/packages/berth/berth.cpp
@@ -437,6 +437,7 @@
   const auto demand = static_cast<std::uint32_t>(taken(berth) + berth.pending_count);
   std::uint32_t need = (demand + plan.slots - 1) / plan.slots;
   if (demand * 5 >= need * plan.slots * 4 && demand > 0) ++need;
+  if (plan.least > 0) need = std::max(need, 2u);
   need = std::clamp(need, plan.least, plan.most);
   if (need >= berth.target) {
     if (need > berth.target && berth.short_since == 0) berth.short_since = now;
--- a/packages/charter/charter.cpp
+++ b/packages/charter/charter.cpp
@@ -290,6 +290,8 @@
     const auto trial = root.find("trial");
     if (trial != root.end() && reader.object(*trial, "$.trial"))
       read_trial(reader, *trial, "$.trial", charter->trial);
+    for (const Service &service : charter->services)
+      charter->top_worth = std::max(charter->top_worth, static_cast<std::uint32_t>(service.worth));
     check_keys(reader, *charter);
     read_rules(reader, root, *charter);
   }
--- a/packages/charter/charter.hpp
+++ b/packages/charter/charter.hpp
@@ -49,6 +49,8 @@
   std::vector<Service> services;
   Limits limits;
   TrialBounds trial;
+  /// The worth of the worthiest service.
+  std::uint32_t top_worth = 1;
   Compass compass;
   std::unordered_map<std::string, std::uint32_t> tenant_of_key, tenant_index, service_index;
 
--- a/packages/drydock/perils.cpp
+++ b/packages/drydock/perils.cpp
@@ -275,6 +275,10 @@
   });
 }
 
+void crowd_in_mix(World &world, Instant from, Instant until) {
+  world.crowd_mixed(0, static_cast<double>(world.shape().base) * 5, from, until);
+}
+
 void large_answers(World &world, Instant from, Instant until) {
   world.at(from, [&world] {
     for (int at = 0; at < world.shape().once; ++at)
@@ -321,6 +325,8 @@
       {"restless-voters", "voters restart all the time while leaders are cut off", restless_voters, 200},
       {"starving-changes", "changes that would starve tenants race with sound ones while leaders die",
        starving_changes, 60},
+      {"crowd-in-mix", "a tenant sends five times its allowance of holds, confirmations and status calls",
+       crowd_in_mix, 60},
       {"large-answers", "once answers too large to keep, repeated by impatient callers", large_answers, 60},
   };
   return list;
--- a/packages/drydock/world.cpp
+++ b/packages/drydock/world.cpp
@@ -136,6 +136,7 @@
   options.platform_pace = shape_.pace;
   options.compact_entries = 400;
   if (defect_ == Defect::early_acknowledge) options.fresh = 0;
+  options.by_worth = options.must_spread = !shape_.is_plain;
   options.must_try = defect_ != Defect::untried;
   node.core = std::make_unique<Harbour>(self, seeds_, options, dice_.next(), node.disk.durable, local(node));
   watched_[static_cast<std::size_t>(which)] = 0;
@@ -228,6 +229,7 @@
   node.self.zone = std::string(1, static_cast<char>('a' + which % shape_.zones));
   node.self.role = static_cast<std::uint8_t>(Role::pilot);
   PilotOptions options;
+  options.by_worth = !shape_.is_plain;
   if (defect_ == Defect::stale_permit) options.fresh = seconds(30);
   if (defect_ == Defect::free_seconds) options.berth.second_share = options.berth.second_most = 1000;
   if (defect_ == Defect::loose_quota) options.purser.slack = 1.5;
@@ -717,6 +719,11 @@
     picture.runners.push_back({id, runner.record.service, runner.record.worker,
                                runner.is_ready ? runner.address : std::string(), phase});
   }
+  if (now_ > seconds(12) && now_ % seconds(2) == 0)
+    for (int zone = 0; zone < shape_.zones; ++zone) {
+      ++zones_looked_at_;
+      left_bare_ += static_cast<std::uint64_t>(left_bare(zone));
+    }
   listings_.emplace_back(now_, std::move(picture));
   const Span late = platform_mood_ == PlatformMood::late ? seconds(3) : shape_.list_late;
   while (listings_.size() > 1 && listings_[1].first <= now_ - late) listings_.pop_front();
@@ -873,6 +880,32 @@
   }
 }
 
+void World::crowd_mixed(int tenant, double rate, Instant from, Instant until) {
+  Instant moment = from;
+  while (moment < until) {
+    moment += static_cast<Span>(-std::log(1.0 - dice_.unit()) / rate * 1e9);
+    at(moment, [this, tenant] {
+      const double roll = dice_.unit();
+      const int kind = roll < shape_.hot_share ? 0 : roll < shape_.hot_share + shape_.once_share ? 1 : 2;
+      call(tenant, kind, kind == 1 ? "k" + std::to_string(dice_.next()) : "", 0);
+    });
+  }
+}
+
+int World::left_bare(int zone) const {
+  int bare = 0;
+  for (int kind = 0; kind < 2; ++kind)
+    for (int index = 0; index < (kind == 0 ? shape_.hot : shape_.once); ++index) {
+      bool is_left = false;
+      for (const auto &[id, runner] : runners_)
+        is_left = is_left ||
+                  (runner.record.service == service_name(kind, index) && runner.is_ready && !runner.is_gone &&
+                   !runner.is_stopping && std::stoi(runner.record.worker.substr(1)) % shape_.zones != zone);
+      bare += is_left ? 0 : 1;
+    }
+  return bare;
+}
+
 void World::call_service(int tenant, int kind, int index) {
   forced_index_ = index;
   call(tenant, kind, "", 0);
@@ -1132,6 +1165,19 @@
     result.counts["fault_dropped-in-drain"] = dropped_in_drain_;
     result.faults.push_back("dropped-in-drain: " + std::to_string(dropped_in_drain_));
   }
+  for (const CallRecord &call : calls_) {
+    if (call.tenant == "rolling") continue;
+    const std::string kind = call.target.starts_with("/hot")    ? "hot"
+                             : call.target.starts_with("/once") ? "once"
+                                                                : "rare";
+    const std::uint64_t worth = kind == "hot" ? 20 : kind == "once" ? 100 : 1;
+    ++result.counts["sent_" + kind];
+    if (call.verdict != "run") continue;
+    ++result.counts["run_" + kind];
+    result.counts["run_worth"] += worth;
+  }
+  result.counts["zones_looked_at"] = zones_looked_at_;
+  result.counts["left_bare"] = left_bare_;
   judge_writes(result);
   judge_keys(result);
   judge_held(result);
--- a/packages/drydock/world.hpp
+++ b/packages/drydock/world.hpp
@@ -24,6 +24,8 @@
   double pace = 80, hot_share = 0.6, once_share = 0.25;
   /// How far monotonic clocks may run apart, as a share.
   double clock_spread = 0.001;
+  /// First come, first served, and the first worker that fits: the plain ways, to measure against.
+  bool is_plain = false;
 };
 
 /// The deployments of the brief: udruga, masa-verde; anything else is the small world.
@@ -106,6 +108,10 @@
   void on_next_taken(std::function<void()> deed) { on_taken_ = std::move(deed); }
   void start_callers(Instant from, Instant until);
   void crowd(int tenant, double rate, Instant from, Instant until, int pilot = -1);
+  /// A crowd of one tenant in the whole mix.
+  void crowd_mixed(int tenant, double rate, Instant from, Instant until);
+  /// Counts busy services that would have no runner left if the zone were lost now.
+  int left_bare(int zone) const;
   void call(int tenant, int kind, const std::string &once_key, int tries_left, int pilot = -1,
             const std::string &key = {});
   /// A call to one service of a kind.
@@ -272,6 +278,7 @@
   PlatformMood platform_mood_ = PlatformMood::well;
   std::vector<TryRecord> tries_;
   std::function<void()> on_taken_;
+  std::uint64_t zones_looked_at_ = 0, left_bare_ = 0;
   double platform_tokens_ = 0;
   Instant platform_token_at_ = 0;
   std::uint64_t next_serial_ = 1, next_errand_ = 1, next_ticket_ = 1;
--- a/packages/harbour/harbour.cpp
+++ b/packages/harbour/harbour.cpp
@@ -730,12 +730,89 @@
   };
   for (const WorkerSeen &worker : platform_.workers) {
     if (worker.is_draining || used[worker.id] + memory_mb > worker.memory_mb) continue;
+    if (!options_.must_spread) return worker.id;
     if (best == nullptr || rank(worker) < rank(*best)) best = &worker;
   }
   if (best == nullptr) return std::nullopt;
   return best->id;
 }
 
+std::string Harbour::zone_of_worker(const std::string &id) const {
+  for (const WorkerSeen &worker : platform_.workers)
+    if (worker.id == id) return worker.zone;
+  return {};
+}
+
+bool Harbour::is_lopsided(const Service &service, const std::vector<const RunnerRecord *> &list) const {
+  if (list.size() < 2 || !options_.must_spread) return false;
+  const std::string zone = zone_of_worker(list.front()->worker);
+  for (const RunnerRecord *record : list)
+    if (zone_of_worker(record->worker) != zone) return false;
+  const auto worker = elect_worker(service.name, static_cast<std::uint32_t>(service.memory_mb), {});
+  return worker && zone_of_worker(*worker) != zone;
+}
+
+std::vector<std::string> Harbour::elect_leaving(std::vector<const RunnerRecord *> list,
+                                                std::size_t target) const {
+  std::vector<std::string> leaving;
+  while (list.size() > target) {
+    std::map<std::string, int> in_zone, on_worker;
+    for (const RunnerRecord *record : list) {
+      ++in_zone[zone_of_worker(record->worker)];
+      ++on_worker[record->worker];
+    }
+    const auto rank = [&](const RunnerRecord *record) {
+      return std::make_tuple(in_zone[zone_of_worker(record->worker)], on_worker[record->worker], record->id);
+    };
+    const auto most =
+        std::max_element(list.begin(), list.end(), [&](const RunnerRecord *left, const RunnerRecord *right) {
+          return rank(left) < rank(right);
+        });
+    leaving.push_back((*most)->id);
+    list.erase(most);
+  }
+  return leaving;
+}
+
+std::vector<std::string>
+Harbour::make_memory(const Service &service,
+                     std::map<std::string, std::vector<const RunnerRecord *>> &active) const {
+  const Service *least_worth = nullptr;
+  for (const Service &other : charter_->services) {
+    const auto found = active.find(other.name);
+    const auto kept = static_cast<std::size_t>(std::max<std::int64_t>(1, other.least));
+    if (other.worth >= service.worth || found == active.end() || found->second.size() <= kept) continue;
+    if (least_worth == nullptr || other.worth < least_worth->worth) least_worth = &other;
+  }
+  if (least_worth == nullptr) return {};
+  auto &list = active[least_worth->name];
+  const auto leaving = elect_leaving(list, list.size() - 1);
+  std::erase_if(list, [&](const RunnerRecord *record) { return record->id == leaving.front(); });
+  return leaving;
+}
+
+void Harbour::order_starts(std::vector<const RunnerRecord *> waiting, Instant now, HarbourOutput &out) {
+  const auto worth_of = [this](const RunnerRecord *record) {
+    const Service *service = charter_->service_named(record->service);
+    return service == nullptr ? 0 : service->worth;
+  };
+  std::vector<const RunnerRecord *> by_worth = waiting;
+  if (options_.by_worth)
+    std::stable_sort(by_worth.begin(), by_worth.end(),
+                     [&](const auto *left, const auto *right) { return worth_of(left) > worth_of(right); });
+  std::set<std::string> ordered;
+  std::size_t at = 0, oldest = 0;
+  while (pace_ >= 1 && ordered.size() < waiting.size()) {
+    const bool is_oldest_turn = starts_ordered_ % 5 == 4;
+    const RunnerRecord *record = is_oldest_turn ? waiting[oldest++] : by_worth[at++];
+    if (!ordered.insert(record->id).second) continue;
+    ++starts_ordered_;
+    pace_ -= 1;
+    notes_[record->id].started_at = now;
+    out.orders.push_back({true, *record, seal_key_of(record->id), 0});
+  }
+}
+
 void Harbour::platform_seen(PlatformPicture picture, Instant now, HarbourOutput &out) {
   platform_ = std::move(picture);
   platform_at_ = now;
@@ -790,6 +867,7 @@
   for (const WorkerSeen &worker : platform_.workers) worker_ids.insert(worker.id);
 
   PutRunners put;
+  std::vector<const RunnerRecord *> unstarted;
   std::map<std::string, std::vector<const RunnerRecord *>> active;
   std::set<std::string> idle, retire;
   std::map<std::string, const Want *> wants;
@@ -840,13 +918,10 @@
       continue;
     }
     active[record.service].push_back(&record);
-    if (found == seen.end() && pace_ >= 1 &&
-        (note.started_at == 0 || now - note.started_at > options_.start_again)) {
-      pace_ -= 1;
-      note.started_at = now;
-      out.orders.push_back({true, record, seal_key_of(id), 0});
-    }
+    if (found == seen.end() && (note.started_at == 0 || now - note.started_at > options_.start_again))
+      unstarted.push_back(&record);
   }
+  order_starts(std::move(unstarted), now, out);
   for (const RunnerSeen &runner : platform_.runners) {
     if (registry_.runners().contains(runner.id) || runner.phase == RunnerPhase::stopping) continue;
     RunnerNote &note = notes_[runner.id];
@@ -859,8 +934,9 @@
   }
   std::vector<const Service *> services;
   for (const Service &service : charter_->services) services.push_back(&service);
-  std::stable_sort(services.begin(), services.end(),
-                   [](const Service *left, const Service *right) { return left->worth > right->worth; });
+  if (options_.by_worth)
+    std::stable_sort(services.begin(), services.end(),
+                     [](const Service *left, const Service *right) { return left->worth > right->worth; });
   std::uint64_t next = registry_.next_runner();
   for (const Service *service : services) {
     auto &list = active[service->name];
@@ -870,11 +946,31 @@
     if (const auto want = wants.find(service->name); want != wants.end())
       target = std::clamp<std::size_t>(want->second->runners, static_cast<std::size_t>(service->least),
                                        static_cast<std::size_t>(service->most));
-    for (std::size_t extra = target; extra < list.size(); ++extra) put.leaving.push_back(list[extra]->id);
+    const bool is_booting = std::any_of(list.begin(), list.end(), [this](const RunnerRecord *record) {
+      return std::none_of(views_.begin(), views_.end(),
+                          [&](const RunnerView &view) { return view.id == record->id; });
+    });
+    if (list.size() > target && !(list.size() == target + 1 && is_booting && target > 0)) {
+      const auto leaving = elect_leaving(list, target);
+      put.leaving.insert(put.leaving.end(), leaving.begin(), leaving.end());
+    }
+    if (list.size() == target && !is_booting && now - moved_at_ > options_.move_every &&
+        is_lopsided(*service, list)) {
+      moved_at_ = now;
+      ++target;
+    }
+    bool has_made_memory = false;
     for (std::size_t missing = list.size(); missing < target && put.add.size() < 64; ++missing) {
       const auto worker =
           elect_worker(service->name, static_cast<std::uint32_t>(service->memory_mb), put.add);
-      if (!worker) break;
+      if (!worker) {
+        if (options_.by_worth && !has_made_memory) {
+          has_made_memory = true;
+          const auto leaving = make_memory(*service, active);
+          put.leaving.insert(put.leaving.end(), leaving.begin(), leaving.end());
+        }
+        break;
+      }
       RunnerRecord record;
       record.id = "r" + std::to_string(convoy_.term()) + "-" + std::to_string(next++);
       record.service = service->name;
--- a/packages/harbour/harbour.hpp
+++ b/packages/harbour/harbour.hpp
@@ -89,6 +89,10 @@
   Span outlook_after = seconds(30);
   /// False only to show that a checker can fail.
   bool must_try = true;
+  /// False for first come, first served and the first worker that fits: the plain way, to measure against.
+  bool by_worth = true, must_spread = true;
+  /// Least time between two moves of runners, over all services.
+  Span move_every = seconds(5);
   double platform_pace = 80;
   std::uint64_t compact_entries = 20'000;
   std::size_t compact_bytes = 16u << 20;
@@ -188,6 +192,16 @@
   void tend_runners(Instant now, HarbourOutput &out);
   void refresh_views(Instant now);
   void compact_if_due(HarbourOutput &out);
+  /// Starts what is planned but not listed, worthier services first, every fifth the one that waited longest.
+  void order_starts(std::vector<const RunnerRecord *> waiting, Instant now, HarbourOutput &out);
+  /// Runners of less worthy services that must leave so that one of `service` finds memory.
+  std::vector<std::string>
+  make_memory(const Service &service, std::map<std::string, std::vector<const RunnerRecord *>> &active) const;
+  /// Which runners of a service go when it has too many: from the fullest zone, then the fullest worker.
+  std::vector<std::string> elect_leaving(std::vector<const RunnerRecord *> list, std::size_t target) const;
+  /// True when all runners of a service would be lost with one zone and another has room.
+  bool is_lopsided(const Service &service, const std::vector<const RunnerRecord *> &list) const;
+  std::string zone_of_worker(const std::string &worker) const;
   std::optional<std::string> elect_worker(const std::string &service, std::uint32_t memory_mb,
                                           const std::vector<RunnerRecord> &planned) const;
   std::string seal_key_of(const std::string &runner) const;
@@ -221,6 +235,8 @@
   std::map<std::string, RunnerNote> notes_;
   std::vector<RunnerView> views_;
   std::uint64_t views_stamp_ = 0;
+  Instant moved_at_ = 0;
+  std::uint64_t starts_ordered_ = 0;
   double pace_ = 0;
   Instant pace_at_ = 0;
   std::size_t bytes_since_picture_ = 0;
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -32,7 +32,9 @@
   if (!force.charter || !is_fresh(now)) return Fate::stale;
   auto planned = plan_errand(*force.charter, force.version, head, now);
   if (auto *bill = std::get_if<Waybill>(&planned)) {
-    if (const auto purse = rack_.find(tenant_index(bill->tenant))) bill->permit = purse->pay(now);
+    const auto purse = rack_.find(tenant_index(bill->tenant));
+    if (purse && (bill->worth >= force.charter->top_worth || !options_.by_worth || !purse->is_short(now)))
+      bill->permit = purse->pay(now);
     bill->is_paid = bill->permit != 0;
   }
   return planned;
@@ -279,7 +281,10 @@
        "planned by manifest " + std::to_string(errand.bill.version) + ": tenant " + errand.bill.tenant +
            ", rule " + errand.bill.rule + ", service " + errand.bill.service + ", steps" + steps);
   if (errand.bill.is_paid) note(errand, now, "paid from the local purse");
-  const bool is_full = afloat_.size() >= options_.errands_most;
+  const std::uint32_t worth = errand.bill.worth;
+  const bool is_full =
+      afloat_.size() >= places_for(worth) &&
+      (afloat_.size() < options_.errands_most || !options_.by_worth || !displace(worth, now, out));
   afloat_[id] = std::move(errand);
   if (is_full)
     finish(id, Fate::no_runner, seconds(1), now, out, nullptr, "pilot-full");
@@ -327,7 +332,7 @@
       return;
     }
     note(errand, now, "waits for a permit");
-    till.line.push_back(id);
+    line_up(till, id, errand.bill.worth);
     serve_line(tenant, now, out);
     return;
   }
@@ -615,6 +620,11 @@
   return till.rate * nodes <= options_.modest_share * static_cast<double>(tenant.base);
 }
 
+bool Pilot::is_denied(const Afloat &errand, Instant now) {
+  const Till &till = tills_[tenant_index(errand.bill.tenant)];
+  return till.deny_until != 0 && now - till.deny_until < options_.permit_patience;
+}
+
 Span Pilot::patience_of(const Afloat &errand) {
   const Tenant *tenant = declared(errand.bill.tenant);
   const bool may_wait = tenant != nullptr && is_modest(tills_[tenant_index(tenant->name)], *tenant);
@@ -641,34 +651,88 @@
   return true;
 }
 
+std::size_t Pilot::places_for(std::uint32_t worth) const {
+  if (!options_.by_worth || !in_force_.charter) return options_.errands_most;
+  const std::uint32_t top = in_force_.charter->top_worth;
+  const double share = options_.places_floor +
+                       (1 - options_.places_floor) * static_cast<double>(worth) / static_cast<double>(top);
+  return static_cast<std::size_t>(std::min(1.0, share) * static_cast<double>(options_.errands_most));
+}
+
+bool Pilot::displace(std::uint32_t worth, Instant now, PilotOutput &out) {
+  const Afloat *least = nullptr;
+  for (const auto &[id, errand] : afloat_) {
+    if (errand.is_carrying || errand.has_claimed || errand.bill.worth >= worth) continue;
+    if (least == nullptr || errand.bill.worth < least->bill.worth) least = &errand;
+  }
+  if (least == nullptr) return false;
+  finish(std::string(least->bill.id), Fate::no_runner, seconds(1), now, out, nullptr, "displaced");
+  return true;
+}
+
+void Pilot::line_up(Till &till, const std::string &id, std::uint32_t worth) {
+  auto place = till.line.end();
+  while (options_.by_worth && place != till.line.begin()) {
+    const auto before = afloat_.find(*std::prev(place));
+    if (before == afloat_.end() || before->second.bill.worth >= worth) break;
+    --place;
+  }
+  till.line.insert(place, id);
+}
+
+void Pilot::thin_line(Till &till, Instant now, PilotOutput &out) {
+  const Tenant *tenant = declared(till.name);
+  const double base = tenant == nullptr ? 0 : static_cast<double>(tenant->base);
+  const auto nodes = static_cast<double>(std::max<std::size_t>(1, roster_.pilots.size()));
+  const std::uint32_t top = options_.by_worth && in_force_.charter ? in_force_.charter->top_worth : 0;
+  std::size_t kept = 0;
+  const auto most = static_cast<std::size_t>(std::ceil(base * options_.waiting_share / nodes));
+  const std::deque<std::string> line = till.line;
+  for (const std::string &id : line) {
+    const auto found = afloat_.find(id);
+    const bool may_wait = found != afloat_.end() && top > 0 && found->second.bill.worth == top && kept < most;
+    kept += may_wait ? 1 : 0;
+    if (may_wait) continue;
+    count("denied_errands");
+    if (found == afloat_.end())
+      std::erase(till.line, id);
+    else
+      finish(id, Fate::over_quota, std::max<Span>(1, till.deny_until - now), now, out);
+  }
+}
+
 void Pilot::serve_line(std::uint32_t tenant, Instant now, PilotOutput &out) {
   Till &till = tills_[tenant];
+  std::erase_if(till.line, [this](const std::string &id) { return !afloat_.contains(id); });
   while (!till.line.empty()) {
-    const auto found = afloat_.find(till.line.front());
-    if (found == afloat_.end()) {
-      till.line.pop_front();
-      continue;
-    }
-    if (till.deny_until > now) {
-      count("denied_errands");
-      finish(std::string(till.line.front()), Fate::over_quota, till.deny_until - now, now, out);
-      continue;
-    }
     const auto purse = rack_.obtain(tenant, capacity_of(till.name));
     const bool is_cut_off =
         till.unanswered_since != 0 && now - till.unanswered_since >= options_.fallback_after;
     const std::uint64_t permit = purse->pay(now);
-    if (permit == 0 && !(is_cut_off && spend_fallback(till, now))) break;
-    const std::string id = till.line.front();
-    till.line.pop_front();
-    found->second.bill.is_paid = true;
-    found->second.bill.permit = permit;
-    note(found->second, now, "paid");
+    if (permit == 0 && !(is_cut_off && spend_fallback(till, now))) {
+      if (till.deny_until > now) thin_line(till, now, out);
+      break;
+    }
+    const bool is_floor_turn = options_.by_worth && till.served % 5 == 4;
+    const std::string id = is_floor_turn ? first_of_least_worth(till) : till.line.front();
+    ++till.served;
+    std::erase(till.line, id);
+    Afloat &errand = afloat_.at(id);
+    errand.bill.is_paid = true;
+    errand.bill.permit = permit;
+    note(errand, now, "paid");
     next_step(id, now, out);
   }
   if (!till.line.empty()) ask_permit(tenant, now, out);
 }
 
+std::string Pilot::first_of_least_worth(const Till &till) const {
+  std::string id = till.line.front();
+  for (const std::string &other : till.line)
+    if (afloat_.at(other).bill.worth < afloat_.at(id).bill.worth) id = other;
+  return id;
+}
+
 void Pilot::ask_permit(std::uint32_t tenant, Instant now, PilotOutput &out) {
   Till &till = tills_[tenant];
   if (till.asked_at != 0 && now - till.asked_at < options_.permit_again) return;
@@ -716,6 +780,8 @@
   till.asked_at = 0;
   if (say.tokens == 0) {
     till.deny_until = std::max(till.deny_until, now + std::min(say.retry_after, milliseconds(250)));
+    if (const auto purse = rack_.find(tenant)) purse->set_short(now + seconds(1));
+    till.asked_at = now;
     serve_line(tenant, now, out);
     return;
   }
@@ -839,7 +905,7 @@
     } else if (!is_fresh(now)) {
       finish(id, Fate::stale, seconds(1), now, out);
     } else if (step == Step::pay && now - errand.waiting_since > patience_of(errand)) {
-      finish(id, Fate::no_permit, seconds(1), now, out);
+      finish(id, is_denied(errand, now) ? Fate::over_quota : Fate::no_permit, seconds(1), now, out);
     } else if (step == Step::claim && now - errand.asked_at >= options_.claim_again) {
       ask_claim(errand, now, out);
     } else if (step == Step::berth && now - errand.asked_at >= options_.berth_again) {
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -88,6 +88,12 @@
   /// The largest answer, headers and all, that is kept for repeats.
   std::size_t record_most = 65536;
   std::size_t errands_most = 4096;
+  /// The share of places that errands of any worth may take; the rest goes by worth.
+  double places_floor = 0.5;
+  /// How many seconds' base of the worthiest errands may wait for tokens while the allowance is spent.
+  double waiting_share = 0.3;
+  /// False for first come, first served: the plain way, to measure against.
+  bool by_worth = true;
   std::size_t tries_most = 2;
   BerthOptions berth;
   PurserOptions purser;
@@ -155,6 +161,7 @@
     double rate = 0, fallback = 0;
     Instant fallback_at = 0;
     bool is_fallback = false;
+    std::uint64_t served = 0;
     std::map<std::uint64_t, Outlay> outlays;
     Instant reported_at = 0;
     std::deque<std::uint64_t> seen;
@@ -185,6 +192,17 @@
               const CallEnd *end = nullptr, std::string why = {});
   void free_slot(const Afloat &errand, SlotEnd end, Instant now, PilotOutput &out);
   void close_claim(const Afloat &errand, ClosedAs as, const CallEnd *end, Instant now, PilotOutput &out);
+  /// Places that errands of a worth may take here.
+  std::size_t places_for(std::uint32_t worth) const;
+  /// Takes the place of a waiting errand of less worth for a new one; false when there is none.
+  bool displace(std::uint32_t worth, Instant now, PilotOutput &out);
+  /// Puts an errand in its tenant's line, the worthier before the less worthy.
+  void line_up(Till &till, const std::string &id, std::uint32_t worth);
+  std::string first_of_least_worth(const Till &till) const;
+  /// Ends those in line whom the tokens to come will not reach.
+  void thin_line(Till &till, Instant now, PilotOutput &out);
+  /// True when the tenant's allowance was denied a moment ago.
+  bool is_denied(const Afloat &errand, Instant now);
   Span patience_of(const Afloat &errand);
   std::optional<Fate> recheck(const Afloat &errand, Instant now) const;
   void ask_permit(std::uint32_t tenant, Instant now, PilotOutput &out);
--- a/packages/purse/purse.hpp
+++ b/packages/purse/purse.hpp
@@ -40,6 +40,9 @@
   std::uint32_t left(Instant now) const;
   /// When the permit in force dies.
   Instant dies_at() const;
+  /// Notes that the owner had nothing left; for a second after that tokens go by worth.
+  void set_short(Instant until) { short_until_.store(until, std::memory_order_relaxed); }
+  bool is_short(Instant now) const { return now < short_until_.load(std::memory_order_relaxed); }
   void set_capacity(double capacity) { capacity_.store(capacity, std::memory_order_relaxed); }
   Instant last_used() const { return last_used_.load(std::memory_order_relaxed); }
   /// Errands that asked since the last call.
@@ -63,7 +66,7 @@
   std::atomic<State> state_;
   std::array<Plan, 256> plans_;
   std::atomic<double> capacity_;
-  std::atomic<Instant> last_used_{0};
+  std::atomic<Instant> last_used_{0}, short_until_{0};
   std::atomic<std::uint32_t> asked_{0};
 };
 
--- a/programs/drydock/main.cpp
+++ b/programs/drydock/main.cpp
@@ -75,12 +75,15 @@
   flags.whole("seeds", many, "How many seeds");
   flags.whole("threads", threads, "Runs at the same time");
   flags.whole("defect", defect, "Defect put in on purpose, 1 to 17");
+  flags.mark("plain", sweep.shape.is_plain, "First come, first served, and the first worker that fits");
   flags.text("deployment", deployment, "small, udruga or masa-verde");
   flags.text("trace", sweep.trace,
              "Errand, runner, service, tenant or reason whose records are printed; 'mates' for the group");
   const auto read_flags = flags.read(count, words);
   if (const auto *end = std::get_if<EndNow>(&read_flags)) return end->say();
+  const bool is_plain = sweep.shape.is_plain;
   sweep.shape = shape_named(deployment);
+  sweep.shape.is_plain = is_plain;
   sweep.defect = static_cast<Defect>(defect);
   for (const Scenario &scenario : all_scenarios()) {
     if (!name.empty() && scenario.name != name) continue;
@@ -112,7 +115,11 @@
               << at_share(figures["worst_5s_admitted_percent"], 1.0) << " run "
               << at_share(figures["worst_5s_run_percent"], 1.0) << ", rare ms p95 "
               << at_share(figures["rare_p95_ms"], 0.5) << " most " << at_share(figures["rare_most_ms"], 0.5)
-              << ", worst write ms " << at_share(figures["worst_write_ms"], 1.0) << "\n";
+              << ", once run " << at_share(figures["run_once"], 0.5) << " of "
+              << at_share(figures["sent_once"], 0.5) << ", worth run " << at_share(figures["run_worth"], 0.5)
+              << ", bare " << at_share(figures["left_bare"], 0.5) << "/"
+              << at_share(figures["zones_looked_at"], 0.5) << ", worst write ms "
+              << at_share(figures["worst_write_ms"], 1.0) << "\n";
   }
   return bad == 0 ? 0 : 1;
 }
