Watch all links by one duty at the door; a thread only while a request is served

Cause: the library gives each kept-alive link a thread, 192 in all, so idle links and slow senders held up everyone, and what waited got no answer. Change: moorings, a server on the same library, parks links in one poll, takes a thread only for a request that has arrived whole, refuses beyond threads and waiting places with 503, Retry-After and not-run at once, and tells the pilot when a caller hangs up; an errand that has not gone out is then given up.

--- a/packages/bosun/door.cpp
+++ b/packages/bosun/door.cpp
@@ -110,6 +110,10 @@
 
 void set_up_door(httplib::Server &server, std::size_t threads, std::size_t body_most, DoorHandler handler) {
   server.new_task_queue = [threads] { return new DoorCrew(threads, 1024); };
+  set_up_door(server, body_most, std::move(handler));
+}
+
+void set_up_door(httplib::Server &server, std::size_t body_most, DoorHandler handler) {
   server.set_payload_max_length(body_most);
   server.set_keep_alive_max_count(1000);
   server.set_keep_alive_timeout(2);
--- a/packages/bosun/door.hpp
+++ b/packages/bosun/door.hpp
@@ -40,6 +40,8 @@
 /// Sets a server up so that nothing of a request is interpreted, decoded or compressed on the way: the
 /// handler gets raw target and body and the headers as they came. Ambiguous framing is refused.
 void set_up_door(httplib::Server &server, std::size_t threads, std::size_t body_most, DoorHandler handler);
+/// The same for a server that has its own threads.
+void set_up_door(httplib::Server &server, std::size_t body_most, DoorHandler handler);
 
 /// One answer waited for by a thread at the door.
 template <typename Item> class Waiter {
--- a/packages/drydock/perils.cpp
+++ b/packages/drydock/perils.cpp
@@ -279,6 +279,13 @@
   world.crowd_mixed(0, static_cast<double>(world.shape().base) * 5, from, until);
 }
 
+void hang_ups(World &world, Instant from, Instant until) {
+  world.crowd_mixed(0, static_cast<double>(world.shape().base) * 3, from, until);
+  often(world, from, until, milliseconds(8), [&world] { world.hang_up(any_pilot(world)); });
+  often(world, from, until, seconds(6),
+        [&world] { bounce_pilot(world, any_pilot(world), any_span(world, milliseconds(300), seconds(2))); });
+}
+
 void large_answers(World &world, Instant from, Instant until) {
   world.at(from, [&world] {
     for (int at = 0; at < world.shape().once; ++at)
@@ -327,6 +334,7 @@
        starving_changes, 60},
       {"crowd-in-mix", "a tenant sends five times its allowance of holds, confirmations and status calls",
        crowd_in_mix, 60},
+      {"hang-ups", "callers hang up while they wait, and pilots die", hang_ups},
       {"large-answers", "once answers too large to keep, repeated by impatient callers", large_answers, 60},
   };
   return list;
--- a/packages/drydock/world.cpp
+++ b/packages/drydock/world.cpp
@@ -918,6 +918,19 @@
   call(std::stoi(key.substr(0, key.find('/'))), 1, key.substr(key.find('/') + 1), 0);
 }
 
+void World::hang_up(int which) {
+  PilotNode &node = pilots_[static_cast<std::size_t>(which)];
+  if (!node.is_up || node.is_frozen || node.waiting.empty()) return;
+  const auto item =
+      std::next(node.waiting.begin(), static_cast<std::ptrdiff_t>(dice_.below(node.waiting.size())));
+  const std::string id = item->first;
+  node.waiting.erase(item);
+  PilotOutput out;
+  node.core->caller_gone(id, local(node), out);
+  flush(which, node, out);
+  settle_call(id, nullptr);
+}
+
 void World::call(int tenant, int kind, const std::string &once_key, int tries_left, int pilot,
                  const std::string &key) {
   const int which = pilot >= 0 ? pilot : static_cast<int>(dice_.below(pilots_.size()));
--- a/packages/drydock/world.hpp
+++ b/packages/drydock/world.hpp
@@ -118,6 +118,8 @@
   void call_service(int tenant, int kind, int index);
   /// Repeats a once errand that a caller sent a little before.
   void repeat_once();
+  /// A caller, any of those waiting at a pilot, hangs up.
+  void hang_up(int pilot);
   /// Sends the newest write again, as an operator whose answer was lost would.
   void repeat_last_write(int harbour);
   bool has_read_back() const { return last_read_status_ == 200; }
--- a/packages/gangway/gangway.cpp
+++ b/packages/gangway/gangway.cpp
@@ -131,6 +131,7 @@
     answer(head.id, Fate::no_runner, seconds(1), "pilot-full", response);
     return;
   }
+  Moorings::on_caller_gone([this, errand = head.id] { desk_.caller_gone(errand); });
   Cargo cargo{request.method, request.target, request.body, {}};
   const auto hops = named_hops(original);
   for (const auto &[name, value] : original) {
--- a/packages/gangway/gangway.hpp
+++ b/packages/gangway/gangway.hpp
@@ -10,6 +10,7 @@
 
 #include "bosun/door.hpp"
 #include "lighter/lighter.hpp"
+#include "moorings/moorings.hpp"
 #include "pilot/pilot.hpp"
 
 namespace wharf {
@@ -38,6 +39,8 @@
   /// Hands an errand in; false when the core's ring is full.
   virtual bool hand_in(Waybill bill) = 0;
   virtual void call_ended(CallEnd end) = 0;
+  /// The errand's caller has gone away.
+  virtual void caller_gone(const std::string &errand) = 0;
   virtual std::size_t body_most() const = 0;
   virtual std::string counters_json() = 0;
   /// The story of an errand that ended here, as JSON; empty when it is not remembered.
--- /dev/null
+++ b/packages/moorings/moorings.cpp
@@ -0,0 +1,400 @@
+#include "moorings/moorings.hpp"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <charconv>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace wharf {
+
+enum class Berthing : std::uint8_t { parked, waiting, busy, lingering };
+
+struct Moorings::Link {
+  int descriptor = -1;
+  Berthing state = Berthing::parked;
+  std::string bytes;
+  Instant parked_at = 0, arriving_since = 0, waiting_since = 0;
+  std::size_t served = 0;
+  std::function<void()> on_gone;
+  bool is_gone = false;
+};
+
+namespace {
+thread_local std::function<void(std::function<void()>)> set_gone;
+
+bool poll_for(int descriptor, short events, Span span) {
+  pollfd one{descriptor, events, 0};
+  return poll(&one, 1, static_cast<int>(std::max<Span>(0, span) / 1'000'000)) > 0;
+}
+
+/// The value of a header in a request's head, and how often it stands there.
+std::size_t find_header(std::string_view head, std::string_view name, std::string_view &value) {
+  std::size_t count = 0;
+  for (std::size_t at = head.find("\r\n"); at != std::string_view::npos; at = head.find("\r\n", at + 2)) {
+    std::string_view line = head.substr(at + 2);
+    line = line.substr(0, line.find("\r\n"));
+    if (line.size() <= name.size() || line[name.size()] != ':' ||
+        strncasecmp(line.data(), name.data(), name.size()) != 0)
+      continue;
+    ++count;
+    value = line.substr(name.size() + 1);
+    while (!value.empty() && value.front() == ' ') value.remove_prefix(1);
+    while (!value.empty() && value.back() == ' ') value.remove_suffix(1);
+  }
+  return count;
+}
+
+std::string refusal(int status, std::string_view why) {
+  const std::string reason = status == 503 ? "no-runner" : "malformed";
+  const std::string body =
+      "{\"verdict\": \"not-run\", \"reason\": \"" + reason + "\", \"why\": \"" + std::string(why) + "\"}\n";
+  return "HTTP/1.1 " + std::to_string(status) +
+         (status == 503 ? " Service Unavailable\r\nRetry-After: 1" : " Request Timeout") +
+         "\r\nX-Wharf-Verdict: not-run\r\nX-Wharf-Reason: " + reason +
+         "\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+} // namespace
+
+Arrival arrival_of(std::string_view bytes, const MooringOptions &options) {
+  const auto end = bytes.find("\r\n\r\n");
+  if (end == std::string_view::npos)
+    return bytes.size() > options.head_most ? Arrival::whole : Arrival::partial;
+  const std::string_view head = bytes.substr(0, end + 2);
+  std::string_view value;
+  if (find_header(head, "Transfer-Encoding", value) > 0 || find_header(head, "Expect", value) > 0)
+    return Arrival::whole;
+  const std::size_t lengths = find_header(head, "Content-Length", value);
+  if (lengths != 1) return Arrival::whole;
+  std::size_t length = 0;
+  const auto read = std::from_chars(value.data(), value.data() + value.size(), length);
+  if (read.ec != std::errc() || read.ptr != value.data() + value.size() || length > options.body_most)
+    return Arrival::whole;
+  return bytes.size() - end - 4 >= length ? Arrival::whole : Arrival::partial;
+}
+
+/// The stream the library reads a request from: first what has arrived, then the link, within a deadline.
+class Moorings::Pipe final : public httplib::Stream {
+public:
+  Pipe(Link &link, const MooringOptions &options)
+      : link_(link), options_(options), read_until_(tide_.now() + options.arrive_within) {}
+  bool is_readable() const override {
+    return !link_.bytes.empty() || poll_for(link_.descriptor, POLLIN, read_until_ - tide_.now());
+  }
+  bool is_writable() const override { return poll_for(link_.descriptor, POLLOUT, options_.write_within); }
+  ssize_t read(char *into, size_t size) override {
+    if (!link_.bytes.empty()) {
+      const std::size_t count = std::min(size, link_.bytes.size());
+      std::copy_n(link_.bytes.data(), count, into);
+      link_.bytes.erase(0, count);
+      return static_cast<ssize_t>(count);
+    }
+    if (!is_readable()) return -1;
+    return recv(link_.descriptor, into, size, MSG_DONTWAIT);
+  }
+  ssize_t write(const char *from, size_t size) override {
+    const Instant until = tide_.now() + options_.write_within;
+    std::size_t written = 0;
+    while (written < size) {
+      if (!poll_for(link_.descriptor, POLLOUT, until - tide_.now())) return -1;
+      const ssize_t count =
+          send(link_.descriptor, from + written, size - written, MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (count < 0 && errno != EAGAIN && errno != EINTR) return -1;
+      written += count > 0 ? static_cast<std::size_t>(count) : 0;
+    }
+    return static_cast<ssize_t>(written);
+  }
+  void get_remote_ip_and_port(std::string &ip, int &port) const override { place(true, ip, port); }
+  void get_local_ip_and_port(std::string &ip, int &port) const override { place(false, ip, port); }
+  socket_t socket() const override { return link_.descriptor; }
+
+private:
+  void place(bool is_remote, std::string &ip, int &port) const {
+    sockaddr_in seen{};
+    socklen_t size = sizeof seen;
+    auto *raw = reinterpret_cast<sockaddr *>(&seen);
+    if ((is_remote ? getpeername(link_.descriptor, raw, &size) : getsockname(link_.descriptor, raw, &size)) !=
+        0)
+      return;
+    char text[INET_ADDRSTRLEN] = {};
+    inet_ntop(AF_INET, &seen.sin_addr, text, sizeof text);
+    ip = text;
+    port = ntohs(seen.sin_port);
+  }
+  SteadyTide tide_;
+  Link &link_;
+  const MooringOptions &options_;
+  Instant read_until_;
+};
+
+/// Runs what the library's listener enqueues at once: it only hands the link to the watch.
+class Moorings::Inline final : public httplib::TaskQueue {
+public:
+  explicit Inline(Moorings &moorings) : moorings_(moorings) {}
+  void enqueue(std::function<void()> job) override { job(); }
+  void shutdown() override { moorings_.drain(); }
+
+private:
+  Moorings &moorings_;
+};
+
+Moorings::Moorings(MooringOptions options) : options_(options) {
+  if (pipe2(wake_, O_NONBLOCK | O_CLOEXEC) != 0) throw std::runtime_error("no pipe for the door");
+  new_task_queue = [this] { return new Inline(*this); };
+  for (std::size_t at = 0; at < options_.threads; ++at)
+    crew_.push_back(std::make_unique<Duty>("door", [this] { work(); }));
+  watch_ = std::make_unique<Duty>("watch", [this] { watch(); });
+}
+
+Moorings::~Moorings() {
+  drain();
+  close(wake_[0]);
+  close(wake_[1]);
+}
+
+void Moorings::widen() { ::listen(svr_sock_, 1024); }
+
+void Moorings::on_caller_gone(std::function<void()> gone) {
+  if (set_gone) set_gone(std::move(gone));
+}
+
+std::map<std::string, std::uint64_t> Moorings::counters() const {
+  std::lock_guard guard(mutex_);
+  auto values = counters_;
+  values["door_links"] = links_.size();
+  values["door_busy"] = busy_;
+  values["door_jobs"] = jobs_.size();
+  return values;
+}
+
+void Moorings::wake() {
+  const char byte = 0;
+  (void)!::write(wake_[1], &byte, 1);
+}
+
+bool Moorings::process_and_close_socket(socket_t descriptor) {
+  const int is_on = 1;
+  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &is_on, sizeof is_on);
+  fcntl(descriptor, F_SETFL, fcntl(descriptor, F_GETFL) | O_NONBLOCK);
+  auto link = std::make_shared<Link>();
+  link->descriptor = descriptor;
+  link->parked_at = tide_.now();
+  std::lock_guard guard(mutex_);
+  ++counters_["door_links_taken"];
+  if (links_.size() >= options_.links_most) {
+    LinkPtr oldest;
+    for (const auto &[number, other] : links_) {
+      const bool is_idle = other->state == Berthing::parked && other->bytes.empty();
+      if (is_idle && (!oldest || other->parked_at < oldest->parked_at)) oldest = other;
+    }
+    ++counters_["door_links_full"];
+    if (oldest) close_link(oldest);
+  }
+  links_[descriptor] = link;
+  if (links_.size() > options_.links_most) turn_away(link, 503, "door-full", tide_.now());
+  wake();
+  return true;
+}
+
+void Moorings::close_link(const LinkPtr &link) {
+  if (link->descriptor < 0) return;
+  links_.erase(link->descriptor);
+  bytes_ -= std::min(bytes_, link->bytes.size());
+  link->bytes.clear();
+  shutdown(link->descriptor, SHUT_RDWR);
+  close(link->descriptor);
+  link->descriptor = -1;
+}
+
+void Moorings::turn_away(const LinkPtr &link, int status, std::string_view why, Instant now) {
+  ++counters_["door_turned_away"];
+  const std::string text = refusal(status, why);
+  (void)!send(link->descriptor, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  shutdown(link->descriptor, SHUT_WR);
+  bytes_ -= std::min(bytes_, link->bytes.size());
+  link->bytes.clear();
+  link->state = Berthing::lingering;
+  link->parked_at = now;
+}
+
+void Moorings::hand_over(const LinkPtr &link, Instant now) {
+  link->arriving_since = 0;
+  if (jobs_.size() >= options_.waiting_most) {
+    turn_away(link, 503, "door-full", now);
+    return;
+  }
+  link->state = Berthing::waiting;
+  link->waiting_since = now;
+  jobs_.push_back(link);
+  ready_.notify_one();
+}
+
+void Moorings::take_bytes(const LinkPtr &link, Instant now) {
+  char buffer[65536];
+  while (true) {
+    const ssize_t count = recv(link->descriptor, buffer, sizeof buffer, MSG_DONTWAIT);
+    if (count < 0 && (errno == EAGAIN || errno == EINTR)) break;
+    if (count <= 0) {
+      close_link(link);
+      return;
+    }
+    if (link->state == Berthing::lingering) continue;
+    if (link->arriving_since == 0) link->arriving_since = now;
+    link->bytes.append(buffer, static_cast<std::size_t>(count));
+    bytes_ += static_cast<std::size_t>(count);
+    if (bytes_ > options_.bytes_most) {
+      turn_away(link, 503, "door-full", now);
+      return;
+    }
+    if (count < static_cast<ssize_t>(sizeof buffer)) break;
+  }
+  if (link->state == Berthing::parked && arrival_of(link->bytes, options_) == Arrival::whole)
+    hand_over(link, now);
+}
+
+void Moorings::tend(const LinkPtr &link, Instant now) {
+  const bool is_idle = link->state == Berthing::parked && link->bytes.empty();
+  if (link->state == Berthing::lingering && now - link->parked_at > seconds(1))
+    close_link(link);
+  else if (is_idle && (now - link->parked_at > options_.idle || is_draining_))
+    close_link(link);
+  else if (link->state == Berthing::parked && !is_idle && now - link->arriving_since > options_.arrive_within)
+    turn_away(link, 408, "too-slow", now);
+  else if (link->state == Berthing::parked && is_draining_ && now > drain_until_)
+    close_link(link);
+  else if (link->state == Berthing::waiting && now - link->waiting_since > options_.waiting_within) {
+    std::erase(jobs_, link);
+    turn_away(link, 503, "door-full", now);
+  }
+}
+
+void Moorings::watch() {
+  while (!is_over_) {
+    std::vector<pollfd> polled{{wake_[0], POLLIN, 0}};
+    std::vector<LinkPtr> seen{nullptr};
+    {
+      std::lock_guard guard(mutex_);
+      for (const auto &[descriptor, link] : links_) {
+        const bool is_held = link->state == Berthing::waiting || link->state == Berthing::busy;
+        if (is_held && (!link->on_gone || link->is_gone)) continue;
+        polled.push_back({descriptor, static_cast<short>(is_held ? POLLRDHUP : POLLIN), 0});
+        seen.push_back(link);
+      }
+    }
+    poll(polled.data(), polled.size(), 50);
+    char bytes[256];
+    while (::read(wake_[0], bytes, sizeof bytes) > 0) {
+    }
+    std::vector<std::function<void()>> gone;
+    {
+      std::lock_guard guard(mutex_);
+      const Instant now = tide_.now();
+      for (std::size_t at = 1; at < seen.size(); ++at) {
+        const LinkPtr &link = seen[at];
+        if (polled[at].revents == 0 || link->descriptor < 0) continue;
+        if (link->state == Berthing::busy) {
+          if (link->on_gone && !link->is_gone) {
+            link->is_gone = true;
+            ++counters_["door_callers_gone"];
+            gone.push_back(link->on_gone);
+          }
+        } else if (link->state != Berthing::waiting) {
+          take_bytes(link, now);
+        }
+      }
+      const auto links = links_;
+      for (const auto &[descriptor, link] : links) tend(link, now);
+    }
+    for (const auto &call : gone) call();
+  }
+}
+
+bool Moorings::serve_one(Link &link) {
+  Pipe pipe(link, options_);
+  const bool is_last = is_draining_ || ++link.served >= options_.served_most;
+  bool is_closed = false;
+  const bool is_done = process_request(pipe, is_last, is_closed, nullptr);
+  return is_done && !is_closed && !is_last;
+}
+
+void Moorings::work() {
+  while (true) {
+    LinkPtr link;
+    {
+      std::unique_lock guard(mutex_);
+      ready_.wait(guard, [this] { return is_over_ || !jobs_.empty(); });
+      if (jobs_.empty()) return;
+      link = std::move(jobs_.front());
+      jobs_.pop_front();
+      link->state = Berthing::busy;
+      link->is_gone = false;
+      bytes_ -= std::min(bytes_, link->bytes.size());
+      ++busy_;
+    }
+    set_gone = [this, link](std::function<void()> gone) {
+      {
+        std::lock_guard guard(mutex_);
+        link->on_gone = std::move(gone);
+      }
+      wake();
+    };
+    const bool may_stay = serve_one(*link);
+    set_gone = nullptr;
+    std::lock_guard guard(mutex_);
+    --busy_;
+    ++counters_["door_served"];
+    link->on_gone = nullptr;
+    link->state = Berthing::parked;
+    link->parked_at = tide_.now();
+    bytes_ += link->bytes.size();
+    if (!may_stay)
+      close_link(link);
+    else if (!link->bytes.empty()) {
+      link->arriving_since = link->parked_at;
+      if (arrival_of(link->bytes, options_) == Arrival::whole) hand_over(link, link->parked_at);
+    }
+    wake();
+  }
+}
+
+void Moorings::drain() {
+  if (is_over_) return;
+  {
+    std::lock_guard guard(mutex_);
+    const Instant now = tide_.now();
+    drain_until_ = now + seconds(1);
+    const auto links = links_;
+    for (const auto &[descriptor, link] : links)
+      if (link->state == Berthing::parked) take_bytes(link, now);
+    is_draining_ = true;
+  }
+  wake();
+  while (true) {
+    {
+      std::lock_guard guard(mutex_);
+      const bool is_quiet =
+          busy_ == 0 && jobs_.empty() && std::none_of(links_.begin(), links_.end(), [](const auto &item) {
+            return item.second->state != Berthing::lingering;
+          });
+      if (is_quiet) break;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  {
+    std::lock_guard guard(mutex_);
+    is_over_ = true;
+  }
+  ready_.notify_all();
+  wake();
+  for (auto &duty : crew_) duty->join();
+  watch_->join();
+  std::lock_guard guard(mutex_);
+  while (!links_.empty()) close_link(LinkPtr(links_.begin()->second));
+}
+
+} // namespace wharf
--- /dev/null
+++ b/packages/moorings/moorings.hpp
@@ -0,0 +1,84 @@
+#pragma once
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <httplib.h>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "capstan/duty.hpp"
+#include "tide/tide.hpp"
+
+namespace wharf {
+
+struct MooringOptions {
+  /// Requests served at the same time, and whole ones that may wait for a thread.
+  std::size_t threads = 192, waiting_most = 64;
+  Span waiting_within = seconds(1);
+  /// Links kept, whether idle or not, and what they may have sent without being served.
+  std::size_t links_most = 4096, head_most = 65536, body_most = 16u << 20, bytes_most = 128u << 20;
+  /// How long a link may be idle, and how long a request may take to arrive.
+  Span idle = seconds(20), arrive_within = seconds(8), write_within = seconds(10);
+  std::size_t served_most = 100'000;
+};
+
+/// What a request's head says of its length: not whole yet, or how many bytes it has in all.
+enum class Arrival : std::uint8_t { partial, whole };
+
+/// Whether the bytes hold a whole request. Doubtful ones count as whole: the library refuses them.
+Arrival arrival_of(std::string_view bytes, const MooringOptions &options);
+
+/// An HTTP server whose links are watched by one duty: a link takes a thread of the crew only while a whole
+/// request of it is served, so idle links and slow senders hold up nobody. Beyond its bounds a request is
+/// answered 503 at once, with Retry-After and verdict not-run.
+class Moorings final : public httplib::Server {
+public:
+  explicit Moorings(MooringOptions options);
+  ~Moorings() override;
+
+  /// Lets as many links wait for being taken as a crowd may bring; once the server is bound.
+  void widen();
+  /// Calls `gone` once if the caller of the request that this thread serves goes away before it is answered.
+  static void on_caller_gone(std::function<void()> gone);
+  std::map<std::string, std::uint64_t> counters() const;
+
+private:
+  struct Link;
+  class Pipe;
+  class Inline;
+  using LinkPtr = std::shared_ptr<Link>;
+
+  bool process_and_close_socket(socket_t descriptor) override;
+  void watch();
+  void work();
+  void take_bytes(const LinkPtr &link, Instant now);
+  void hand_over(const LinkPtr &link, Instant now);
+  void turn_away(const LinkPtr &link, int status, std::string_view why, Instant now);
+  void tend(const LinkPtr &link, Instant now);
+  void close_link(const LinkPtr &link);
+  bool serve_one(Link &link);
+  void drain();
+  void wake();
+
+  MooringOptions options_;
+  SteadyTide tide_;
+  mutable std::mutex mutex_;
+  std::condition_variable ready_;
+  std::map<int, LinkPtr> links_;
+  std::deque<LinkPtr> jobs_;
+  std::size_t busy_ = 0, bytes_ = 0;
+  std::atomic<bool> is_draining_{false}, is_over_{false};
+  Instant drain_until_ = 0;
+  std::map<std::string, std::uint64_t> counters_;
+  int wake_[2] = {-1, -1};
+  std::vector<std::unique_ptr<Duty>> crew_;
+  std::unique_ptr<Duty> watch_;
+};
+
+} // namespace wharf
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -524,6 +524,13 @@
   loop_back(now, out);
 }
 
+void Pilot::caller_gone(const std::string &id, Instant now, PilotOutput &out) {
+  const auto found = afloat_.find(id);
+  if (found == afloat_.end() || found->second.is_carrying) return;
+  finish(id, found->second.first_fate.value_or(Fate::caller_gone), 0, now, out);
+  loop_back(now, out);
+}
+
 void Pilot::free_slot(const Afloat &errand, SlotEnd end, Instant now, PilotOutput &out) {
   const bool is_cancel = end == SlotEnd::unused && !errand.is_granted;
   SlotFree free{errand.bill.id, errand.bill.service, is_cancel ? std::string() : errand.runner,
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -114,6 +114,8 @@
   void tick(Instant now, PilotOutput &out);
   void arrive(Waybill bill, Instant now, PilotOutput &out);
   void call_ended(const CallEnd &end, Instant now, PilotOutput &out);
+  /// The caller hung up: an errand that has not gone out is given up.
+  void caller_gone(const std::string &errand, Instant now, PilotOutput &out);
   void set_leaving();
   /// True once nothing is under way here and the roster no longer counts on this pilot.
   bool is_quiet(Instant now) const;
--- a/packages/verdict/verdict.cpp
+++ b/packages/verdict/verdict.cpp
@@ -44,6 +44,8 @@
     return {422, Verdict::not_run, "key-reused", false};
   case Fate::not_kept:
     return {409, Verdict::run, "answer-not-kept", false};
+  case Fate::caller_gone:
+    return {503, Verdict::not_run, "caller-gone", true};
   }
   return {};
 }
--- a/packages/verdict/verdict.hpp
+++ b/packages/verdict/verdict.hpp
@@ -31,6 +31,7 @@
   in_flight,
   key_reused,
   not_kept,
+  caller_gone,
 };
 
 /// Status, verdict and reason; the one place where a fate becomes an answer.
--- a/programs/harbourd/main.cpp
+++ b/programs/harbourd/main.cpp
@@ -8,6 +8,7 @@
 #include "capstan/ring.hpp"
 #include "hawser/hawser.hpp"
 #include "hold/shelf.hpp"
+#include "moorings/moorings.hpp"
 #include "quay/quay.hpp"
 
 namespace {
@@ -34,12 +35,13 @@
                 const Recovered &recovered)
       : options_(options), self_(make_self(options, id)), shelf_(std::move(shelf)), ring_(16384),
         disk_ring_(65536), order_ring_(4096), bridge_(*this, options.operator_token),
+        server_(mooring_options(options)),
         hawser_(options.address, [this](Envelope &&envelope) { take(std::move(envelope)); }) {
     build(recovered);
   }
 
   int run() {
-    set_up_door(server_, static_cast<std::size_t>(std::min<std::int64_t>(options_.threads, 64)), 4u << 20,
+    set_up_door(server_, 4u << 20,
                 [this](const httplib::Request &request, const httplib::Headers &original,
                        httplib::Response &response) { bridge_.serve(request, original, response); });
     std::string ip;
@@ -49,6 +51,7 @@
       std::cerr << "harbourd: cannot listen on " << options_.http << "\n";
       return 1;
     }
+    server_.widen();
     Duty core("core", [this] { run_core(); });
     Duty disk("disk", [this] { run_disk(); });
     std::unique_ptr<Duty> lister, orderer;
@@ -103,6 +106,12 @@
   }
 
 private:
+  static MooringOptions mooring_options(const ProcessOptions &options) {
+    MooringOptions made;
+    made.threads = static_cast<std::size_t>(std::min<std::int64_t>(options.threads, 32));
+    made.links_most = 512;
+    return made;
+  }
   static Member make_self(const ProcessOptions &options, NodeId id) {
     Member self;
     self.id = id;
@@ -285,7 +294,7 @@
   Ring<DiskJob> disk_ring_;
   Ring<PlatformOrder> order_ring_;
   Bridge bridge_;
-  httplib::Server server_;
+  Moorings server_;
   std::mutex says_mutex_, published_mutex_;
   std::map<std::uint64_t, std::shared_ptr<SayWaiter>> says_;
   std::uint64_t next_ticket_ = 0;
--- a/programs/pilotd/main.cpp
+++ b/programs/pilotd/main.cpp
@@ -11,7 +11,10 @@
 namespace {
 using namespace wharf;
 
-using PilotEvent = std::variant<Envelope, Waybill, CallEnd>;
+struct CallerGone {
+  std::string errand;
+};
+using PilotEvent = std::variant<Envelope, Waybill, CallEnd, CallerGone>;
 constexpr Span drain_grace = milliseconds(5500);
 
 /// The daemon round one pilot: duties for links, door and core, joined by a bounded ring.
@@ -19,11 +22,12 @@
 public:
   explicit PilotDaemon(const ProcessOptions &options)
       : options_(options), self_(make_self(options)),
-        pilot_(self_, options.seed_list(), PilotOptions{}, tide_.now()), ring_(16384), gangway_(*this, door_),
+        pilot_(self_, options.seed_list(), pilot_options(options), tide_.now()), ring_(16384),
+        gangway_(*this, door_), server_(mooring_options(options)),
         hawser_(options.address, [this](Envelope &&envelope) { take(std::move(envelope)); }) {}
 
   int run() {
-    set_up_door(server_, static_cast<std::size_t>(options_.threads), 16u << 20,
+    set_up_door(server_, 16u << 20,
                 [this](const httplib::Request &request, const httplib::Headers &original,
                        httplib::Response &response) { gangway_.serve(request, original, response); });
     std::string ip;
@@ -33,6 +37,7 @@
       std::cerr << "pilotd: cannot listen on " << options_.http << "\n";
       return 1;
     }
+    server_.widen();
     Duty core("core", [this] { run_core(); });
     Duty listening("listen", [this] {
       server_.listen_after_bind();
@@ -63,6 +68,7 @@
   void call_ended(CallEnd end) override {
     while (!ring_.offer(end) && !is_stopping_) std::this_thread::yield();
   }
+  void caller_gone(const std::string &errand) override { ring_.offer(CallerGone{errand}); }
   std::size_t body_most() const override {
     const InForce force = pilot_.in_force();
     return force.charter ? static_cast<std::size_t>(force.charter->limits.body_most_bytes) : 0;
@@ -91,6 +97,16 @@
   }
 
 private:
+  static PilotOptions pilot_options(const ProcessOptions &options) {
+    PilotOptions made;
+    made.errands_most = static_cast<std::size_t>(options.threads);
+    return made;
+  }
+  static MooringOptions mooring_options(const ProcessOptions &options) {
+    MooringOptions made;
+    made.threads = static_cast<std::size_t>(options.threads);
+    return made;
+  }
   static Member make_self(const ProcessOptions &options) {
     std::random_device source;
     Member self;
@@ -118,6 +134,8 @@
           pilot_.receive(*envelope, now, out);
         else if (auto *bill = std::get_if<Waybill>(&event))
           pilot_.arrive(std::move(*bill), now, out);
+        else if (const auto *gone = std::get_if<CallerGone>(&event))
+          pilot_.caller_gone(gone->errand, now, out);
         else
           pilot_.call_ended(std::get<CallEnd>(event), now, out);
       }
@@ -172,6 +190,7 @@
     nlohmann::json root;
     for (const auto &[name, value] : pilot_.counters()) root[name] = value;
     for (const auto &[name, value] : pilot_.gauges(now)) root[name] = value;
+    for (const auto &[name, value] : server_.counters()) root[name] = value;
     root["frames_dropped"] = hawser_.dropped();
     root["ring_full"] = ring_full_.load();
     root["door_waiting"] = door_.size();
@@ -187,7 +206,7 @@
   Ring<PilotEvent> ring_;
   WaitingDoor door_;
   Gangway gangway_;
-  httplib::Server server_;
+  Moorings server_;
   std::mutex published_mutex_;
   std::string published_ = "{}\n";
   std::map<std::string, Reply> stories_;
