Put a relay between real processes, and a rough disk under a real harbourd

Change: narrows stands between all processes of a fleet (each listens elsewhere than it is called) and holds back or delays what goes from one to another; a shelf that suffers what a file names makes a disk slow, stalled or full. Storms cut, cut-leader, late and disk; an unknown storm is an error now, it passed as calm before. Ruled out: telling sources apart by a port for each pair; the first frame says who calls.

--- a/packages/bosun/options.hpp
+++ b/packages/bosun/options.hpp
@@ -12,10 +12,12 @@
 /// Every option of our daemons, declared once: name, default, check, meaning.
 #define WHARF_PROCESS_OPTIONS(TEXT, NUMBER)                                                                  \
   TEXT(address, "", is_address, "Address other processes of ours reach this one at, ip:port.")               \
+  TEXT(listen, "", is_address_or_none, "Address to listen on for them, when it is another one.")             \
   TEXT(http, "", is_address, "Address the HTTP side listens on, ip:port.")                                   \
   TEXT(zone, "a", is_word, "Zone this machine is in.")                                                       \
   TEXT(seeds, "", is_seeds, "One or three addresses of other processes, separated by commas.")               \
   TEXT(data, "", is_any, "Data folder; harbourd only.")                                                      \
+  TEXT(disk_trial, "", is_any, "File naming a mood for the disk to suffer, for trials; harbourd only.")      \
   TEXT(platform, "", is_address_or_none, "Address of the platform's API, ip:port; harbourd only.")           \
   TEXT(operator_token, "", is_any, "Token operators present; harbourd only.")                                \
   TEXT(log_level, "info", is_level, "trace, debug, info, warning or error.")                                 \
--- a/packages/hold/shelf.cpp
+++ b/packages/hold/shelf.cpp
@@ -9,6 +9,7 @@
 #include <random>
 #include <sstream>
 #include <sys/stat.h>
+#include <thread>
 #include <unistd.h>
 
 #include "signals/pack.hpp"
@@ -84,6 +85,24 @@
 }
 } // namespace
 
+RoughShelf::RoughShelf(std::unique_ptr<Shelf> inner, std::string mood_file)
+    : inner_(std::move(inner)), mood_file_(std::move(mood_file)) {}
+
+std::string RoughShelf::mood() const {
+  std::ifstream file(mood_file_);
+  std::string word;
+  file >> word;
+  return word;
+}
+
+std::variant<std::monostate, HoldError> RoughShelf::write(const Save &save) {
+  const std::string first = mood();
+  if (first == "full") return HoldError{"the disk is full, as " + mood_file_ + " says"};
+  if (first == "slow") std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  while (mood() == "stalled") std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  return inner_->write(save);
+}
+
 DiskShelf::DiskShelf(std::string folder) : folder_(std::move(folder)) {}
 
 DiskShelf::~DiskShelf() {
--- a/packages/hold/shelf.hpp
+++ b/packages/hold/shelf.hpp
@@ -22,6 +22,19 @@
   virtual std::variant<std::monostate, HoldError> write(const Save &save) = 0;
 };
 
+/// A shelf whose disk suffers what a file names before each write: `slow`, `stalled` or `full`. For trials.
+class RoughShelf final : public Shelf {
+public:
+  RoughShelf(std::unique_ptr<Shelf> inner, std::string mood_file);
+  std::variant<Recovered, HoldError> open() override { return inner_->open(); }
+  std::variant<std::monostate, HoldError> write(const Save &save) override;
+
+private:
+  std::string mood() const;
+  std::unique_ptr<Shelf> inner_;
+  std::string mood_file_;
+};
+
 /// A data folder: segments `seg-N`, pictures `pic-N`, the node's own `identity`. A segment begins with the
 /// hard state of its time; a batch is one append and one sync.
 class DiskShelf final : public Shelf {
--- /dev/null
+++ b/packages/narrows/narrows.hpp
@@ -0,0 +1,65 @@
+#pragma once
+#include <atomic>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "capstan/duty.hpp"
+#include "hawser/hawser.hpp"
+
+namespace wharf {
+
+/// A relay that stands between our processes in trials: each listens elsewhere than others call it, and
+/// what goes from one to another can be held back or delayed. Bytes are never changed or lost, only late.
+class Narrows {
+public:
+  Narrows();
+  ~Narrows();
+  /// A place others call; what comes there goes to `listens`.
+  std::string open(const std::string &listens);
+  /// Holds back all that goes from one place to another.
+  void set_cut(const std::string &from, const std::string &to, bool is_cut);
+  /// Delays everything by this much and, at random, up to as much again.
+  void set_delay(Span delay) { delay_ = delay; }
+  void heal();
+  std::uint64_t bytes_held() const { return held_; }
+
+private:
+  struct Part {
+    Instant due = 0;
+    std::string bytes;
+  };
+  struct Passage {
+    int in = -1, out = -1;
+    std::string from, to, head;
+    std::deque<Part> parts;
+    std::size_t waiting = 0;
+    bool is_over = false;
+  };
+  struct Mouth {
+    int listener = -1;
+    std::string place, listens;
+  };
+  void run();
+  void take(const Mouth &mouth);
+  void read_in(Passage &passage, Instant now);
+  void write_out(Passage &passage, Instant now);
+
+  std::mutex mutex_;
+  std::vector<Mouth> mouths_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  std::vector<std::unique_ptr<Passage>> passages_;
+  std::atomic<Span> delay_{0};
+  std::atomic<std::uint64_t> held_{0};
+  std::atomic<bool> is_stopping_{false};
+  SteadyTide tide_;
+  Dice dice_{17};
+  std::unique_ptr<Duty> duty_;
+};
+
+} // namespace wharf
--- a/programs/fleet/main.cpp
+++ b/programs/fleet/main.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <netinet/in.h>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -16,6 +17,7 @@
 #include "bosun/flags.hpp"
 #include "bosun/words.hpp"
 #include "hawser/hawser.hpp"
+#include "narrows/narrows.hpp"
 
 namespace {
 using namespace wharf;
@@ -37,6 +39,7 @@
   std::string name, address, http;
   pid_t pid = 0;
   std::vector<std::string> words;
+  std::string listen;
 };
 
 int free_port() {
@@ -83,7 +86,7 @@
 
 private:
   void lay_out() {
-    Process yard{"dockyard", place_here(), "", 0, {}};
+    Process yard{"dockyard", place_here(), "", 0, {}, {}};
     yard.words = {"dockyard",
                   "--address",
                   yard.address,
@@ -97,12 +100,18 @@
                   std::to_string(shape_.memory_mb)};
     std::string seeds;
     for (int at = 0; at < shape_.harbours; ++at) {
-      Process process{"harbourd-" + std::to_string(at + 1), place_here(), place_here(), 0, {}};
+      Process process{"harbourd-" + std::to_string(at + 1), "", place_here(), 0, {}, {}};
+      process.listen = place_here();
+      process.address = narrows_.open(process.listen);
       if (at < (shape_.harbours >= 3 ? 3 : 1)) seeds += (seeds.empty() ? "" : ",") + process.address;
       processes_.push_back(process);
     }
-    for (int at = 0; at < shape_.pilots; ++at)
-      processes_.push_back({"pilotd-" + std::to_string(at + 1), place_here(), place_here(), 0, {}});
+    for (int at = 0; at < shape_.pilots; ++at) {
+      Process process{"pilotd-" + std::to_string(at + 1), "", place_here(), 0, {}, {}};
+      process.listen = place_here();
+      process.address = narrows_.open(process.listen);
+      processes_.push_back(process);
+    }
     int number = 0;
     for (Process &process : processes_) {
       const bool is_harbour = process.name.starts_with("harbourd");
@@ -110,6 +119,8 @@
       process.words = {is_harbour ? "harbourd" : "pilotd",
                        "--address",
                        process.address,
+                       "--listen",
+                       process.listen,
                        "--http",
                        process.http,
                        "--zone",
@@ -119,12 +130,47 @@
       if (!is_harbour) continue;
       for (const std::string &word :
            {std::string("--data"), options_.folder + "/" + process.name, std::string("--platform"),
-            yard.address, std::string("--operator-token"), token_})
+            yard.address, std::string("--operator-token"), token_, std::string("--disk-trial"),
+            mood_file(process)})
         process.words.push_back(word);
     }
     processes_.insert(processes_.begin(), yard);
   }
 
+  std::string mood_file(const Process &process) const {
+    return options_.folder + "/" + process.name + ".mood";
+  }
+
+  void cut_off(const Process &process, bool is_cut, bool only_mates) {
+    for (const Process &other : processes_) {
+      if (other.name == process.name || other.listen.empty()) continue;
+      if (only_mates && !other.name.starts_with("harbourd")) continue;
+      narrows_.set_cut(process.address, other.address, is_cut);
+      narrows_.set_cut(other.address, process.address, is_cut);
+    }
+  }
+
+  void strike_cut(Process *process) {
+    if (process == nullptr) return;
+    const bool only_mates = dice_.chance(0.3);
+    tell("cut off " + process->name + (only_mates ? " from the control group" : ""));
+    cut_off(*process, true, only_mates);
+    rests(1 + 4 * dice_.unit());
+    cut_off(*process, false, only_mates);
+    rests(1);
+  }
+
+  void strike_disk(Process *process) {
+    if (process == nullptr) return;
+    const double roll = dice_.unit();
+    const std::string mood = roll < 0.35 ? "slow" : roll < 0.7 ? "stalled" : "full";
+    tell("disk of " + process->name + ": " + mood);
+    std::ofstream(mood_file(*process)) << mood << "\n";
+    rests(1 + 3 * dice_.unit());
+    std::ofstream(mood_file(*process)) << "well\n";
+    rests(1);
+  }
+
   void start(Process &process) {
     process.pid = spawn(process.words, options_.folder + "/" + process.name + ".log");
   }
@@ -278,6 +324,17 @@
       } else if (storm == "restart") {
         restart_in_turn();
         return;
+      } else if (storm == "cut") {
+        strike_cut(pick(dice_.chance(0.6) ? "pilotd" : "harbourd"));
+      } else if (storm == "cut-leader") {
+        strike_cut(leader());
+      } else if (storm == "late") {
+        tell("everything 20 to 40 ms late");
+        narrows_.set_delay(milliseconds(20));
+        rests(4);
+        narrows_.set_delay(0);
+      } else if (storm == "disk") {
+        strike_disk(dice_.chance(0.6) ? leader() : pick("harbourd"));
       } else if (storm == "runners") {
         tell("runners misbehave, a worker drains, another crashes");
         set_mischief(
@@ -289,11 +346,9 @@
         touch_yard("/v1/workers/w2/crash", "");
         rests(4);
         touch_yard("/v1/workers/w2/restore", "");
-      } else {
-        tell("no such storm");
-        return;
       }
     }
+    narrows_.heal();
     if (storm == "runners") set_mischief("");
   }
 
@@ -403,6 +458,7 @@
   Shape shape_;
   std::string manifest_, mix_, token_ = "fleet-operator-token";
   std::vector<Process> processes_;
+  Narrows narrows_;
   SteadyTide tide_;
   Dice dice_{static_cast<std::uint64_t>(options_.seed)};
   Instant storm_until_ = 0;
@@ -421,13 +477,20 @@
   flags.real("rate", options.rate, "Errands a second");
   flags.real("seconds", options.seconds_long, "How long to send; 0 sends nothing");
   flags.whole("threads", options.threads, "Callers at the same time");
-  flags.text(
-      "storm", options.storm,
-      "What fails meanwhile: kill-leader, lose-disk, kill-pilot, freeze, kill-all, restart or runners");
+  flags.text("storm", options.storm,
+             "What fails meanwhile: kill-leader, lose-disk, kill-pilot, freeze, kill-all, restart, runners, "
+             "cut, cut-leader, late or disk");
   flags.whole("seed", options.seed, "Seed of the storm");
   flags.mark("stay", options.must_stay, "Keep the deployment up afterwards");
   const auto read_flags = flags.read(count, words);
   if (const auto *end = std::get_if<EndNow>(&read_flags)) return end->say();
+  static const std::set<std::string> storms{"",       "kill-leader", "lose-disk", "kill-pilot",
+                                            "freeze", "kill-all",    "restart",   "runners",
+                                            "cut",    "cut-leader",  "late",      "disk"};
+  if (!storms.contains(options.storm)) {
+    std::cerr << "fleet: no storm is called '" << options.storm << "'\n";
+    return 2;
+  }
   options.binaries = fs::canonical("/proc/self/exe").parent_path();
   const bool is_own_folder = options.folder.empty();
   if (is_own_folder)
--- a/programs/harbourd/main.cpp
+++ b/programs/harbourd/main.cpp
@@ -31,12 +31,13 @@
 /// The daemon round one harbour: duties for links, disk, platform, operators' door and core.
 class HarbourDaemon final : public HarbourDesk {
 public:
-  HarbourDaemon(const ProcessOptions &options, NodeId id, std::unique_ptr<DiskShelf> shelf,
+  HarbourDaemon(const ProcessOptions &options, NodeId id, std::unique_ptr<Shelf> shelf,
                 const Recovered &recovered)
       : options_(options), self_(make_self(options, id)), shelf_(std::move(shelf)), ring_(16384),
         disk_ring_(65536), order_ring_(4096), bridge_(*this, options.operator_token),
         server_(mooring_options(options)),
-        hawser_(options.address, [this](Envelope &&envelope) { take(std::move(envelope)); }) {
+        hawser_(options.listen.empty() ? options.address : options.listen,
+                [this](Envelope &&envelope) { take(std::move(envelope)); }) {
     build(recovered);
   }
 
@@ -288,7 +289,7 @@
   ProcessOptions options_;
   SteadyTide tide_;
   Member self_;
-  std::unique_ptr<DiskShelf> shelf_;
+  std::unique_ptr<Shelf> shelf_;
   std::unique_ptr<Harbour> harbour_;
   Ring<HarbourEvent> ring_;
   Ring<DiskJob> disk_ring_;
@@ -323,7 +324,9 @@
     return 1;
   }
   try {
-    HarbourDaemon daemon(options, std::get<NodeId>(identity), std::move(shelf), std::get<Recovered>(opened));
+    std::unique_ptr<Shelf> used = std::move(shelf);
+    if (!options.disk_trial.empty()) used = std::make_unique<RoughShelf>(std::move(used), options.disk_trial);
+    HarbourDaemon daemon(options, std::get<NodeId>(identity), std::move(used), std::get<Recovered>(opened));
     return daemon.run();
   } catch (const std::exception &error) {
     std::cerr << "harbourd: " << error.what() << "\n";
--- a/programs/pilotd/main.cpp
+++ b/programs/pilotd/main.cpp
@@ -24,7 +24,8 @@
       : options_(options), self_(make_self(options)),
         pilot_(self_, options.seed_list(), pilot_options(options), tide_.now()), ring_(16384),
         gangway_(*this, door_), server_(mooring_options(options)),
-        hawser_(options.address, [this](Envelope &&envelope) { take(std::move(envelope)); }) {}
+        hawser_(options.listen.empty() ? options.address : options.listen,
+                [this](Envelope &&envelope) { take(std::move(envelope)); }) {}
 
   int run() {
     set_up_door(server_, 16u << 20,
