--- a/packages/hold/shelf.cpp
+++ b/packages/hold/shelf.cpp
@@ -59,6 +59,16 @@
 
 HoldError trouble(const std::string &what) { return {what + ": " + std::strerror(errno)}; }
 
+/// Names what is wrong with a file that does not begin with our mark.
+HoldError wrong_mark(const std::string &path, std::string_view bytes, std::string_view mark) {
+  const std::size_t kind = mark.size() - 2;
+  if (bytes.size() < mark.size() || bytes.substr(0, kind) != mark.substr(0, kind))
+    return {path + ": not a wharfjunction file"};
+  const bool is_newer = bytes.substr(kind, 2) > mark.substr(kind);
+  return {path + ": written in the " + (is_newer ? "newer" : "older") + " format " +
+          std::string(bytes.substr(kind, 2)) + "; this program reads " + std::string(mark.substr(kind))};
+}
+
 std::optional<std::string> slurp(const fs::path &path) {
   std::ifstream file(path, std::ios::binary);
   if (!file) return std::nullopt;
@@ -134,8 +144,7 @@
 std::variant<std::string, HoldError> read_file(const std::string &path) {
   const auto bytes = slurp(path);
   if (!bytes) return HoldError{"cannot read " + path};
-  if (!bytes->starts_with(file_mark))
-    return HoldError{path + ": not a wharfjunction file, or of another format"};
+  if (!bytes->starts_with(file_mark)) return wrong_mark(path, *bytes, file_mark);
   const auto payload = record_at(*bytes, file_mark.size());
   if (!payload) return HoldError{path + ": damaged (checksum)"};
   return std::string(payload->substr(1));
@@ -164,27 +173,63 @@
 std::variant<Recovered, HoldError> DiskShelf::open() {
   if (segment_ >= 0) close(segment_);
   segment_ = -1;
-  Recovered recovered;
   std::error_code fault;
   fs::create_directories(folder_, fault);
   if (fault) return HoldError{"cannot make " + folder_ + ": " + fault.message()};
+  std::size_t torn = 0;
+  auto read = read_all(folder_, torn);
+  if (auto *error = std::get_if<HoldError>(&read)) return *error;
+  const auto segments = numbers(folder_, "seg-");
+  if (torn > 0) {
+    const std::string path = folder_ + "/seg-" + std::to_string(segments.back());
+    const auto size = fs::file_size(path, fault);
+    if (fault || truncate(path.c_str(), static_cast<off_t>(size - torn)) != 0)
+      return trouble("cannot cut " + path);
+  }
+  segment_number_ = segments.empty() ? 0 : segments.back();
+  hard_ = std::get<Recovered>(read).hard;
+  auto started = start_segment();
+  if (auto *error = std::get_if<HoldError>(&started)) return *error;
+  return read;
+}
+
+std::variant<DiskShelf::Findings, HoldError> DiskShelf::verify(const std::string &folder) {
+  Findings findings;
+  if (!fs::is_directory(folder)) return HoldError{folder + ": not a folder"};
+  if (!fs::exists(folder + "/identity"))
+    return HoldError{folder + ": holds no identity, so no data of a harbourd"};
+  auto identity = read_file(folder + "/identity");
+  if (auto *error = std::get_if<HoldError>(&identity)) return *error;
+  if (!unpack(std::get<std::string>(identity), findings.identity) || findings.identity == 0)
+    return HoldError{folder + "/identity: holds no identity"};
+  auto read = read_all(folder, findings.torn_bytes);
+  if (auto *error = std::get_if<HoldError>(&read)) return *error;
+  findings.recovered = std::get<Recovered>(std::move(read));
+  findings.segments = numbers(folder, "seg-").size();
+  for (const auto &item : fs::directory_iterator(folder))
+    if (item.is_regular_file()) findings.bytes += item.file_size();
+  return findings;
+}
 
-  const auto pictures = numbers(folder_, "pic-");
+std::variant<Recovered, HoldError> DiskShelf::read_all(const std::string &folder, std::size_t &torn) {
+  torn = 0;
+  Recovered recovered;
+  const auto pictures = numbers(folder, "pic-");
   if (!pictures.empty()) {
-    const std::string path = folder_ + "/pic-" + std::to_string(pictures.back());
+    const std::string path = folder + "/pic-" + std::to_string(pictures.back());
     auto read = read_file(path);
     if (auto *error = std::get_if<HoldError>(&read)) return *error;
     if (!unpack(std::get<std::string>(read), recovered.picture)) return HoldError{path + ": cannot be read"};
   }
-  const auto segments = numbers(folder_, "seg-");
+  const auto segments = numbers(folder, "seg-");
   for (std::size_t which = 0; which < segments.size(); ++which) {
-    const std::string path = folder_ + "/seg-" + std::to_string(segments[which]);
+    const std::string path = folder + "/seg-" + std::to_string(segments[which]);
     const bool is_last = which + 1 == segments.size();
     const auto bytes = slurp(path);
     if (!bytes) return HoldError{"cannot read " + path};
     if (!bytes->starts_with(segment_mark)) {
       if (is_last && bytes->size() < segment_mark.size()) continue;
-      return HoldError{path + ": not a wharfjunction segment, or of another format"};
+      return wrong_mark(path, *bytes, segment_mark);
     }
     std::size_t at = segment_mark.size();
     while (at < bytes->size()) {
@@ -192,7 +237,7 @@
       if (!payload) {
         if (!is_last || finds_record_after(*bytes, at))
           return HoldError{path + ": damaged record at byte " + std::to_string(at)};
-        if (truncate(path.c_str(), static_cast<off_t>(at)) != 0) return trouble("cannot cut " + path);
+        torn = bytes->size() - at;
         break;
       }
       at += 8 + payload->size();
@@ -217,11 +262,7 @@
   std::uint64_t expected = recovered.picture.index + 1;
   for (const Entry &entry : recovered.entries)
     if (entry.index != expected++)
-      return HoldError{folder_ + ": entry " + std::to_string(expected - 1) + " is missing"};
-  segment_number_ = segments.empty() ? 0 : segments.back();
-  hard_ = recovered.hard;
-  auto started = start_segment();
-  if (auto *error = std::get_if<HoldError>(&started)) return *error;
+      return HoldError{folder + ": entry " + std::to_string(expected - 1) + " is missing"};
   return recovered;
 }
 
--- a/packages/hold/shelf.hpp
+++ b/packages/hold/shelf.hpp
@@ -45,10 +45,19 @@
   std::variant<std::monostate, HoldError> write(const Save &save) override;
   /// The identity kept in the folder; made and synced when there is none.
   std::variant<NodeId, HoldError> identity();
+  /// What a folder holds, read without changing anything in it.
+  struct Findings {
+    NodeId identity = 0;
+    Recovered recovered;
+    std::size_t segments = 0, bytes = 0, torn_bytes = 0;
+  };
+  static std::variant<Findings, HoldError> verify(const std::string &folder);
 
 private:
   std::variant<std::monostate, HoldError> write_file(const std::string &name, std::string_view bytes);
   std::variant<std::monostate, HoldError> start_segment();
+  /// Reads pictures and segments; `torn` gets how many bytes of the last segment are not whole.
+  static std::variant<Recovered, HoldError> read_all(const std::string &folder, std::size_t &torn);
   bool sync_folder();
   HardState hard_;
 
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -52,6 +52,9 @@
   values["settled_epoch"] = settled_;
   values["is_fresh"] = is_fresh(now) ? 1 : 0;
   values["purses"] = rack_.size();
+  values["soundings"] = soundings_.size();
+  values["outlays"] = 0;
+  for (const auto &[index, till] : tills_) values["outlays"] += till.outlays.size();
   values["members_living"] = rollcall_.living(now).size();
   values["permits_granted"] = purser_.granted();
   values["permits_denied"] = purser_.denied();
--- a/programs/fleet/main.cpp
+++ b/programs/fleet/main.cpp
@@ -81,7 +81,11 @@
       while (stops_caught() == 0) usleep(100'000);
     }
     const int left_over = stop_all();
-    return outcome != 0 ? outcome : left_over;
+    int damaged = 0;
+    for (const Process &process : processes_)
+      if (process.name.starts_with("harbourd") && fs::exists(options_.folder + "/" + process.name))
+        damaged += call({"harbourd", "--verify", options_.folder + "/" + process.name});
+    return outcome != 0 ? outcome : left_over != 0 ? left_over : damaged;
   }
 
 private:
--- a/programs/harbourd/main.cpp
+++ b/programs/harbourd/main.cpp
@@ -309,7 +309,46 @@
 };
 } // namespace
 
+namespace {
+/// Reads a data folder and says what it holds; changes nothing.
+int verify_folder(const std::string &folder) {
+  auto verified = DiskShelf::verify(folder);
+  if (const auto *error = std::get_if<HoldError>(&verified)) {
+    std::cerr << "harbourd: " << error->what << "\n";
+    return 1;
+  }
+  const auto &findings = std::get<DiskShelf::Findings>(verified);
+  const Recovered &recovered = findings.recovered;
+  Registry registry;
+  if (!registry.load(recovered.picture.body)) {
+    std::cerr << "harbourd: " << folder << ": the picture's state cannot be read\n";
+    return 1;
+  }
+  std::size_t commands = 0;
+  for (const Entry &entry : recovered.entries) {
+    Command command;
+    if (entry.kind != static_cast<std::uint8_t>(EntryKind::command)) continue;
+    if (!unpack_command(entry.body, command)) {
+      std::cerr << "harbourd: " << folder << ": entry " << entry.index << " holds no command\n";
+      return 1;
+    }
+    ++commands;
+  }
+  std::cout << folder << ": sound\n  identity " << findings.identity << ", group " << recovered.hard.group
+            << ", term " << recovered.hard.term << "\n  picture at entry " << recovered.picture.index << " ("
+            << recovered.picture.body.size() << " bytes: manifest " << registry.version() << ", claims "
+            << registry.claims().size() << ", runners " << registry.runners().size() << ")\n  "
+            << recovered.entries.size() << " entries after it, " << commands << " of them commands, in "
+            << findings.segments << " segments; " << findings.bytes << " bytes in all\n";
+  if (findings.torn_bytes > 0)
+    std::cout << "  the last record is torn (" << findings.torn_bytes
+              << " bytes); it was never acknowledged and is cut off at the next start\n";
+  return 0;
+}
+} // namespace
+
 int main(int count, char **words) {
+  if (count == 3 && std::string_view(words[1]) == "--verify") return verify_folder(words[2]);
   auto read = read_launch(ProgramKind::harbourd, count, words);
   if (const auto *end = std::get_if<EndNow>(&read)) return end->say();
   const ProcessOptions options = std::get<Launch>(read).options;
--- a/tests/shelf_test.cpp
+++ b/tests/shelf_test.cpp
@@ -116,6 +116,37 @@
   LONGS_EQUAL(5, recovered.entries.front().index);
 }
 
+TEST(Shelf, a_check_changes_nothing_and_names_newer_older_and_foreign_files) {
+  {
+    DiskShelf shelf(folder);
+    shelf.identity();
+    shelf.open();
+    Save save;
+    save.append = {{1, 1, 0, "x"}, {2, 1, 0, "y"}};
+    shelf.write(save);
+  }
+  const std::string last = folder + "/seg-1";
+  const auto size = fs::file_size(last);
+  fs::resize_file(last, size - 1);
+  auto verified = DiskShelf::verify(folder);
+  const auto *findings = std::get_if<DiskShelf::Findings>(&verified);
+  CHECK(findings != nullptr);
+  LONGS_EQUAL(1, findings->recovered.entries.size());
+  CHECK(findings->torn_bytes > 0);
+  LONGS_EQUAL(size - 1, fs::file_size(last));
+  const auto fault_with = [&](const std::string &mark) {
+    std::ofstream(last, std::ios::binary | std::ios::in)
+        .write(mark.data(), static_cast<std::streamsize>(mark.size()));
+    auto again = DiskShelf::verify(folder);
+    const auto *error = std::get_if<HoldError>(&again);
+    return error == nullptr ? std::string() : error->what;
+  };
+  STRCMP_CONTAINS("newer format 99", fault_with("WHJSEG99").c_str());
+  STRCMP_CONTAINS("older format 01", fault_with("WHJSEG01").c_str());
+  STRCMP_CONTAINS("not a wharfjunction file", fault_with("ELSEWHER").c_str());
+  CHECK(std::holds_alternative<HoldError>(DiskShelf::verify(folder + "/nowhere")));
+}
+
 TEST(Shelf, an_identity_is_made_once) {
   DiskShelf shelf(folder);
   const NodeId first = std::get<NodeId>(shelf.identity());
