Reach pilots that a cut link hides through a third one

Tried and reverted: asking the owner again through another pilot. Change: what is for a living pilot not heard directly for 0.7 s goes in whole frames through one that is, one hop. Membership still goes straight.

--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -98,10 +98,47 @@
 }
 
 void Pilot::receive(const Envelope &envelope, Instant now, PilotOutput &out) {
-  dispatch(envelope, now, out);
+  heard_[envelope.from] = now;
+  if (const auto *passed = std::get_if<PassOn>(&envelope.signal)) {
+    Envelope inner;
+    std::size_t used = 0;
+    if (passed->to != self_.id) {
+      if (is_out_of_reach(passed->to, now)) return;
+      out.mail.push_back({passed->to, {}, *passed});
+    } else if (unframe(passed->frame, inner, used) == FrameState::whole) {
+      dispatch(inner, now, out);
+    }
+  } else {
+    dispatch(envelope, now, out);
+  }
   loop_back(now, out);
 }
 
+bool Pilot::is_out_of_reach(NodeId pilot, Instant now) {
+  const bool is_counted =
+      std::find(roster_.pilots.begin(), roster_.pilots.end(), pilot) != roster_.pilots.end();
+  if (!is_counted || !rollcall_.is_living(pilot, now)) return false;
+  return now - heard_.try_emplace(pilot, now).first->second > options_.unheard;
+}
+
+void Pilot::go_round(Instant now, PilotOutput &out) {
+  std::vector<NodeId> reached;
+  for (NodeId pilot : roster_.pilots) {
+    const auto found = heard_.find(pilot);
+    if (pilot != self_.id && found != heard_.end() && now - found->second < options_.unheard / 2)
+      reached.push_back(pilot);
+  }
+  if (reached.empty()) return;
+  for (Posted &posted : out.mail) {
+    const bool may_go =
+        !std::holds_alternative<PassOn>(posted.signal) && !std::holds_alternative<Muster>(posted.signal);
+    if (posted.to == 0 || !may_go || !is_out_of_reach(posted.to, now)) continue;
+    PassOn passed{posted.to, frame({self_.id, self_.address, std::move(posted.signal)})};
+    posted = {reached[went_round_++ % reached.size()], {}, std::move(passed)};
+    count("sent_round");
+  }
+}
+
 void Pilot::loop_back(Instant now, PilotOutput &out) {
   for (int round = 0; round < 64; ++round) {
     Outbox own;
@@ -113,9 +150,10 @@
       own.push_back(std::move(*item));
       item = out.mail.erase(item);
     }
-    if (own.empty()) return;
+    if (own.empty()) break;
     for (Posted &posted : own) dispatch({self_.id, self_.address, std::move(posted.signal)}, now, out);
   }
+  go_round(now, out);
 }
 
 void Pilot::dispatch(const Envelope &envelope, Instant now, PilotOutput &out) {
@@ -889,6 +927,7 @@
 }
 
 void Pilot::tick(Instant now, PilotOutput &out) {
+  std::erase_if(heard_, [now](const auto &item) { return now - item.second > seconds(60); });
   rollcall_.tick(now, out.mail);
   for (const Member &member : rollcall_.living(now))
     if (member.group != 0 && member.role == static_cast<std::uint8_t>(Role::harbour))
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -63,6 +63,8 @@
 struct PilotOptions {
   Span pulse = milliseconds(250);
   Span pulse_least = milliseconds(30);
+  /// A living pilot not heard directly for this long is reached through another.
+  Span unheard = milliseconds(700);
   Span sound_again = seconds(1);
   std::size_t soundings_most = 300;
   Span fresh = seconds(2);
@@ -184,6 +186,9 @@
   void handle(NodeId from, const InventoryAsk &ask, Instant now, PilotOutput &out);
   void dispatch(const Envelope &envelope, Instant now, PilotOutput &out);
   void loop_back(Instant now, PilotOutput &out);
+  /// Sends what is for pilots that only others reach through one of these.
+  void go_round(Instant now, PilotOutput &out);
+  bool is_out_of_reach(NodeId pilot, Instant now);
   void switch_manifest(const Orders &orders, Instant now, PilotOutput &out);
 
   void go_on(const std::string &errand, Instant now, PilotOutput &out);
@@ -229,6 +234,8 @@
   Rollcall rollcall_;
   Purser purser_;
   Stevedore stevedore_;
+  std::map<NodeId, Instant> heard_;
+  std::uint64_t went_round_ = 0;
   Soundings soundings_;
   Instant sounded_at_ = 0;
   PurseRack rack_;
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -360,11 +360,18 @@
   WHARF_CARRY(service, epoch, held, is_former_owner, berth_held, doubtful)
 };
 
+/// A whole frame for another pilot that its sender cannot reach itself; passed on once.
+struct PassOn {
+  NodeId to = 0;
+  std::string frame;
+  WHARF_CARRY(to, frame)
+};
+
 /// Everything our processes say to each other.
 using Signal = std::variant<Muster, FoundAsk, FoundSay, FoundOrder, VoteAsk, VoteSay, AppendAsk, AppendSay,
                             PictureAsk, Pulse, Orders, NotLeader, ClaimAsk, ClaimSay, CloseAsk, CloseSay,
                             PermitAsk, PermitSay, LedgerCopy, LedgerAck, SlotAsk, SlotSay, SlotFree,
-                            SlotFreed, InventoryAsk, InventorySay, PictureSay>;
+                            SlotFreed, InventoryAsk, InventorySay, PictureSay, PassOn>;
 
 /// A signal with its sender.
 struct Envelope {
