--- /dev/null
+++ b/tests/orders_test.cpp
@@ -0,0 +1,207 @@
+#include "convoy/convoy.hpp"
+#include "rig.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wharf;
+
+TEST_GROUP(Orders){};
+
+TEST(Orders, a_manifest_never_goes_back_and_a_withdrawn_key_is_not_carried) {
+  every_order(4, [](const std::vector<std::size_t> &order) {
+    PilotRig rig;
+    PilotOutput out;
+    rig.pilot.arrive(rig.bill("e"), rig.now, out);
+    const Signal deeds[] = {rig.orders(2, "first-key-00000000"), rig.orders(3, "second-key-0000000"),
+                            rig.orders(2, "first-key-00000000"), rig.grant("e", "r1", 0)};
+    bool is_withdrawn = false;
+    Version seen = rig.pilot.in_force().version;
+    for (std::size_t at : order) {
+      const std::size_t carried = out.carries.size();
+      const bool is_grant = std::holds_alternative<SlotSay>(deeds[at]);
+      rig.pilot.receive({is_grant ? rig_other : rig_leader, "x", deeds[at]}, rig.now, out);
+      CHECK(rig.pilot.in_force().version >= seen);
+      seen = rig.pilot.in_force().version;
+      if (is_withdrawn) LONGS_EQUAL(carried, out.carries.size());
+      is_withdrawn = is_withdrawn || at == 1;
+    }
+    LONGS_EQUAL(3, rig.pilot.in_force().version);
+  });
+}
+
+TEST(Orders, a_stevedore_that_takes_over_gives_a_taken_slot_to_nobody_until_it_is_freed) {
+  every_order(5, [](const std::vector<std::size_t> &order) {
+    Stevedore stevedore(rig_self, BerthOptions{});
+    Outbox out;
+    const Instant now = seconds(10);
+    stevedore.set_fresh_until(now + seconds(20));
+    stevedore.set_plans({{"s", BerthPlan{}}}, now, out);
+    RunnerView runner;
+    runner.id = "r1";
+    runner.service = "s";
+    stevedore.set_runners({runner}, now, out);
+    Roster roster;
+    roster.epoch = 2;
+    roster.pilots = {rig_self};
+    roster.past = {{1, {rig_other, rig_self}, {}}};
+    stevedore.set_roster(roster, 2, now, out);
+    InventorySay own, other;
+    own.service = other.service = "s";
+    own.epoch = other.epoch = 2;
+    other.held = {{"held", "r1", rig_other, 0, seconds(30)}};
+    SlotAsk ask;
+    ask.errand = "fresh";
+    ask.service = "s";
+    ask.tenant = "t";
+    ask.patience = seconds(10);
+    const SlotFree free{"held", "s", "r1", static_cast<std::uint8_t>(SlotEnd::answered), 0};
+    const std::pair<NodeId, Signal> deeds[] = {
+        {rig_self, own}, {rig_other, other}, {rig_other, ask}, {rig_other, free}, {rig_other, other}};
+    bool is_told = false, is_freed = false;
+    for (std::size_t at : order) {
+      out.clear();
+      stevedore.step(deeds[at].first, deeds[at].second, now, out);
+      is_told = is_told || at == 1 || at == 4;
+      is_freed = is_freed || at == 3;
+      for (const Posted &posted : out) {
+        const auto *say = std::get_if<SlotSay>(&posted.signal);
+        if (say != nullptr && say->state == static_cast<std::uint8_t>(SlotState::granted)) {
+          CHECK(is_told && is_freed);
+        }
+      }
+      CHECK(stevedore.slots_taken("r1") <= 1);
+    }
+  });
+}
+
+TEST(Orders, a_purser_that_takes_over_grants_no_more_than_it_was_handed) {
+  const auto nodes = rank_nodes({1, 2, 3}, "t", purser_salt);
+  every_order(4, [&](const std::vector<std::size_t> &order) {
+    const Instant start = seconds(100);
+    Purser purser(nodes[1], PurserOptions{});
+    purser.set_allowances({{"t", {100, 50}}}, start);
+    purser.set_fresh_until(start + seconds(100));
+    Roster roster;
+    roster.epoch = 2;
+    roster.pilots = {nodes[1]};
+    roster.past = {{1, {nodes[0], nodes[1]}, {}}};
+    LedgerCopy copy;
+    copy.tenant = "t";
+    copy.epoch = 2;
+    copy.sequence = 9;
+    copy.tokens = 12;
+    copy.is_handover = true;
+    std::uint32_t granted = 0;
+    std::uint64_t number = 0;
+    for (std::size_t at : order) {
+      Outbox out;
+      if (at == 0) purser.set_roster(roster, 1, start, out);
+      if (at == 1) purser.set_roster(roster, 2, start, out);
+      if (at == 2) purser.step(nodes[0], copy, start, out);
+      if (at == 3) purser.step(nodes[0], copy, start, out);
+      for (int ask = 0; ask < 3; ++ask) {
+        PermitAsk made;
+        made.tenant = "t";
+        made.ask = ++number;
+        made.want = 10;
+        purser.step(9, made, start, out);
+      }
+      for (const Posted &posted : out)
+        if (const auto *say = std::get_if<PermitSay>(&posted.signal)) granted += say->tokens;
+    }
+    CHECK(granted <= 12);
+  });
+}
+
+TEST(Orders, a_change_of_mates_commits_only_with_a_majority_of_the_new_ones) {
+  every_order(4, [](const std::vector<std::size_t> &order) {
+    Recovered disk;
+    disk.hard = {5, 1, 1};
+    disk.picture.mates = {{1, true, "a"}, {2, true, "b"}, {3, true, "c"}};
+    Instant now = seconds(10);
+    Convoy leader(1, ConvoyOptions{}, 1, disk, now);
+    std::deque<Save> saves;
+    const auto take = [&](ConvoyOutput &out) {
+      for (Save &save : out.saves) saves.push_back(std::move(save));
+    };
+    const auto sync = [&] {
+      while (!saves.empty()) {
+        ConvoyOutput out;
+        const std::uint64_t ticket = saves.front().ticket;
+        saves.pop_front();
+        leader.saved(ticket, now, out);
+        take(out);
+      }
+    };
+    const auto step = [&](NodeId from, const Signal &signal) {
+      ConvoyOutput out;
+      leader.step(from, signal, now, out);
+      take(out);
+    };
+    now += seconds(2);
+    ConvoyOutput tick;
+    leader.tick(now, tick);
+    take(tick);
+    step(2, VoteSay{5, leader.term() + 1, true, true});
+    sync();
+    step(2, VoteSay{5, leader.term(), true, false});
+    CHECK(leader.is_leader());
+    sync();
+    step(2, AppendSay{5, leader.term(), leader.last_index(), true, now});
+    CHECK(leader.is_settled());
+    ConvoyOutput change;
+    const auto index =
+        leader.propose_mates({{1, true, "a"}, {2, true, "b"}, {3, true, "c"}, {4, true, "d"}}, now, change);
+    CHECK(index.has_value());
+    take(change);
+    ConvoyOutput second;
+    CHECK(!leader.propose_mates({{1, true, "a"}}, now, second).has_value());
+    std::size_t have = 0;
+    for (std::size_t at : order) {
+      if (at == 0)
+        sync();
+      else
+        step(at + 1, AppendSay{5, leader.term(), *index, true, now});
+      ++have;
+      CHECK_EQUAL(have >= 3, leader.commit() >= *index);
+    }
+  });
+}
+
+TEST(Orders, a_leaving_pilot_is_quiet_only_when_all_it_read_is_finished_and_nobody_counts_on_it) {
+  every_order(4, [](const std::vector<std::size_t> &order) {
+    PilotRig rig;
+    PilotOutput out;
+    Muster muster;
+    Member other;
+    other.id = rig_other;
+    other.address = "q";
+    other.role = static_cast<std::uint8_t>(Role::pilot);
+    other.beat = 5;
+    muster.members = {other};
+    rig.pilot.receive({rig_other, "q", muster}, rig.now, out);
+    rig.pilot.arrive(rig.bill("e"), rig.now, out);
+    rig.pilot.receive({rig_other, "q", rig.grant("e", "r1", 0)}, rig.now, out);
+    LONGS_EQUAL(1, out.carries.size());
+    rig.pilot.set_leaving();
+    Orders without = rig.orders(1, "first-key-00000000");
+    without.roster.epoch = 2;
+    without.roster.pilots = {rig_other};
+    without.roster.past = {{1, {rig_self, rig_other}, {}}};
+    Orders settled = without;
+    settled.settled = 2;
+    const SlotFreed freed{"e", rig.service, 0};
+    bool has_answered = false, is_freed = false, is_without = false, is_settled = false;
+    for (std::size_t at : order) {
+      if (at == 0) rig.pilot.call_ended({"e", CallKind::answered, 200, {}, {}, {}}, rig.now, out);
+      if (at == 1) rig.pilot.receive({rig_other, "q", freed}, rig.now, out);
+      if (at == 2) rig.pilot.receive({rig_leader, "h", without}, rig.now, out);
+      if (at == 3) rig.pilot.receive({rig_leader, "h", settled}, rig.now, out);
+      is_freed = is_freed || (at == 1 && has_answered);
+      has_answered = has_answered || at == 0;
+      is_without = is_without || at >= 2;
+      is_settled = is_settled || at == 3;
+      CHECK_EQUAL(has_answered && is_freed && is_without && is_settled, rig.pilot.is_quiet(rig.now));
+    }
+  });
+}
