Say why a service or manifest has not settled; show what a file would change

wharfctl diff FILE lists members added, removed and replaced, exit 1 when there are any; status tells no memory, pace, platform away, booting, no majority, or which pilots have not switched.

--- a/packages/harbour/harbour.cpp
+++ b/packages/harbour/harbour.cpp
@@ -1021,6 +1021,35 @@
   return values;
 }
 
+std::string Harbour::why_unsettled(const Service &service, std::size_t ready, std::size_t wanted,
+                                   Instant now) const {
+  if (ready >= wanted) return {};
+  if (platform_at_ == 0 || now - platform_at_ > seconds(3)) return "the platform is away";
+  std::size_t planned = 0, unordered = 0;
+  for (const auto &[id, record] : registry_.runners()) {
+    if (record.service != service.name || record.is_leaving) continue;
+    ++planned;
+    const auto note = notes_.find(id);
+    unordered += note == notes_.end() || note->second.started_at == 0 ? 1 : 0;
+  }
+  if (planned < wanted && !elect_worker(service.name, static_cast<std::uint32_t>(service.memory_mb), {}))
+    return "no worker has " + std::to_string(service.memory_mb) + " MB left";
+  if (!is_leading()) return "this mate does not lead";
+  if (unordered > 0) return std::to_string(unordered) + " starts wait for the platform's pace";
+  return "runners are booting";
+}
+
+std::string Harbour::why_unheld(Instant now) const {
+  if (settled_version(now) >= registry_.version()) return {};
+  if (!is_leading()) return "no majority: this mate does not lead";
+  if (now < floor_) return "a new leader waits out its predecessors' permits";
+  std::string late;
+  for (const auto &[pilot, seat] : seats_)
+    if (seat.permit_until > now && seat.version < registry_.version())
+      late += (late.empty() ? "" : ", ") + seat.address;
+  return "not yet switched: " + late;
+}
+
 std::string Harbour::status_json(Instant now) const {
   Json root;
   root["version"] = registry_.version();
@@ -1046,6 +1075,7 @@
     }
     root["last_change"] = std::move(item);
   }
+  if (const std::string why = why_unheld(now); !why.empty()) root["why_not_held"] = why;
   root["mates"] = Json::array();
   for (const Mate &mate : convoy_.mates()) {
     const Member *member = rollcall_.find(mate.id);
@@ -1079,10 +1109,12 @@
       const auto ranked = rank_nodes(registry_.roster().pilots, service.name, stevedore_salt);
       Json item = {{"stevedore", ranked.empty() ? "" : std::to_string(ranked[0])},
                    {"runners", Json::array()}};
+      std::size_t ready = 0, wanted = static_cast<std::size_t>(service.least);
       for (const auto &[id, record] : registry_.runners()) {
         if (record.service != service.name) continue;
         const bool is_ready =
             std::any_of(views_.begin(), views_.end(), [&](const RunnerView &view) { return view.id == id; });
+        ready += is_ready && !record.is_leaving ? 1 : 0;
         item["runners"].push_back({{"id", id},
                                    {"worker", record.worker},
                                    {"is_ready", is_ready},
@@ -1093,12 +1125,15 @@
         if (seat != seats_.end()) {
           const auto want = seat->second.wants.find(service.name);
           if (want != seat->second.wants.end()) {
+            wanted = std::max<std::size_t>(wanted, want->second.runners);
             item["wanted"] = want->second.runners;
             item["pending"] = want->second.pending;
             item["slots_taken"] = want->second.taken;
           }
         }
       }
+      if (const std::string why = why_unsettled(service, ready, wanted, now); !why.empty())
+        item["why_unsettled"] = why;
       root["services"][service.name] = std::move(item);
     }
   }
--- a/packages/harbour/harbour.hpp
+++ b/packages/harbour/harbour.hpp
@@ -206,6 +206,10 @@
                                           const std::vector<RunnerRecord> &planned) const;
   std::string seal_key_of(const std::string &runner) const;
   std::string leader_http() const;
+  /// Why a service has fewer ready runners than wanted; empty when it has them.
+  std::string why_unsettled(const Service &service, std::size_t ready, std::size_t wanted, Instant now) const;
+  /// Why the newest manifest does not hold everywhere yet; empty when it does.
+  std::string why_unheld(Instant now) const;
 
   Member self_;
   HarbourOptions options_;
--- a/programs/wharfctl/main.cpp
+++ b/programs/wharfctl/main.cpp
@@ -103,6 +103,7 @@
   std::cout << "manifest " << root.value("version", 0) << " (held by all from "
             << root.value("settled_version", 0) << "), roster " << root.value("roster_epoch", 0)
             << " (settled " << root.value("settled_epoch", 0) << "), term " << root.value("term", 0) << "\n";
+  if (root.contains("why_not_held")) std::cout << "  " << root.value("why_not_held", "") << "\n";
   for (const Json &mate : root.value("mates", Json::array()))
     std::cout << "  harbourd " << mate.value("address", "") << " zone " << mate.value("zone", "")
               << (mate.value("is_voter", false) ? " voter" : " learner")
@@ -122,14 +123,41 @@
       leaving += runner.value("is_leaving", false) ? 1 : 0;
     }
     const auto wanted = service.value("wanted", 0);
-    if (wanted == 0 && runners.empty()) continue;
+    if (wanted == 0 && runners.empty() && !service.contains("why_unsettled")) continue;
     std::cout << "  service " << item.key() << ": wanted " << wanted << ", ready " << ready << ", leaving "
               << leaving << ", pending " << service.value("pending", 0) << ", slots taken "
-              << service.value("slots_taken", 0) << (static_cast<int>(ready) < wanted ? "  (settling)" : "")
+              << service.value("slots_taken", 0)
+              << (service.contains("why_unsettled") ? "  (" + service.value("why_unsettled", "") + ")" : "")
               << "\n";
   }
 }
 
+/// What applying a file would change in the manifest in force, a line a member; exit 1 when anything would.
+int show_difference(const Control &control, const std::string &body, const std::string &file) {
+  const Json wanted = Json::parse(body, nullptr, false);
+  if (wanted.is_discarded()) {
+    std::cerr << "wharfctl: " << file << ": not JSON\n";
+    return Exit::wrong_call;
+  }
+  const Said said = call(control, "GET", "/v1/manifest", "", "");
+  if (said.status != 200 && said.status != 404) return finish(control, said, "diff");
+  const Json in_force = said.status == 404 ? Json::object() : Json::parse(said.body, nullptr, false);
+  const Json changes = Json::diff(in_force, wanted);
+  if (control.is_json) std::cout << changes.dump(2) << "\n";
+  for (const Json &change : changes) {
+    if (control.is_json) break;
+    const std::string path = change.value("path", ""), deed = change.value("op", "");
+    const Json::json_pointer place(path);
+    std::cout << (deed == "add" ? "+ " : deed == "remove" ? "- " : "~ ") << path;
+    if (deed != "add" && in_force.contains(place)) std::cout << " " << in_force.at(place).dump();
+    if (deed == "replace") std::cout << " ->";
+    if (change.contains("value")) std::cout << " " << change["value"].dump();
+    std::cout << "\n";
+  }
+  if (changes.empty() && !control.is_json) std::cout << "no difference\n";
+  return changes.empty() ? Exit::done : Exit::refused;
+}
+
 int wait_settled(const Control &control) {
   const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(control.seconds_long);
   Control quick = control;
@@ -166,8 +194,9 @@
 int main(int count, char **words) {
   Control control;
   std::string places;
-  Flags flags("wharfctl", "apply FILE | patch FILE | try FILE | try-patch FILE | get | version | status | "
-                          "wait | check FILE | options");
+  Flags flags("wharfctl",
+              "apply FILE | patch FILE | try FILE | try-patch FILE | diff FILE | get | version | status | "
+              "wait | check FILE | options");
   flags.text("at", places, "Operators' addresses of harbourd, separated by commas");
   flags.text("token", control.token, "The operators' token");
   flags.text("if-match", control.if_match, "Write only over this version");
@@ -184,7 +213,8 @@
     return Exit::done;
   }
   std::string body;
-  if (verb == "apply" || verb == "patch" || verb == "check" || verb == "try" || verb == "try-patch") {
+  if (verb == "apply" || verb == "patch" || verb == "check" || verb == "try" || verb == "try-patch" ||
+      verb == "diff") {
     const auto bytes = slurp(file);
     if (!bytes) {
       std::cerr << "wharfctl: '" << file << "' cannot be read\n";
@@ -214,6 +244,7 @@
   if (verb == "try" || verb == "try-patch")
     return finish(control, call(control, verb == "try" ? "PUT" : "PATCH", "/v1/trial", body, ""),
                   "would be taken");
+  if (verb == "diff") return show_difference(control, body, file);
   if (verb == "wait") return wait_settled(control);
   if (verb == "get" || verb == "version" || verb == "status") {
     const Said said = call(control, "GET", verb == "get" ? "/v1/manifest" : "/v1/" + verb, "", "");
