--- a/packages/drydock/world.cpp
+++ b/packages/drydock/world.cpp
@@ -233,6 +233,7 @@
   if (defect_ == Defect::stale_permit) options.fresh = seconds(30);
   if (defect_ == Defect::free_seconds) options.berth.second_share = options.berth.second_most = 1000;
   if (defect_ == Defect::loose_quota) options.purser.slack = 1.5;
+  if (defect_ == Defect::stingy_quota) options.purser.slack = 0.2;
   node.core = std::make_unique<Pilot>(node.self, seeds_, options, local(node));
   at(now_ + static_cast<Span>(dice_.below(static_cast<std::uint64_t>(pilot_tick))),
      [this, which, incarnation = node.incarnation] { tick_pilot(which, incarnation); });
@@ -615,6 +616,7 @@
         visit.body_digest = call->second.record.body_digest;
       }
       if (defect_ == Defect::changed_errand && dice_.chance(0.02)) visit.target += "/x";
+      if (defect_ == Defect::other_tenant && dice_.chance(0.02)) visit.tenant = "t1";
       if (defect_ == Defect::key_passed && dice_.chance(0.02)) visit.has_key = true;
       if (defect_ == Defect::invented_errand && dice_.chance(0.02)) {
         VisitRecord ghost = visit;
--- a/packages/drydock/world.hpp
+++ b/packages/drydock/world.hpp
@@ -88,7 +88,9 @@
   key_passed,
   emptied_record,
   lying_disk,
-  untried
+  untried,
+  other_tenant,
+  stingy_quota
 };
 
 /// A whole deployment in virtual time round the daemons' own state machines. One seed, one run, always.
--- a/programs/drydock/main.cpp
+++ b/programs/drydock/main.cpp
@@ -74,7 +74,7 @@
   flags.whole("seed", from, "First seed");
   flags.whole("seeds", many, "How many seeds");
   flags.whole("threads", threads, "Runs at the same time");
-  flags.whole("defect", defect, "Defect put in on purpose, 1 to 17");
+  flags.whole("defect", defect, "Defect put in on purpose, 1 to 21");
   flags.mark("plain", sweep.shape.is_plain, "First come, first served, and the first worker that fits");
   flags.text("deployment", deployment, "small, udruga or masa-verde");
   flags.text("trace", sweep.trace,
--- a/tests/drydock_test.cpp
+++ b/tests/drydock_test.cpp
@@ -46,6 +46,9 @@
 TEST(Drydock, an_allowance_stretched_by_half_is_caught) {
   trips("crowd", Defect::loose_quota, 1, "over-allowance");
 }
+TEST(Drydock, an_allowance_cut_to_a_fifth_is_caught) {
+  trips("calm", Defect::stingy_quota, 1, "proper-refused");
+}
 TEST(Drydock, an_early_acknowledgement_is_caught) {
   trips("calm", Defect::early_acknowledge, 2, "revoked-key-ran");
 }
@@ -74,6 +77,7 @@
   trips("calm", Defect::changed_errand, 1, "changed");
   trips("calm", Defect::invented_errand, 1, "nobody-sent");
   trips("calm", Defect::key_passed, 1, "key-leaked");
+  trips("calm", Defect::other_tenant, 1, "wrong-tenant");
 }
 TEST(Drydock, second_tries_that_reach_no_runner_are_counted) {
   trips("platform-lists-stopped", Defect::free_seconds, 4, "second-tries");
