Tell rules taken away in a trial; refuse only where the manifest says so

Cause: removing or moving a rule under traffic was refused by default, though it is daily work and meant. Capacity, memory and starts still refuse by default. Seen in seatrial_test; trial.unruled_most_percent makes it strict.

--- a/packages/charter/options.hpp
+++ b/packages/charter/options.hpp
@@ -18,6 +18,8 @@
 
 #define WHARF_TRIAL_OPTIONS(NUMBER, FLAG, TEXT)                                                              \
   NUMBER(refused_most_percent, 5, 0, 100, "Share of a tenant's measured errands a change may newly refuse.") \
+  NUMBER(unruled_most_percent, 100, 0, 100,                                                                  \
+         "Share of a tenant's measured errands that may newly have no rule.")                                \
   NUMBER(memory_most_percent, 100, 1, 1000, "Share of the workers' memory that a change may come to need.")  \
   NUMBER(starts_most_s, 10, 1, 3600, "Seconds of the platform's pace that a change's starts may take.")      \
   NUMBER(measured_least, 200, 1, 100000000, "Errands of the last minute below which nothing is foretold.")
--- a/programs/wharfctl/main.cpp
+++ b/programs/wharfctl/main.cpp
@@ -71,7 +71,8 @@
   const Json tenants = foretold.value("tenants", Json::object());
   for (const auto &item : tenants.items())
     out << "  tenant " << item.key() << ": " << item.value().value("per_second", 0.0) << " a second, refused "
-        << item.value().value("refused_percent", 0.0) << " %, over quota "
+        << item.value().value("refused_percent", 0.0) << " %, without a rule "
+        << item.value().value("unruled_percent", 0.0) << " %, over quota "
         << item.value().value("over_quota_percent", 0.0) << " %\n";
 }
 
