--- a/packages/purser/purser.cpp
+++ b/packages/purser/purser.cpp
@@ -229,14 +229,14 @@
 }
 
 void Purser::take_return(const Allowance &allowance, Ledger &ledger, Entry &entry, const PermitReturn &item,
-                         Instant now) {
+                         std::vector<Entry> &closed, Instant now) {
   const std::uint32_t gone = std::min(item.gone, entry.granted);
   if (gone > entry.gone) {
     const std::uint32_t newly = std::min(gone - entry.gone, entry.tokens);
     entry.tokens -= newly;
     entry.gone = gone;
     const Instant expires = now + options_.quota_window;
-    if (newly > 0) ledger.closed.push_back({0, 0, newly, 0, 0, expires, false, false});
+    if (newly > 0) closed.push_back({0, 0, newly, 0, 0, expires, false, false});
   }
   if (item.is_final && !entry.is_final) {
     const std::uint32_t unspent =
@@ -251,13 +251,13 @@
 
 void Purser::take_returns(const Allowance &allowance, Ledger &ledger, NodeId from,
                           const std::vector<PermitReturn> &returns, Instant now) {
-  ledger.closed.clear();
+  std::vector<Entry> closed;
   for (const PermitReturn &item : returns) {
     const auto found = std::find_if(ledger.charges.begin(), ledger.charges.end(), [&](const Entry &entry) {
       return entry.is_open && entry.permit == item.permit && entry.node == from;
     });
     if (found != ledger.charges.end()) {
-      take_return(allowance, ledger, *found, item, now);
+      take_return(allowance, ledger, *found, item, closed, now);
       continue;
     }
     const bool is_unseen = (item.permit >> 28) < ledger.blind_before && item.spent > item.gone;
@@ -267,7 +267,7 @@
   }
   std::erase_if(ledger.charges,
                 [](const Entry &entry) { return entry.tokens == 0 && (!entry.is_open || entry.is_final); });
-  for (const Entry &entry : ledger.closed) {
+  for (const Entry &entry : closed) {
     if (!ledger.charges.empty()) {
       Entry &last = ledger.charges.back();
       if (!last.is_open && entry.expires - last.expires < milliseconds(20)) {
@@ -278,7 +278,6 @@
     }
     ledger.charges.push_back(entry);
   }
-  ledger.closed.clear();
 }
 
 void Purser::step(NodeId from, const Signal &signal, Instant now, Outbox &out) {
--- a/packages/purser/purser.hpp
+++ b/packages/purser/purser.hpp
@@ -65,7 +65,6 @@
     double tokens = 0;
     Instant refilled_at = 0;
     std::deque<Entry> charges;
-    std::vector<Entry> closed;
     std::uint64_t sequence = 0, acked = 0, next_permit = 0;
     Epoch copy_epoch = 0;
     bool has_copy = false;
@@ -82,8 +81,9 @@
   void handle(NodeId from, const LedgerCopy &copy, Instant now, Outbox &out);
   void handle(NodeId from, const LedgerAck &ack, Instant now, Outbox &out);
   void refill(const Allowance &allowance, Ledger &ledger, Instant now);
+  /// Takes one return into its entry; errands newly gone are added to `closed`.
   void take_return(const Allowance &allowance, Ledger &ledger, Entry &entry, const PermitReturn &item,
-                   Instant now);
+                   std::vector<Entry> &closed, Instant now);
   void take_returns(const Allowance &allowance, Ledger &ledger, NodeId from,
                     const std::vector<PermitReturn> &returns, Instant now);
   LedgerCopy copy_of(const std::string &tenant, const Ledger &ledger, Instant now, bool is_handover) const;
