--- /dev/null
+++ b/packages/anchorage/cables.cpp
@@ -0,0 +1,149 @@
+#include "anchorage/cables.hpp"
+
+#include <cerrno>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace wharf {
+
+class Cables::Cable final : public Watched {
+public:
+  Cable(Cables &owner, std::string address) : owner_(owner), address_(std::move(address)) {}
+  ~Cable() override { shut(); }
+  void shut() {
+    if (descriptor < 0) return;
+    owner_.loop_.remove(descriptor);
+    close(descriptor);
+    descriptor = -1;
+  }
+  void ready(std::uint32_t events) override {
+    if (descriptor < 0) return;
+    bool is_fine = (events & EPOLLERR) == 0;
+    if (is_fine && (events & EPOLLOUT) != 0) {
+      is_up = true;
+      is_fine = write_out();
+    }
+    if (is_fine && (events & (EPOLLIN | EPOLLHUP | EPOLLRDHUP)) != 0) is_fine = read_in();
+    if (!is_fine) owner_.lose(*this);
+  }
+  bool write_out() {
+    std::size_t at = 0;
+    while (at < outgoing.size()) {
+      const ssize_t count = ::send(descriptor, outgoing.data() + at, outgoing.size() - at, MSG_NOSIGNAL);
+      if (count < 0 && errno == EINTR) continue;
+      if (count < 0 && errno != EAGAIN) return false;
+      if (count < 0) break;
+      at += static_cast<std::size_t>(count);
+    }
+    owner_.bytes_sent_ += at;
+    outgoing.erase(0, at);
+    const bool wants_out = !outgoing.empty();
+    if (wants_out != is_waiting_out) {
+      is_waiting_out = wants_out;
+      owner_.loop_.change(descriptor, EPOLLIN | (wants_out ? EPOLLOUT : 0u), *this);
+    }
+    return true;
+  }
+  bool read_in() {
+    char bytes[65536];
+    const ssize_t count = read(descriptor, bytes, sizeof bytes);
+    if (count < 0) return errno == EAGAIN || errno == EINTR;
+    if (count == 0) return false;
+    incoming.append(bytes, static_cast<std::size_t>(count));
+    std::size_t at = 0;
+    while (descriptor >= 0) {
+      Envelope envelope;
+      std::size_t used = 0;
+      const FrameState state = unframe(std::string_view(incoming).substr(at), envelope, used);
+      if (state == FrameState::broken) return false;
+      if (state == FrameState::partial) break;
+      at += used;
+      owner_.sink_(std::move(envelope));
+    }
+    incoming.erase(0, at);
+    return true;
+  }
+
+  Cables &owner_;
+  std::string address_, incoming, outgoing;
+  int descriptor = -1;
+  bool is_up = false, is_waiting_out = false, is_dirty = false;
+  Instant retry_at = 0;
+};
+
+class Cables::Listener final : public Watched {
+public:
+  Listener(Cables &owner, int descriptor) : owner_(owner), descriptor_(descriptor) {
+    owner_.loop_.add(descriptor_, EPOLLIN, *this);
+  }
+  ~Listener() override {
+    owner_.loop_.remove(descriptor_);
+    close(descriptor_);
+  }
+  void ready(std::uint32_t) override {
+    const int taken = accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (taken < 0) return;
+    auto cable = std::make_shared<Cable>(owner_, std::string());
+    cable->descriptor = taken;
+    cable->is_up = true;
+    owner_.loop_.add(taken, EPOLLIN, *cable);
+    owner_.theirs_[taken] = std::move(cable);
+  }
+
+private:
+  Cables &owner_;
+  int descriptor_;
+};
+
+Cables::Cables(Loop &loop, const std::string &address, Sink sink, CableOptions options)
+    : loop_(loop), sink_(std::move(sink)), options_(options),
+      listener_(std::make_shared<Listener>(*this, open_listener(address, 256))) {}
+
+Cables::~Cables() = default;
+
+void Cables::open(Cable &cable, Instant now) {
+  if (now < cable.retry_at) return;
+  cable.retry_at = now + options_.dial_again;
+  cable.descriptor = open_call(cable.address_, options_.silent_most);
+  if (cable.descriptor < 0) return;
+  cable.is_waiting_out = true;
+  loop_.add(cable.descriptor, EPOLLIN | EPOLLOUT, cable);
+}
+
+void Cables::lose(Cable &cable) {
+  const int descriptor = cable.descriptor;
+  if (!cable.outgoing.empty()) ++dropped_;
+  cable.shut();
+  cable.is_up = false;
+  cable.outgoing.clear();
+  cable.incoming.clear();
+  const auto found = theirs_.find(descriptor);
+  if (found == theirs_.end() || found->second.get() != &cable) return;
+  loop_.bury(found->second);
+  theirs_.erase(found);
+}
+
+void Cables::send(const std::string &address, std::string_view bytes) {
+  auto &cable = ours_[address];
+  if (!cable) cable = std::make_shared<Cable>(*this, address);
+  if (cable->descriptor < 0) open(*cable, tide_.now());
+  if (cable->descriptor < 0 || cable->outgoing.size() + bytes.size() > options_.waiting_most + frame_limit) {
+    ++dropped_;
+    return;
+  }
+  cable->outgoing += bytes;
+  if (cable->is_dirty) return;
+  cable->is_dirty = true;
+  dirty_.push_back(cable);
+}
+
+void Cables::flush() {
+  for (const auto &cable : dirty_) {
+    cable->is_dirty = false;
+    if (cable->descriptor >= 0 && cable->is_up && !cable->write_out()) lose(*cable);
+  }
+  dirty_.clear();
+}
+
+} // namespace wharf
--- /dev/null
+++ b/packages/anchorage/cables.hpp
@@ -0,0 +1,52 @@
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "anchorage/loop.hpp"
+#include "signals/signals.hpp"
+
+namespace wharf {
+
+struct CableOptions {
+  /// Sent bytes unacknowledged this long end a link.
+  Span silent_most = seconds(2);
+  Span dial_again = milliseconds(100);
+  /// Bytes that may wait for a link; beyond them frames are dropped.
+  std::size_t waiting_most = 8u << 20;
+};
+
+/// Frames between our processes over TCP, on a loop. What cannot go is dropped and counted: every protocol
+/// above bears loss. What is sent within one turn leaves together.
+class Cables {
+public:
+  using Sink = std::function<void(Envelope &&)>;
+  /// Listens on `address`; throws when it cannot.
+  Cables(Loop &loop, const std::string &address, Sink sink, CableOptions options = {});
+  ~Cables();
+  /// Queues one frame for an address; it leaves at the next flush.
+  void send(const std::string &address, std::string_view bytes);
+  void flush();
+  std::uint64_t dropped() const { return dropped_; }
+  std::uint64_t bytes_sent() const { return bytes_sent_; }
+
+private:
+  class Cable;
+  class Listener;
+  void open(Cable &cable, Instant now);
+  void lose(Cable &cable);
+  void arrived(Cable &cable);
+
+  Loop &loop_;
+  Sink sink_;
+  CableOptions options_;
+  SteadyTide tide_;
+  std::map<std::string, std::shared_ptr<Cable>> ours_;
+  std::map<int, std::shared_ptr<Cable>> theirs_;
+  std::vector<std::shared_ptr<Cable>> dirty_;
+  std::shared_ptr<Listener> listener_;
+  std::uint64_t dropped_ = 0, bytes_sent_ = 0;
+};
+
+} // namespace wharf
--- /dev/null
+++ b/packages/anchorage/http_calls.hpp
@@ -0,0 +1,78 @@
+#pragma once
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "anchorage/http.hpp"
+#include "anchorage/loop.hpp"
+
+namespace wharf {
+
+struct HttpCallOptions {
+  Span connect_within = milliseconds(400);
+  /// Sent bytes unacknowledged this long end a call.
+  Span silent_most = seconds(1);
+  /// How long a link may rest when its peer names no time, and the most of what it names.
+  Span rest_unnamed = milliseconds(400), rest_most = seconds(10);
+  /// Links at rest kept for one peer.
+  std::size_t resting_most = 8;
+  std::size_t body_most = 16u << 20;
+};
+
+/// How a call ended: `unreached` sent nothing; `lost` may have been read; `garbled` got no proper answer.
+enum class CallFate : std::uint8_t { answered, unreached, lost, garbled, late };
+
+struct CallAnswer {
+  CallFate fate = CallFate::lost;
+  HttpMessage response;
+  bool was_reused = false;
+};
+
+/// One call to a peer.
+struct HttpCall {
+  std::string address;
+  /// Links are shared only among calls of the same peer.
+  std::string peer;
+  HttpMessage request;
+  Instant deadline = 0;
+  /// How long a link may have rested to be taken for this call; 0 for a fresh one.
+  Span rested_most = seconds(60);
+  /// True for the answer to this very request; others on the link are passed over.
+  std::function<bool(const HttpMessage &)> is_mine;
+  std::function<void(CallAnswer &&)> done;
+};
+
+/// Outgoing HTTP/1.1 calls on a loop, over links kept for reuse. A link that brought anything but one whole
+/// answer to one request is ended, never reused. Nothing is ever sent twice.
+class HttpCalls {
+public:
+  HttpCalls(Loop &loop, HttpCallOptions options);
+  ~HttpCalls();
+  void call(HttpCall call);
+  /// Tells whether anything listens at an address, without sending a byte.
+  void knock(const std::string &address, const std::string &peer, Instant deadline,
+             std::function<void(bool)> done);
+  /// Ends links at rest of a peer.
+  void forget(const std::string &peer);
+  void tick(Instant now);
+  std::uint64_t opened() const { return opened_; }
+  std::size_t under_way() const { return busy_.size(); }
+
+private:
+  class Link;
+  void rest(Link &link);
+  void end(Link &link, CallFate fate);
+  std::shared_ptr<Link> open(const std::string &address, const std::string &peer);
+  Loop &loop_;
+  HttpCallOptions options_;
+  SteadyTide tide_;
+  std::map<Link *, std::shared_ptr<Link>> busy_;
+  std::map<std::string, std::deque<std::shared_ptr<Link>>> resting_;
+  Instant tick_at_ = 0;
+  std::uint64_t opened_ = 0;
+};
+
+} // namespace wharf
--- /dev/null
+++ b/packages/anchorage/http_door.hpp
@@ -0,0 +1,68 @@
+#pragma once
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "anchorage/http.hpp"
+#include "anchorage/loop.hpp"
+
+namespace wharf {
+
+struct HttpDoorOptions {
+  HttpBounds bounds;
+  /// How long a request may take to arrive, and how long a link may rest between two.
+  Span head_within = seconds(3), body_within = seconds(8), idle = seconds(15), write_within = seconds(10);
+  std::size_t links_most = 3000;
+  int backlog = 511;
+};
+
+/// A link at the door; never reused for another.
+using LinkId = std::uint64_t;
+
+/// Who serves what comes in at a door.
+class HttpDoorSink {
+public:
+  virtual ~HttpDoorSink() = default;
+  /// A whole request; it must be answered exactly once, now or later.
+  virtual void asked(LinkId link, HttpMessage &&request) = 0;
+  /// The link whose request is not answered yet went away.
+  virtual void left(LinkId link) = 0;
+};
+
+/// An HTTP/1.1 server on a loop: a request is handed on once it is whole, one at a time on each link.
+class HttpDoor {
+public:
+  HttpDoor(Loop &loop, const std::string &address, HttpDoorSink &sink, HttpDoorOptions options);
+  ~HttpDoor();
+  void set_options(const HttpDoorOptions &options) { options_ = options; }
+  const HttpDoorOptions &options() const { return options_; }
+  /// Answers the request under way on a link; nothing happens when the link is gone.
+  void answer(LinkId link, const HttpMessage &response, bool keeps_link);
+  /// Ends links that rest or are too slow.
+  void tick(Instant now);
+  /// Every answer from now on ends its link, and resting links are ended.
+  void drain();
+  /// Takes no more links.
+  void close_listener() { listener_.reset(); }
+  std::size_t links() const { return links_.size(); }
+  std::size_t serving() const;
+  const std::map<std::string, std::uint64_t> &counters() const { return counters_; }
+
+private:
+  class Link;
+  class Listener;
+  void lose(Link &link);
+  Loop &loop_;
+  HttpDoorSink &sink_;
+  HttpDoorOptions options_;
+  SteadyTide tide_;
+  std::map<LinkId, std::shared_ptr<Link>> links_;
+  std::shared_ptr<Listener> listener_;
+  LinkId next_ = 1;
+  Instant tick_at_ = 0;
+  bool is_draining_ = false;
+  std::map<std::string, std::uint64_t> counters_;
+};
+
+} // namespace wharf
--- a/packages/berth/berth.cpp
+++ b/packages/berth/berth.cpp
@@ -26,17 +26,53 @@
   berth = Berth{};
   berth.since = roster_.epoch;
   berth.high_at = now;
-  berth.boot_guess = options_.boot_guess;
+  const auto plan = plans_.find(service);
+  berth.boot_guess = plan != plans_.end() && plan->second.boot > 0 ? plan->second.boot : options_.boot_guess;
   berth.expected.insert(roster_.pilots.begin(), roster_.pilots.end());
   if (!roster_.past.empty())
     berth.expected.insert(roster_.past.back().pilots.begin(), roster_.past.back().pilots.end());
   for (const RunnerView &runner : runners_) {
     if (runner.service != service) continue;
-    Hull &hull = berth.hulls[runner.id];
-    hull.is_leaving = runner.is_leaving;
-    hull.address = runner.address;
-    hull.seal_key = runner.seal_key;
+    take_view(berth.hulls[runner.id], runner, now);
+  }
+}
+
+void Stevedore::take_view(Hull &hull, const RunnerView &runner, Instant now) {
+  const bool is_new = hull.address.empty();
+  hull.is_leaving = runner.is_leaving;
+  hull.address = runner.address;
+  hull.seal_key = runner.seal_key;
+  hull.zone = runner.zone;
+  hull.handle = runner.handle;
+  hull.is_booting = runner.is_booting && (is_new || hull.is_booting);
+  if (is_new) hull.boots_since = now - runner.booting_for;
+}
+
+std::vector<Knock> Stevedore::knocks(Instant now) {
+  std::vector<Knock> list;
+  for (auto &[service, berth] : berths_) {
+    const auto plan = plans_.find(service);
+    if (plan == plans_.end()) continue;
+    for (auto &[id, hull] : berth.hulls) {
+      if (!hull.is_booting || hull.is_leaving || hull.must_retire || now < hull.knock_at ||
+          now - hull.boots_since < plan->second.boot * 2 / 5)
+        continue;
+      const bool is_late = now - hull.boots_since > plan->second.boot * 3;
+      hull.knock_at = now + options_.knock_again * (is_late ? 5 : berth.pending_count > 0 ? 1 : 3);
+      list.push_back({service, id, hull.address, hull.handle});
+    }
   }
+  return list;
+}
+
+void Stevedore::is_up(const std::string &service, const std::string &runner, Instant now, Outbox &out) {
+  const auto found = berths_.find(service);
+  if (found == berths_.end()) return;
+  const auto hull = found->second.hulls.find(runner);
+  if (hull == found->second.hulls.end() || !hull->second.is_booting) return;
+  hull->second.is_booting = false;
+  found->second.boot_guess = (found->second.boot_guess * 3 + (now - hull->second.boots_since)) / 4;
+  serve(service, found->second, now, out);
 }
 
 void Stevedore::set_plans(std::map<std::string, BerthPlan> plans, Instant now, Outbox &out) {
@@ -126,10 +162,7 @@
       berth.boot_guess = (berth.boot_guess * 3 + (now - berth.short_since)) / 4;
       berth.short_since = 0;
     }
-    Hull &hull = berth.hulls[runner.id];
-    hull.is_leaving = runner.is_leaving;
-    hull.address = runner.address;
-    hull.seal_key = runner.seal_key;
+    take_view(berth.hulls[runner.id], runner, now);
   }
   for (auto &[service, berth] : berths_) {
     const auto &living = seen[service];
@@ -269,17 +302,19 @@
   rescale(berth, plan->second, now);
 }
 
-Stevedore::Hull *Stevedore::free_hull(Berth &berth, const BerthPlan &plan, const std::string &avoid,
-                                      Instant now, std::string &id) {
+Stevedore::Hull *Stevedore::free_hull(Berth &berth, const BerthPlan &plan, const SlotAsk &ask, Instant now,
+                                      std::string &id) {
   Hull *best = nullptr;
-  std::size_t best_load = 0;
+  std::pair<bool, std::size_t> best_rank;
   for (auto &[name, hull] : berth.hulls) {
     const std::size_t load = hull.taken.size() + hull.unknown;
-    if (hull.is_leaving || hull.must_retire || load >= plan.slots || now < hull.rests_until || name == avoid)
+    if (hull.is_leaving || hull.must_retire || hull.is_booting || load >= plan.slots ||
+        now < hull.rests_until || name == ask.avoid)
       continue;
-    if (best == nullptr || load < best_load) {
+    const std::pair<bool, std::size_t> rank(!ask.zone.empty() && hull.zone != ask.zone, load);
+    if (best == nullptr || rank < best_rank) {
       best = &hull;
-      best_load = load;
+      best_rank = rank;
       id = name;
     }
   }
@@ -301,6 +336,7 @@
   say.runner = runner;
   say.address = berth.hulls[runner].address;
   say.seal_key = berth.hulls[runner].seal_key;
+  say.handle = berth.hulls[runner].handle;
   say.epoch = roster_.epoch;
   say.attempt = ask.attempt;
   return say;
@@ -324,7 +360,7 @@
       continue;
     }
     std::string runner;
-    if (free_hull(berth, plan->second, line.front().ask.avoid, now, runner) == nullptr) {
+    if (free_hull(berth, plan->second, line.front().ask, now, runner) == nullptr) {
       berth.turns.push_back(tenant);
       ++skipped;
       continue;
@@ -358,10 +394,19 @@
   if (is_cancel ? slot.attempt > free.attempt : (held->second != free.runner || slot.attempt != free.attempt))
     return;
   const auto end = static_cast<SlotEnd>(free.end);
-  if (end == SlotEnd::lost) {
+  const auto plan = plans_.find(free.service);
+  const bool is_self_bounding = plan != plans_.end() && plan->second.is_self_bounding;
+  if (end == SlotEnd::lost && !is_self_bounding) {
     hull.must_retire = true;
     return;
   }
+  if (end == SlotEnd::lost) {
+    Slot &doubtful = hull.taken[free.errand];
+    if (!doubtful.is_doubtful && ++hull.strikes >= options_.lost_most) hull.must_retire = true;
+    doubtful.is_doubtful = true;
+    doubtful.deadline = std::min(doubtful.deadline, now + berth.serve_guess);
+    return;
+  }
   hull.taken.erase(free.errand);
   if (end == SlotEnd::answered) {
     berth.serve_guess = (berth.serve_guess * 7 + (now - slot.since)) / 8;
@@ -399,7 +444,7 @@
   berth.is_learning = false;
   const bool is_whole =
       std::includes(berth.heard.begin(), berth.heard.end(), berth.expected.begin(), berth.expected.end());
-  if (roster_.is_first || berth.is_inherited || is_whole) return;
+  if (roster_.is_first || berth.is_inherited || is_whole || plan.is_self_bounding) return;
   for (auto &[id, hull] : berth.hulls) {
     hull.unknown =
         hull.taken.size() < plan.slots ? plan.slots - static_cast<std::uint32_t>(hull.taken.size()) : 0;
@@ -425,9 +470,19 @@
       if (berth.settled_at != 0 && (is_whole || now - berth.settled_at >= options_.inventory_patience))
         finish_learning(service, berth, now);
     }
-    for (auto &[id, hull] : berth.hulls)
-      for (const auto &[errand, slot] : hull.taken)
-        if (now > slot.deadline + options_.free_grace) hull.must_retire = true;
+    for (auto &[id, hull] : berth.hulls) {
+      for (auto slot = hull.taken.begin(); slot != hull.taken.end();) {
+        const Span grace = slot->second.is_doubtful ? 0 : options_.free_grace;
+        const bool is_over = now > slot->second.deadline + grace;
+        hull.must_retire = hull.must_retire || (is_over && !plan->second.is_self_bounding);
+        if (!is_over || !plan->second.is_self_bounding) {
+          ++slot;
+          continue;
+        }
+        berth.granted.erase(slot->first);
+        slot = hull.taken.erase(slot);
+      }
+    }
     serve(service, berth, now, out);
     rescale(berth, plan->second, now);
   }
@@ -436,8 +491,8 @@
 void Stevedore::rescale(Berth &berth, const BerthPlan &plan, Instant now) {
   const auto demand = static_cast<std::uint32_t>(taken(berth) + berth.pending_count);
   std::uint32_t need = (demand + plan.slots - 1) / plan.slots;
-  if (demand * 5 >= need * plan.slots * 4 && demand > 0) ++need;
-  if (plan.least > 0) need = std::max(need, 2u);
+  if (plan.must_spare && demand * 5 >= need * plan.slots * 4 && demand > 0) ++need;
+  if (plan.least > 0 && !plan.is_self_bounding) need = std::max(need, 2u);
   need = std::clamp(need, plan.least, plan.most);
   if (need >= berth.target) {
     if (need > berth.target && berth.short_since == 0) berth.short_since = now;
--- a/packages/berth/berth.hpp
+++ b/packages/berth/berth.hpp
@@ -12,6 +12,12 @@
 struct BerthPlan {
   std::uint32_t slots = 1, least = 0, most = 1, worth = 1, pending_most = 256;
   Span idle = seconds(30), wait_most = seconds(30);
+  /// What a start is known to take; 0 when nothing is known.
+  Span boot = 0;
+  /// A start takes longer than callers like to wait, so some slots are kept free.
+  bool must_spare = true;
+  /// Runners refuse what is above their slots themselves, so a slot in doubt is freed, not its runner ended.
+  bool is_self_bounding = false;
   bool operator==(const BerthPlan &) const = default;
 };
 
@@ -23,6 +29,15 @@
   double second_share = 0.15;
   double second_most = 3;
   Span boot_guess = milliseconds(1500);
+  /// How often a starting runner is asked whether it listens yet.
+  Span knock_again = milliseconds(40);
+  /// Calls in a row that a self-bounding runner may lose before it is ended.
+  std::uint32_t lost_most = 5;
+};
+
+/// Whether a starting runner listens yet is to be found out.
+struct Knock {
+  std::string service, runner, address, handle;
 };
 
 /// Sole owner of services' pending errands, runner slots, second-try budget and scaling; a pure state
@@ -36,6 +51,10 @@
   void set_fresh_until(Instant until) { fresh_until_ = until; }
   void step(NodeId from, const Signal &signal, Instant now, Outbox &out);
   void tick(Instant now, Outbox &out);
+  /// Starting runners that errands wait for and that should be asked now whether they listen.
+  std::vector<Knock> knocks(Instant now);
+  /// A starting runner answered a knock.
+  void is_up(const std::string &service, const std::string &runner, Instant now, Outbox &out);
   /// What the leader should settle for the services owned here.
   std::vector<Want> wants(Instant now) const;
 
@@ -53,10 +72,13 @@
     NodeId pilot = 0;
     Instant deadline = 0, since = 0;
     std::uint32_t attempt = 0;
+    bool is_doubtful = false;
   };
   struct Hull {
     bool is_leaving = false, must_retire = false;
-    std::string address, seal_key;
+    std::string address, seal_key, zone, handle;
+    bool is_booting = false;
+    Instant boots_since = 0, knock_at = 0;
     std::map<std::string, Slot> taken;
     std::uint32_t unknown = 0;
     Instant rests_until = 0;
@@ -90,8 +112,8 @@
   void begin(const std::string &service, Instant now);
   void finish_learning(const std::string &service, Berth &berth, Instant now);
   void serve(const std::string &service, Berth &berth, Instant now, Outbox &out);
-  Hull *free_hull(Berth &berth, const BerthPlan &plan, const std::string &avoid, Instant now,
-                  std::string &id);
+  Hull *free_hull(Berth &berth, const BerthPlan &plan, const SlotAsk &ask, Instant now, std::string &id);
+  void take_view(Hull &hull, const RunnerView &runner, Instant now);
   SlotSay held_say(const SlotAsk &ask, Berth &berth, const std::string &runner) const;
   void refuse(const SlotAsk &ask, NodeId pilot, Span retry_after, std::string why, Outbox &out);
   void grant(Berth &berth, Waiting waiting, const std::string &runner, Instant now, Outbox &out);
--- a/packages/bosun/options.cpp
+++ b/packages/bosun/options.cpp
@@ -25,7 +25,7 @@
 }
 bool is_seeds(std::string_view text) {
   const auto parts = split_commas(text);
-  return (parts.size() == 1 || parts.size() == 3) && std::all_of(parts.begin(), parts.end(), is_address);
+  return !parts.empty() && parts.size() <= 3 && std::all_of(parts.begin(), parts.end(), is_address);
 }
 
 struct Given {
@@ -62,9 +62,9 @@
 }
 
 bool fits(ProgramKind kind, std::string_view name) {
-  const bool is_harbour_only =
-      name == "data" || name == "platform" || name == "operator_token" || name == "pace";
-  return kind == ProgramKind::harbourd || !is_harbour_only;
+  const bool is_harbour_only = name == "data" || name == "platform" || name == "operator_token" ||
+                               name == "pace" || name == "may_found";
+  return kind == ProgramKind::harbourd ? name != "readiness" : !is_harbour_only;
 }
 
 struct Known {
@@ -85,7 +85,12 @@
   return split_address(text, ip, port) && port > 0;
 }
 
-std::vector<std::string> ProcessOptions::seed_list() const { return split_commas(seeds); }
+std::vector<std::string> ProcessOptions::seed_list() const {
+  std::vector<std::string> list = split_commas(seeds);
+  for (std::string &seed : list)
+    if (seed_port != 0) seed = seed.substr(0, seed.rfind(':') + 1) + std::to_string(seed_port);
+  return list;
+}
 
 std::variant<Launch, EndNow> read_launch(ProgramKind kind, int count, const char *const *words) {
   const std::string program = kind == ProgramKind::pilotd ? "pilotd" : "harbourd";
@@ -134,12 +139,16 @@
   if (const auto found = given.find(#name); found != given.end()) {                                          \
     const std::string &text = found->second.value;                                                           \
     const auto read = std::from_chars(text.data(), text.data() + text.size(), options.name);                 \
-    if (read.ec != std::errc() || read.ptr != text.data() + text.size() || options.name < least ||           \
-        options.name > most)                                                                                 \
+    const std::string_view rest(read.ptr, static_cast<std::size_t>(text.data() + text.size() - read.ptr));   \
+    const bool is_whole =                                                                                    \
+        rest.empty() || (rest.front() == '.' && rest.find_first_not_of('0', 1) == std::string_view::npos);   \
+    if (read.ec != std::errc() || !is_whole || options.name < least || options.name > most)                  \
       faults.push_back(found->second.place + ": " #name " must be from " #least " to " #most);               \
     given.erase(found);                                                                                      \
   }
   WHARF_PROCESS_OPTIONS(WHARF_TAKE_TEXT, WHARF_TAKE_NUMBER)
+  if (split_commas(options.seeds).size() == 2 && options.few_seeds == 0)
+    faults.push_back("--seeds: two will not do without few_seeds. One or three addresses are expected.");
   for (const auto &[name, item] : given) faults.push_back(item.place + ": unknown option '" + name + "'");
   if (kind == ProgramKind::harbourd) {
     if (options.data.empty()) faults.push_back("--data: is missing. Data folder; harbourd only.");
--- a/packages/bosun/options.hpp
+++ b/packages/bosun/options.hpp
@@ -14,6 +14,8 @@
   TEXT(address, "", is_address, "Address other processes of ours reach this one at, ip:port.")               \
   TEXT(listen, "", is_address_or_none, "Address to listen on for them, when it is another one.")             \
   TEXT(http, "", is_address, "Address the HTTP side listens on, ip:port.")                                   \
+  TEXT(readiness, "", is_address_or_none, "Address that says whether this process is ready; pilotd only.")   \
+  TEXT(name, "", is_any, "This machine's name, as its platform knows it.")                                   \
   TEXT(zone, "a", is_word, "Zone this machine is in.")                                                       \
   TEXT(seeds, "", is_seeds, "One or three addresses of other processes, separated by commas.")               \
   TEXT(data, "", is_any, "Data folder; harbourd only.")                                                      \
@@ -21,6 +23,9 @@
   TEXT(platform, "", is_address_or_none, "Address of the platform's API, ip:port; harbourd only.")           \
   TEXT(operator_token, "", is_any, "Token operators present; harbourd only.")                                \
   TEXT(log_level, "info", is_level, "trace, debug, info, warning or error.")                                 \
+  NUMBER(few_seeds, 0, 0, 1, "Whether two seeds will do, 1 or 0: a group of two bears no loss.")             \
+  NUMBER(seed_port, 0, 0, 65535, "Port where seeds listen for other processes, if not the one named.")       \
+  NUMBER(may_found, 1, 0, 1, "Whether this process may found a group, 1 or 0; harbourd only.")               \
   NUMBER(threads, 192, 4, 4096, "Threads at the HTTP door.")                                                 \
   NUMBER(pace, 80, 1, 10000, "Starts and stops the platform allows a second; harbourd only.")
 
--- a/packages/charter/charter.cpp
+++ b/packages/charter/charter.cpp
@@ -281,24 +281,37 @@
   CharterErrors errors;
   Reader reader(errors.faults);
   if (reader.object(root, "$")) {
-    reader.only(root, "$", {"tenants", "services", "rules", "limits", "trial"});
+    reader.only(root, "$", {"tenants", "services", "rules", "limits", "trial", "number", "origin"});
     read_named(reader, root, "tenants", charter->tenants, charter->tenant_index, read_tenant);
     read_named(reader, root, "services", charter->services, charter->service_index, read_service);
     const auto limits = root.find("limits");
     if (limits != root.end() && reader.object(*limits, "$.limits"))
       read_limits(reader, *limits, "$.limits", charter->limits);
+    std::int64_t number = 0;
+    reader.number(root, "$", "number", number, 1, INT64_MAX);
+    charter->number = static_cast<std::uint64_t>(number);
     const auto trial = root.find("trial");
     if (trial != root.end() && reader.object(*trial, "$.trial"))
       read_trial(reader, *trial, "$.trial", charter->trial);
+    read_rules(reader, root, *charter);
+    for (const Rule &rule : charter->compass.rules())
+      charter->top_worth = std::max(charter->top_worth, rule.worth);
     for (const Service &service : charter->services)
       charter->top_worth = std::max(charter->top_worth, static_cast<std::uint32_t>(service.worth));
+    std::int64_t most_above = 0;
+    for (const Tenant &tenant : charter->tenants) most_above = std::max(most_above, tenant.worth);
+    charter->top_worth += static_cast<std::uint32_t>(most_above);
     check_keys(reader, *charter);
-    read_rules(reader, root, *charter);
   }
   if (!errors.faults.empty()) return errors;
   return charter;
 }
 
+std::string origin_of(std::string_view bytes) {
+  const Json root = Json::parse(bytes, nullptr, false);
+  return root.is_object() && root.contains("origin") ? root["origin"].dump() : std::string();
+}
+
 std::variant<std::string, CharterErrors> merge_charter(std::string_view bytes, std::string_view patch) {
   auto base = parse(bytes.empty() ? std::string_view("{}") : bytes);
   if (auto *errors = std::get_if<CharterErrors>(&base)) return *errors;
@@ -335,9 +348,16 @@
   page << "\n## `trial`\n\n" << head;
   WHARF_TRIAL_OPTIONS(WHARF_TELL_NUMBER, WHARF_TELL_FLAG, WHARF_TELL_TEXT)
   page << "\n## `rules.NAME`\n\nOne rule in the rule language: "
-          "`METHOD[|METHOD] PATH [for TENANT[|TENANT]] to SERVICE [weight N][, SERVICE [weight N]]`. "
+          "`METHOD[|METHOD] [//HOST]PATH [for TENANT[|TENANT]] to SERVICE [weight N][, SERVICE [weight N]] "
+          "[OPTION ...]`, with the options `repeatable` (may run more than once), `open` (no key), `within "
+          "MS`, "
+          "`aim MS`, `tries N` and `worth N`. "
           "`*` as a method means any; in a path `*` is one part and a last `**` all that follows. "
           "The more specific rule goes first.\n";
+  page << "\n## `number` and `origin`\n\n`number`: the number an operator gives this version; it must be "
+          "above "
+          "the one in force. Without it the group counts. `origin`: any JSON its writer wants kept with the "
+          "manifest; nothing is read of it.\n";
   return page.str();
 }
 
--- a/packages/charter/charter.hpp
+++ b/packages/charter/charter.hpp
@@ -49,6 +49,8 @@
   std::vector<Service> services;
   Limits limits;
   TrialBounds trial;
+  /// The number operators gave this version themselves; 0 when they leave that to the group.
+  std::uint64_t number = 0;
   /// The worth of the worthiest service.
   std::uint32_t top_worth = 1;
   Compass compass;
@@ -69,6 +71,9 @@
 /// Reads, checks and compiles a manifest; refuses it whole when anything is wrong.
 std::variant<std::shared_ptr<const Charter>, CharterErrors> read_charter(std::string_view bytes);
 
+/// What the manifest's `origin` holds, as JSON: a text its writer keeps with it; empty when there is none.
+std::string origin_of(std::string_view bytes);
+
 /// Merges a JSON Merge Patch into a manifest; the merged document's bytes.
 std::variant<std::string, CharterErrors> merge_charter(std::string_view bytes, std::string_view patch);
 
--- a/packages/compass/compass.cpp
+++ b/packages/compass/compass.cpp
@@ -83,7 +83,11 @@
     return true;
   }
   bool read_path(Rule &rule) {
-    const std::string_view text = word().text;
+    std::string_view text = word().text;
+    for (char letter : take_host(text)) {
+      if (letter <= ' ' || letter == '*') return fail("a host name is expected after '//'");
+      rule.host.push_back(letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter);
+    }
     if (!text.starts_with('/')) return fail("a path beginning with '/' is expected");
     std::size_t from = 1;
     while (from <= text.size() && text.size() > 1) {
@@ -119,6 +123,32 @@
     ++at;
     return true;
   }
+  bool read_number(std::uint32_t &into, std::uint32_t most) {
+    const auto text = word().text;
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), into);
+    if (text.empty() || read.ec != std::errc() || read.ptr != text.data() + text.size() || into > most)
+      return false;
+    ++at;
+    return true;
+  }
+  bool read_options(Rule &rule) {
+    while (!word().text.empty()) {
+      const std::string option(word().text);
+      std::uint32_t *number = option == "within"  ? &rule.within_ms
+                              : option == "aim"   ? &rule.aim_ms
+                              : option == "tries" ? &rule.tries
+                              : option == "worth" ? &rule.worth
+                                                  : nullptr;
+      if (number == nullptr && option != "repeatable" && option != "open")
+        return fail("'" + option + "' is not understood");
+      ++at;
+      rule.is_repeatable = rule.is_repeatable || option == "repeatable";
+      rule.is_open = rule.is_open || option == "open";
+      if (number != nullptr && (!read_number(*number, 86'400'000) || *number == 0))
+        return fail("a number above 0 is expected after '" + option + "'");
+    }
+    return true;
+  }
   bool read_targets(Rule &rule) {
     if (word().text != "to") return fail("'to' is expected");
     do {
@@ -130,17 +160,12 @@
       ++at;
       if (word().text == "weight") {
         ++at;
-        const auto text = word().text;
-        const auto read = std::from_chars(text.data(), text.data() + text.size(), target.weight);
-        if (text.empty() || read.ec != std::errc() || read.ptr != text.data() + text.size() ||
-            target.weight > 10000)
-          return fail("a weight from 0 to 10000 is expected");
-        ++at;
+        if (!read_number(target.weight, 10000)) return fail("a weight from 0 to 10000 is expected");
       }
       rule.weight_sum += target.weight;
       rule.targets.push_back(std::move(target));
     } while (word().text == ",");
-    if (!word().text.empty()) return fail("'" + std::string(word().text) + "' is not understood");
+    if (!read_options(rule)) return false;
     if (rule.weight_sum == 0) return fail("all weights are 0");
     return true;
   }
@@ -152,6 +177,7 @@
 }
 
 bool is_more_specific(const Rule &left, const Rule &right) {
+  if (left.host != right.host) return left.host > right.host;
   const std::size_t longest = std::max(left.path.size(), right.path.size());
   for (std::size_t at = 0; at < longest; ++at) {
     const int ours = openness(left, at), theirs = openness(right, at);
@@ -185,6 +211,10 @@
   return rule.path.size() == segments.size();
 }
 
+std::string first_key(std::string_view host, std::string_view part) {
+  return std::string(host) + "/" + std::string(part);
+}
+
 int hex_digit(char letter) {
   if (letter >= '0' && letter <= '9') return letter - '0';
   if (letter >= 'a' && letter <= 'f') return letter - 'a' + 10;
@@ -217,7 +247,9 @@
   std::sort(compass.rules_.begin(), compass.rules_.end(), is_more_specific);
   auto &rules = compass.rules_;
   for (std::size_t left = 0; left < rules.size(); ++left)
-    for (std::size_t right = left + 1; right < rules.size() && rules[right].path == rules[left].path; ++right)
+    for (std::size_t right = left + 1; right < rules.size() && rules[right].host == rules[left].host &&
+                                       rules[right].path == rules[left].path;
+         ++right)
       if (share(rules[left].methods, rules[right].methods) &&
           share(rules[left].tenants, rules[right].tenants))
         errors.push_back(
@@ -225,7 +257,7 @@
   if (!errors.empty()) return errors;
   for (std::uint32_t at = 0; at < rules.size(); ++at) {
     if (!rules[at].path.empty() && rules[at].path[0].kind == SegmentKind::literal)
-      compass.by_first_[rules[at].path[0].text].push_back(at);
+      compass.by_first_[first_key(rules[at].host, rules[at].path[0].text)].push_back(at);
     else
       compass.open_first_.push_back(at);
   }
@@ -233,18 +265,22 @@
 }
 
 const Rule *Compass::find(std::string_view method, const std::vector<std::string> &segments,
-                          std::string_view tenant) const {
+                          std::string_view tenant, std::string_view host) const {
   const auto first_fit = [&](const std::vector<std::uint32_t> &among) -> const Rule * {
     for (std::uint32_t at : among) {
       const Rule &rule = rules_[at];
-      if (holds(rule.methods, method) && holds(rule.tenants, tenant) && fits(rule, segments)) return &rule;
+      if ((rule.host.empty() || rule.host == host) && holds(rule.methods, method) &&
+          holds(rule.tenants, tenant) && fits(rule, segments))
+        return &rule;
     }
     return nullptr;
   };
-  if (!segments.empty()) {
-    const auto found = by_first_.find(segments[0]);
+  for (std::string_view bound : {host, std::string_view()}) {
+    if (segments.empty()) break;
+    const auto found = by_first_.find(first_key(bound, segments[0]));
     if (found != by_first_.end())
       if (const Rule *rule = first_fit(found->second)) return rule;
+    if (bound.empty()) break;
   }
   return first_fit(open_first_);
 }
@@ -258,6 +294,14 @@
   return rule.targets.back();
 }
 
+std::string_view take_host(std::string_view &target) {
+  if (!target.starts_with("//")) return {};
+  const std::size_t end = std::min(target.find('/', 2), target.size());
+  const std::string_view host = target.substr(2, end - 2);
+  target.remove_prefix(end);
+  return host;
+}
+
 bool split_path(std::string_view target, std::vector<std::string> &segments) {
   segments.clear();
   target = target.substr(0, target.find_first_of("?#"));
--- a/packages/harbour/harbour.cpp
+++ b/packages/harbour/harbour.cpp
@@ -81,6 +81,8 @@
   almanac_.clear();
   outlook_ = {};
   notes_.clear();
+  worker_rests_.clear();
+  named_.clear();
   views_.clear();
   ++views_stamp_;
   platform_ = {};
@@ -170,7 +172,7 @@
         say.group = member.group;
       }
     }
-    say.may_found = !knows_group && ask->seeds == rollcall_.seeds();
+    say.may_found = options_.may_found && !knows_group && ask->seeds == rollcall_.seeds();
     out.mail.push_back({0, envelope.from_address, say});
   } else if (const auto *heard = std::get_if<FoundSay>(&signal)) {
     if (heard->nonce == found_nonce_) seed_says_[envelope.from_address] = {*heard, now};
@@ -481,6 +483,12 @@
         {ask.ticket, errors->is_syntax ? 400 : 422, registry_.version(), faults_json(errors->faults), {}});
     return;
   }
+  if (next->number != 0 && next->number <= registry_.version()) {
+    const CharterErrors behind{false, {{"$.number", "is not above the version in force"}}};
+    out.answers.push_back({ask.ticket, 422, registry_.version(), faults_json(behind.faults), {}});
+    return;
+  }
+  put.number = next->number;
   Trial trial = try_change(charter_.get(), *next, almanac_.measured(now), yard());
   if (!options_.must_try) trial.breaches.clear();
   const std::string figures = trial_json(trial);
@@ -599,7 +607,7 @@
     absorb(std::move(step), now, out);
     return;
   }
-  if (!is_seed || seeds.front() != self_.address) return;
+  if (!options_.may_found || !is_seed || seeds.front() != self_.address) return;
   for (const Member &member : rollcall_.living(now))
     if (member.group != 0) return;
   if (found_nonce_ == 0) found_nonce_ = dice_.next() | 1;
@@ -729,7 +737,9 @@
                            used[worker.id] * 1000 / std::max(1u, worker.memory_mb), worker.id);
   };
   for (const WorkerSeen &worker : platform_.workers) {
-    if (worker.is_draining || used[worker.id] + memory_mb > worker.memory_mb) continue;
+    const auto rest = worker_rests_.find(worker.id);
+    const bool is_resting = rest != worker_rests_.end() && platform_at_ < rest->second;
+    if (worker.is_draining || is_resting || used[worker.id] + memory_mb > worker.memory_mb) continue;
     if (!options_.must_spread) return worker.id;
     if (best == nullptr || rank(worker) < rank(*best)) best = &worker;
   }
@@ -823,30 +833,72 @@
   tend_runners(now, out);
 }
 
-void Harbour::refresh_views(Instant) {
+std::string Harbour::handle_of(const RunnerRecord &record) const {
+  if (!record.handle.empty()) return record.handle;
+  const auto note = notes_.find(record.id);
+  return note == notes_.end() ? std::string() : note->second.handle;
+}
+
+void Harbour::platform_said(const PlatformSay &say, Instant now, HarbourOutput &out) {
+  const auto found = registry_.runners().find(say.runner);
+  if (!is_leading() || found == registry_.runners().end()) return;
+  RunnerNote &note = notes_[say.runner];
+  const Span again = say.end == OrderEnd::busy ? options_.busy_again : options_.unknown_again;
+  note.retry_at = now + again;
+  settle_at_ = std::min(settle_at_, note.retry_at);
+  if (!say.is_start) {
+    note.is_stopped = say.end == OrderEnd::done || say.end == OrderEnd::refused;
+    return;
+  }
+  if (say.end == OrderEnd::refused) {
+    worker_rests_[say.worker] = now + options_.worker_rest;
+    propose(PutRunners{{}, {}, {say.runner}, {}}, now, out);
+    settle_at_ = now;
+    return;
+  }
+  if (say.end != OrderEnd::done || say.handle.empty() || !handle_of(found->second).empty()) return;
+  note.handle = say.handle;
+  note.address = say.address;
+  named_.push_back({say.runner, say.handle, say.address});
+  refresh_views(now);
+  push_orders(now, out);
+}
+
+void Harbour::refresh_views(Instant now) {
   std::map<std::string, const RunnerSeen *> seen;
   for (const RunnerSeen &runner : platform_.runners) seen[runner.id] = &runner;
   std::map<std::string, const WorkerSeen *> workers;
   for (const WorkerSeen &worker : platform_.workers) workers[worker.id] = &worker;
   std::vector<RunnerView> views;
   for (const auto &[id, record] : registry_.runners()) {
-    const auto found = seen.find(id);
-    if (found == seen.end() || found->second->phase == RunnerPhase::booting || found->second->address.empty())
-      continue;
+    const std::string handle = handle_of(record);
+    const auto found = seen.find(handle.empty() ? id : handle);
+    const bool is_listed = found != seen.end() && found->second->phase != RunnerPhase::booting &&
+                           !found->second->address.empty();
+    const auto note = notes_.find(id);
+    const bool was_listed = note != notes_.end() && note->second.was_listed;
+    if (!is_listed && (handle.empty() || was_listed || record.is_leaving)) continue;
     const auto worker = workers.find(record.worker);
     RunnerView view;
     view.id = id;
     view.service = record.service;
-    view.address = found->second->address;
+    view.handle = handle;
+    view.is_booting = !is_listed;
+    view.address = is_listed                ? found->second->address
+                   : record.address.empty() ? note->second.address
+                                            : record.address;
+    if (!is_listed && note != notes_.end() && note->second.started_at != 0)
+      view.booting_for = now - note->second.started_at;
     view.worker = record.worker;
     view.zone = worker == workers.end() ? std::string() : worker->second->zone;
     view.seal_key = seal_key_of(id);
-    view.is_leaving = record.is_leaving || found->second->phase == RunnerPhase::stopping ||
+    view.is_leaving = record.is_leaving || (is_listed && found->second->phase == RunnerPhase::stopping) ||
                       (worker != workers.end() && worker->second->is_draining);
     views.push_back(std::move(view));
   }
   const auto is_same = [](const RunnerView &left, const RunnerView &right) {
-    return left.id == right.id && left.address == right.address && left.is_leaving == right.is_leaving;
+    return left.id == right.id && left.address == right.address && left.is_leaving == right.is_leaving &&
+           left.is_booting == right.is_booting;
   };
   if (std::equal(views.begin(), views.end(), views_.begin(), views_.end(), is_same)) return;
   views_ = std::move(views);
@@ -881,9 +933,16 @@
       retire.insert(want.retire.begin(), want.retire.end());
     }
   }
+  std::set<std::string> ours;
+  put.named = std::move(named_);
+  named_.clear();
   for (const auto &[id, record] : registry_.runners()) {
     RunnerNote &note = notes_[id];
-    const auto found = seen.find(id);
+    if (note.known_since == 0) note.known_since = now;
+    const std::string handle = handle_of(record);
+    const std::string name = handle.empty() ? id : handle;
+    ours.insert(name);
+    const auto found = seen.find(name);
     if (found != seen.end()) {
       note.was_listed = true;
       note.absent = 0;
@@ -891,7 +950,11 @@
     const bool is_lost = found == seen.end() && note.was_listed && note.started_at < platform_at_;
     const bool is_unwanted = !worker_ids.contains(record.worker) && !note.was_listed &&
                              now - note.started_at > seconds(10) && note.started_at != 0;
-    if (is_lost || is_unwanted || (found == seen.end() && record.is_leaving && !note.was_listed)) {
+    const bool is_unlisted = found == seen.end() && !note.was_listed && !handle.empty() &&
+                             now - std::max(note.known_since, note.started_at) > options_.unlisted_most;
+    if (is_lost || is_unwanted || is_unlisted ||
+        (found == seen.end() && record.is_leaving && !note.was_listed && handle.empty()) ||
+        (found == seen.end() && note.is_stopped)) {
       put.gone.push_back(id);
       continue;
     }
@@ -903,10 +966,14 @@
           (now - note.leaving_since > (is_known_service ? options_.leave_most : seconds(6)) &&
            charter_->service_named(record.service) == nullptr) ||
           now - note.leaving_since > options_.leave_most;
-      if (may_stop && pace_ >= 1 && now - note.stopped_at > options_.start_again) {
+      const bool is_due = note.stopped_at == 0 || now - note.stopped_at > options_.start_again ||
+                          (note.retry_at > note.stopped_at && now >= note.retry_at);
+      if (may_stop && pace_ >= 1 && is_due && !note.is_stopped) {
         pace_ -= 1;
         note.stopped_at = now;
-        out.orders.push_back({false, record, {}, options_.stop_grace});
+        RunnerRecord named = record;
+        named.handle = handle;
+        out.orders.push_back({false, std::move(named), {}, options_.stop_grace});
       }
       continue;
     }
@@ -918,18 +985,22 @@
       continue;
     }
     active[record.service].push_back(&record);
-    if (found == seen.end() && (note.started_at == 0 || now - note.started_at > options_.start_again))
-      unstarted.push_back(&record);
+    const bool is_due = note.started_at == 0 || now - note.started_at > options_.start_again ||
+                        (note.retry_at > note.started_at && now >= note.retry_at);
+    if (found == seen.end() && handle.empty() && is_due) unstarted.push_back(&record);
   }
   order_starts(std::move(unstarted), now, out);
   for (const RunnerSeen &runner : platform_.runners) {
-    if (registry_.runners().contains(runner.id) || runner.phase == RunnerPhase::stopping) continue;
+    if (ours.contains(runner.id) || runner.phase == RunnerPhase::stopping) continue;
     RunnerNote &note = notes_[runner.id];
-    if (pace_ < 1 || now - note.stopped_at < options_.start_again || now < floor_) continue;
+    if (note.known_since == 0) note.known_since = now;
+    if (now - note.known_since < options_.stray_most || pace_ < 1 ||
+        now - note.stopped_at < options_.start_again || now < floor_)
+      continue;
     pace_ -= 1;
     note.stopped_at = now;
     RunnerRecord record;
-    record.id = runner.id;
+    record.id = record.handle = runner.id;
     out.orders.push_back({false, record, {}, options_.stop_grace});
   }
   std::vector<const Service *> services;
@@ -984,7 +1055,11 @@
   std::erase_if(notes_, [&](const auto &item) {
     return !registry_.runners().contains(item.first) && !seen.contains(item.first);
   });
-  if (is_runners_proposed_ || (put.add.empty() && put.leaving.empty() && put.gone.empty())) return;
+  if (is_runners_proposed_ ||
+      (put.add.empty() && put.leaving.empty() && put.gone.empty() && put.named.empty())) {
+    named_ = std::move(put.named);
+    return;
+  }
   is_runners_proposed_ = true;
   runners_index_ = convoy_.last_index() + 1;
   if (!propose(put, now, out)) is_runners_proposed_ = false;
--- a/packages/harbour/harbour.hpp
+++ b/packages/harbour/harbour.hpp
@@ -62,6 +62,16 @@
   Span grace = 0;
 };
 
+enum class OrderEnd : std::uint8_t { done, refused, busy, unknown };
+/// What the platform said to an order.
+struct PlatformSay {
+  std::string runner, worker;
+  bool is_start = true;
+  OrderEnd end = OrderEnd::unknown;
+  /// Its own name for the runner and where that will listen, where it gives them at the start.
+  std::string handle, address;
+};
+
 struct HarbourOutput {
   Outbox mail;
   std::vector<Save> saves;
@@ -82,6 +92,12 @@
   Span learner_silence = seconds(15);
   Span settle_every = milliseconds(100);
   Span start_again = seconds(3);
+  /// After an answer that says nothing, and after one that says the pace is too high.
+  Span unknown_again = seconds(1), busy_again = milliseconds(250);
+  /// How long a worker that refused a start is passed over.
+  Span worker_rest = seconds(2);
+  /// How long a runner may be listed that no record knows, and a started one not be.
+  Span stray_most = seconds(4), unlisted_most = seconds(12);
   Span leave_most = seconds(35);
   Span stop_grace = seconds(5);
   Span clock_every = seconds(5);
@@ -94,6 +110,8 @@
   /// Least time between two moves of runners, over all services.
   Span move_every = seconds(5);
   double platform_pace = 80;
+  /// False for a process whose group exists already, though it may know nothing of it.
+  bool may_found = true;
   std::uint64_t compact_entries = 20'000;
   std::size_t compact_bytes = 16u << 20;
 };
@@ -110,6 +128,7 @@
   void disk_failed(Instant now, HarbourOutput &out);
   void operate(OperatorAsk ask, Instant now, HarbourOutput &out);
   void platform_seen(PlatformPicture picture, Instant now, HarbourOutput &out);
+  void platform_said(const PlatformSay &say, Instant now, HarbourOutput &out);
   void set_leaving(Instant now, HarbourOutput &out);
 
   const Convoy &convoy() const { return convoy_; }
@@ -159,9 +178,11 @@
     Instant asked_at = 0;
   };
   struct RunnerNote {
-    Instant started_at = 0, leaving_since = 0, stopped_at = 0;
-    bool was_listed = false;
+    Instant started_at = 0, leaving_since = 0, stopped_at = 0, known_since = 0, retry_at = 0;
+    bool was_listed = false, is_stopped = false;
     int absent = 0;
+    /// Answered by the platform but not committed yet.
+    std::string handle, address;
   };
 
   void absorb(ConvoyOutput &&step, Instant now, HarbourOutput &out);
@@ -191,6 +212,8 @@
   void tend_roster(Instant now, HarbourOutput &out);
   void tend_runners(Instant now, HarbourOutput &out);
   void refresh_views(Instant now);
+  /// The platform's name for a runner, as committed or as just answered.
+  std::string handle_of(const RunnerRecord &record) const;
   void compact_if_due(HarbourOutput &out);
   /// Starts what is planned but not listed, worthier services first, every fifth the one that waited longest.
   void order_starts(std::vector<const RunnerRecord *> waiting, Instant now, HarbourOutput &out);
@@ -237,6 +260,8 @@
   Almanac almanac_;
   Outlook outlook_;
   std::map<std::string, RunnerNote> notes_;
+  std::map<std::string, Instant> worker_rests_;
+  std::vector<RunnerName> named_;
   std::vector<RunnerView> views_;
   std::uint64_t views_stamp_ = 0;
   Instant moved_at_ = 0;
--- a/packages/harbour/registry.cpp
+++ b/packages/harbour/registry.cpp
@@ -72,13 +72,14 @@
       return applied;
     }
   }
-  if (command.is_bound && command.base != version_) {
+  const bool is_behind = command.number != 0 && command.number <= version_;
+  if ((command.is_bound && command.base != version_) || is_behind) {
     applied.is_taken = false;
     applied.version = version_;
     return applied;
   }
   manifest_ = command.bytes;
-  applied.version = ++version_;
+  applied.version = version_ = command.number != 0 ? command.number : version_ + 1;
   if (auto read = read_charter(manifest_);
       auto *charter = std::get_if<std::shared_ptr<const Charter>>(&read)) {
     claim_keep_ms_ = (*charter)->limits.claim_keep_s * 1000;
@@ -112,6 +113,12 @@
     const auto found = runners_.find(id);
     if (found != runners_.end()) found->second.is_leaving = true;
   }
+  for (const RunnerName &name : command.named) {
+    const auto found = runners_.find(name.id);
+    if (found == runners_.end()) continue;
+    found->second.handle = name.handle;
+    found->second.address = name.address;
+  }
   for (const std::string &id : command.gone) runners_.erase(id);
   return {};
 }
--- a/packages/harbour/registry.hpp
+++ b/packages/harbour/registry.hpp
@@ -18,7 +18,9 @@
   std::string bytes, write_id;
   Version base = 0;
   bool is_bound = false;
-  WHARF_CARRY(bytes, write_id, base, is_bound)
+  /// The number the operator gives it; 0 for the next.
+  Version number = 0;
+  WHARF_CARRY(bytes, write_id, base, is_bound, number)
 };
 struct PutRoster {
   std::vector<NodeId> pilots;
@@ -30,12 +32,22 @@
   std::string id, service, worker, image;
   std::uint32_t memory_mb = 0, slots = 1;
   bool is_leaving = false;
-  WHARF_CARRY(id, service, worker, image, memory_mb, slots, is_leaving)
+  /// The platform's own name for it and where it listens, once the platform has said so at its start.
+  std::string handle, address;
+  WHARF_CARRY(id, service, worker, image, memory_mb, slots, is_leaving, handle, address)
+  /// The name the platform lists it under.
+  const std::string &listed_as() const { return handle.empty() ? id : handle; }
+};
+struct RunnerName {
+  std::string id, handle, address;
+  WHARF_CARRY(id, handle, address)
 };
 struct PutRunners {
   std::vector<RunnerRecord> add;
   std::vector<std::string> leaving, gone;
-  WHARF_CARRY(add, leaving, gone)
+  /// What the platform calls runners it was told to start.
+  std::vector<RunnerName> named;
+  WHARF_CARRY(add, leaving, gone, named)
 };
 struct PutClaim {
   std::string key, errand, digest;
--- a/packages/hawser/hawser.cpp
+++ b/packages/hawser/hawser.cpp
@@ -1,8 +1,6 @@
 #include "hawser/hawser.hpp"
 
-#include <arpa/inet.h>
 #include <cerrno>
-#include <charconv>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -17,31 +15,11 @@
 namespace {
 constexpr std::size_t link_backlog = 8u << 20;
 
-bool fill(std::string_view address, sockaddr_in &into) {
-  std::string ip;
-  int port = 0;
-  if (!split_address(address, ip, port)) return false;
-  into = {};
-  into.sin_family = AF_INET;
-  into.sin_port = htons(static_cast<std::uint16_t>(port));
-  return inet_pton(AF_INET, ip.c_str(), &into.sin_addr) == 1;
-}
 } // namespace
 
-bool split_address(std::string_view address, std::string &ip, int &port) {
-  const auto colon = address.rfind(':');
-  if (colon == std::string_view::npos) return false;
-  ip = address.substr(0, colon);
-  const auto digits = address.substr(colon + 1);
-  const auto read = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-  in_addr parsed{};
-  return read.ec == std::errc() && read.ptr == digits.data() + digits.size() && port >= 0 && port < 65536 &&
-         inet_pton(AF_INET, ip.c_str(), &parsed) == 1;
-}
-
 Hawser::Hawser(std::string address, Sink sink) : address_(std::move(address)), sink_(std::move(sink)) {
   sockaddr_in place{};
-  if (!fill(address_, place)) throw std::runtime_error("not an address: " + address_);
+  if (!socket_address(address_, place)) throw std::runtime_error("not an address: " + address_);
   listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const int on = 1;
   setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
@@ -101,7 +79,7 @@
 void Hawser::open_link(Link &link) {
   const Instant now = tide_.now();
   sockaddr_in place{};
-  if (now < link.retry_at || !fill(link.address, place)) return;
+  if (now < link.retry_at || !socket_address(link.address, place)) return;
   link.retry_at = now + milliseconds(100);
   link.descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (link.descriptor < 0) return;
--- a/packages/hawser/hawser.hpp
+++ b/packages/hawser/hawser.hpp
@@ -8,13 +8,11 @@
 #include <vector>
 
 #include "capstan/duty.hpp"
+#include "hawser/address.hpp"
 #include "signals/signals.hpp"
 
 namespace wharf {
 
-/// Splits "ip:port"; false when it is not one.
-bool split_address(std::string_view address, std::string &ip, int &port);
-
 /// Carries frames between our processes over TCP, one duty for all links. Frames that cannot go are
 /// dropped and counted: every protocol above bears loss.
 class Hawser {
--- /dev/null
+++ b/packages/helm/harbour_helm.hpp
@@ -0,0 +1,81 @@
+#pragma once
+#include <map>
+#include <memory>
+#include <string>
+
+#include "anchorage/cables.hpp"
+#include "anchorage/http_calls.hpp"
+#include "anchorage/http_door.hpp"
+#include "bosun/options.hpp"
+#include "helm/wires.hpp"
+#include "hold/disk_duty.hpp"
+
+namespace wharf {
+
+struct HarbourHelmOptions {
+  HarbourOptions harbour;
+  Span tick = milliseconds(20);
+  /// How often the platform's lists are read by the leader.
+  Span list_runners = milliseconds(300), list_workers = seconds(1);
+  Span call_within = seconds(1), operator_within = milliseconds(900);
+  Span leave_most = milliseconds(700), count_every = seconds(5);
+};
+
+/// A control process of two duties: one event loop for all links and decisions, one for the disk.
+class HarbourHelm final : public HttpDoorSink {
+public:
+  HarbourHelm(const ProcessOptions &options, HarbourHelmOptions helm, NodeId id, std::unique_ptr<Shelf> shelf,
+              const Recovered &recovered, OperatorsWire &operators, PlatformWire &platform);
+  ~HarbourHelm() override;
+  int run();
+  void set_seeds(std::vector<std::string> seeds);
+  void set_watch(std::function<void()> watch) { watch_ = std::move(watch); }
+
+  void asked(LinkId link, HttpMessage &&request) override;
+  void left(LinkId link) override;
+
+private:
+  struct Talk {
+    LinkId link = 0;
+    HttpMessage request;
+    OperatorAsk asked;
+    Instant until = 0;
+  };
+  void build(const Recovered &recovered);
+  void disk_said(DiskWord &&word);
+  void carry_out();
+  void ask_group(std::uint64_t ticket, OperatorAsk ask);
+  void answered(const OperatorSay &say);
+  void tend_talks(Instant now);
+  void tend_lists(Instant now);
+  void list_runners(const std::string &page, std::shared_ptr<PlatformPicture> picture);
+  void give_order(PlatformOrder order);
+  HttpCall platform_call(HttpMessage request);
+  void tell_counters(Instant now);
+
+  ProcessOptions options_;
+  HarbourHelmOptions helm_;
+  OperatorsWire &operators_;
+  PlatformWire &platform_;
+  SteadyTide tide_;
+  Member self_;
+  std::vector<std::string> seeds_;
+  std::unique_ptr<Harbour> harbour_;
+  HarbourOutput out_;
+  Loop loop_;
+  Cables cables_;
+  HttpCalls calls_;
+  HttpDoor door_;
+  std::map<std::uint64_t, Talk> talks_;
+  std::uint64_t next_ticket_ = 1;
+  std::vector<WorkerSeen> workers_;
+  Instant runners_at_ = 0, workers_at_ = 0, listing_until_ = 0, leaving_at_ = 0, count_at_ = 0;
+  std::uint64_t platform_calls_ = 0, platform_away_ = 0;
+  bool has_workers_ = false;
+  std::function<void()> watch_;
+  std::unique_ptr<DiskDuty> disk_;
+};
+
+HarbourHelmOptions harbour_helm_options(const ProcessOptions &options);
+
+} // namespace wharf
--- /dev/null
+++ b/packages/helm/pilot_helm.cpp
@@ -0,0 +1,242 @@
+#include "helm/pilot_helm.hpp"
+
+#include <algorithm>
+#include <random>
+
+#include "bosun/door.hpp"
+#include "bosun/log.hpp"
+
+namespace wharf {
+
+class PilotHelm::ReadinessSink final : public HttpDoorSink {
+public:
+  ReadinessSink(PilotHelm &helm, const std::string &address)
+      : helm_(helm), door_(helm.loop_, address, *this, HttpDoorOptions{}) {}
+  void asked(LinkId link, HttpMessage &&request) override {
+    door_.answer(link, helm_.callers_.readiness(request, helm_.is_ready()), true);
+  }
+  void left(LinkId) override {}
+  void tick(Instant now) { door_.tick(now); }
+
+private:
+  PilotHelm &helm_;
+  HttpDoor door_;
+};
+
+Member make_pilot_member(const ProcessOptions &options) {
+  std::random_device source;
+  Member self;
+  self.id = ((static_cast<NodeId>(source()) << 32) | source()) | 1;
+  self.address = options.address;
+  self.http = options.http;
+  self.zone = options.zone;
+  self.role = static_cast<std::uint8_t>(Role::pilot);
+  return self;
+}
+
+PilotHelm::PilotHelm(const ProcessOptions &options, PilotHelmOptions helm, CallersWire &callers,
+                     RunnersWire &runners)
+    : options_(options), helm_(helm), callers_(callers), runners_(runners), self_(make_pilot_member(options)),
+      pilot_(self_, options.seed_list(), helm.pilot, tide_.now()),
+      cables_(loop_, options.listen.empty() ? options.address : options.listen,
+              [this](Envelope &&envelope) { pilot_.receive(envelope, tide_.now(), out_); }),
+      calls_(loop_, HttpCallOptions{}), door_(loop_, options.http, *this, HttpDoorOptions{}) {
+  if (!options.readiness.empty()) readiness_ = std::make_unique<ReadinessSink>(*this, options.readiness);
+  errand_prefix_ = random_id().substr(0, 8) + "-";
+  log_line("up, id " + std::to_string(self_.id) + ", callers at " + options_.http);
+}
+
+PilotHelm::~PilotHelm() = default;
+
+PilotHelmOptions pilot_helm_options(const ProcessOptions &) { return {}; }
+
+std::string PilotHelm::next_errand() { return errand_prefix_ + std::to_string(++errands_); }
+
+bool PilotHelm::is_ready() const {
+  return leaving_at_ == 0 && pilot_.in_force().charter && pilot_.may_serve(tide_.now());
+}
+
+void PilotHelm::asked(LinkId link, HttpMessage &&request) {
+  auto read = callers_.read(request);
+  if (auto *answer = std::get_if<HttpMessage>(&read)) {
+    door_.answer(link, *answer, true);
+    return;
+  }
+  ErrandHead &head = std::get<ErrandHead>(read);
+  head.id = next_errand();
+  const Instant now = tide_.now();
+  auto planned = pilot_.front(head, now);
+  if (const auto *fate = std::get_if<Fate>(&planned)) {
+    Reply reply;
+    reply.errand = head.id;
+    reply.fate = *fate;
+    reply.retry_after = milliseconds(300);
+    door_.answer(link, callers_.tell(reply, nullptr), true);
+    return;
+  }
+  errand_of_[link] = head.id;
+  cargo_[head.id] = {link, std::move(request), std::nullopt};
+  pilot_.arrive(std::get<Waybill>(std::move(planned)), now, out_);
+}
+
+void PilotHelm::left(LinkId link) {
+  const auto found = errand_of_.find(link);
+  if (found == errand_of_.end()) return;
+  const std::string errand = found->second;
+  errand_of_.erase(found);
+  pilot_.caller_gone(errand, tide_.now(), out_);
+}
+
+void PilotHelm::start_call(const Carry &carry) {
+  const auto found = cargo_.find(carry.errand);
+  if (found == cargo_.end()) {
+    pilot_.call_ended({carry.errand, CallKind::unreached, 0, {}, {}, {}}, tide_.now(), out_);
+    return;
+  }
+  HttpCall call;
+  call.address = carry.address;
+  call.peer = carry.handle.empty() ? carry.address : carry.handle;
+  call.deadline = carry.deadline;
+  call.request = runners_.call(carry, found->second.request, carry.deadline - tide_.now());
+  if (!carry.is_repeatable) call.rested_most = helm_.rested_for_once;
+  call.is_mine = [this, carry](const HttpMessage &response) {
+    const auto cargo = cargo_.find(carry.errand);
+    return cargo != cargo_.end() && runners_.is_answer_to(carry, cargo->second.request, response);
+  };
+  call.done = [this, carry](CallAnswer &&answer) { end_call(carry, std::move(answer)); };
+  calls_.call(std::move(call));
+}
+
+void PilotHelm::end_call(const Carry &carry, CallAnswer &&answer) {
+  CallEnd end;
+  end.errand = carry.errand;
+  switch (answer.fate) {
+  case CallFate::answered:
+    end.kind = runners_.judge(carry, answer.response);
+    break;
+  case CallFate::unreached:
+    end.kind = CallKind::unreached;
+    break;
+  case CallFate::lost:
+    end.kind = CallKind::lost;
+    break;
+  case CallFate::garbled:
+    end.kind = CallKind::bad_seal;
+    break;
+  case CallFate::late:
+    end.kind = CallKind::timed_out;
+    break;
+  }
+  end.status = answer.response.status;
+  if (const auto found = cargo_.find(carry.errand); found != cargo_.end() && end.kind == CallKind::answered)
+    found->second.returned = std::move(answer.response);
+  pilot_.call_ended(end, tide_.now(), out_);
+}
+
+void PilotHelm::send_reply(const Reply &reply) {
+  const auto found = cargo_.find(reply.errand);
+  if (found == cargo_.end()) return;
+  const Cargo cargo = std::move(found->second);
+  cargo_.erase(found);
+  errand_of_.erase(cargo.link);
+  door_.answer(cargo.link, callers_.tell(reply, cargo.returned ? &*cargo.returned : nullptr), true);
+}
+
+void PilotHelm::knock(const Knock &knock) {
+  const std::string peer = knock.handle.empty() ? knock.address : knock.handle;
+  calls_.knock(knock.address, peer, tide_.now() + milliseconds(200), [this, knock](bool is_up) {
+    if (is_up) pilot_.knock_answered(knock, tide_.now(), out_);
+  });
+}
+
+void PilotHelm::carry_out() {
+  for (int round = 0; round < 16; ++round) {
+    if (out_.mail.empty() && out_.carries.empty() && out_.replies.empty() && out_.knocks.empty() &&
+        out_.lines.empty())
+      break;
+    PilotOutput taken;
+    std::swap(taken, out_);
+    for (Posted &posted : taken.mail) {
+      const std::string address = posted.to == 0 ? posted.address : pilot_.rollcall().address_of(posted.to);
+      if (!address.empty()) cables_.send(address, frame({self_.id, self_.address, std::move(posted.signal)}));
+    }
+    for (const Reply &reply : taken.replies) send_reply(reply);
+    for (const Carry &carry : taken.carries) start_call(carry);
+    for (const Knock &one : taken.knocks) knock(one);
+    for (const std::string &line : taken.lines) log_line(line);
+  }
+  cables_.flush();
+}
+
+void PilotHelm::take_limits() {
+  const InForce force = pilot_.in_force();
+  if (!force.charter || force.version == limits_of_) return;
+  limits_of_ = force.version;
+  const Limits &limits = force.charter->limits;
+  HttpDoorOptions made = door_.options();
+  made.bounds.head_most = static_cast<std::size_t>(limits.head_most_bytes);
+  made.bounds.body_most = static_cast<std::size_t>(limits.body_most_bytes);
+  made.head_within = milliseconds(limits.head_within_ms);
+  made.idle = milliseconds(limits.idle_ms);
+  door_.set_options(made);
+}
+
+void PilotHelm::leave(Instant now) {
+  if (leaving_at_ == 0) {
+    leaving_at_ = now;
+    log_line("draining");
+    pilot_.set_leaving();
+    door_.drain();
+  }
+  if (now - leaving_at_ > helm_.listen_on) door_.close_listener();
+  const bool is_quiet =
+      now - leaving_at_ > helm_.listen_on + milliseconds(200) && door_.serving() == 0 && pilot_.is_quiet(now);
+  is_over_ = is_quiet || now - leaving_at_ > helm_.leave_most;
+  if (is_over_) log_line(is_quiet ? "drained" : "drain cut short");
+}
+
+void PilotHelm::tell_counters(Instant now) {
+  if (now < count_at_) return;
+  count_at_ = now + helm_.count_every;
+  std::string line = "counters";
+  const auto add = [&line](const auto &values) {
+    for (const auto &[name, value] : values)
+      if (value != 0) line += " " + name + "=" + std::to_string(value);
+  };
+  add(pilot_.counters());
+  add(pilot_.gauges(now));
+  add(door_.counters());
+  line += " door_links=" + std::to_string(door_.links()) +
+          " runner_links=" + std::to_string(calls_.opened()) +
+          " frames_dropped=" + std::to_string(cables_.dropped()) +
+          " frame_bytes=" + std::to_string(cables_.bytes_sent());
+  log_line(line);
+}
+
+int PilotHelm::run() {
+  while (!is_over_) {
+    const Instant before = tide_.now();
+    loop_.turn(std::clamp<Span>(tick_at_ - before, 0, helm_.tick_idle));
+    const Instant now = tide_.now();
+    if (now >= tick_at_) {
+      pilot_.tick(now, out_);
+      calls_.tick(now);
+      door_.tick(now);
+      if (readiness_) readiness_->tick(now);
+      take_limits();
+      tell_counters(now);
+      if (watch_) watch_();
+      if (stops_caught() > 0) leave(now);
+      const bool is_busy = pilot_.afloat() > 0 || calls_.under_way() > 0;
+      tick_at_ = now + (is_busy ? helm_.tick_busy : helm_.tick_idle);
+      if (is_ready() != was_ready_) {
+        was_ready_ = !was_ready_;
+        log_line(was_ready_ ? "ready" : "not ready");
+      }
+    }
+    carry_out();
+  }
+  return 0;
+}
+
+} // namespace wharf
--- /dev/null
+++ b/packages/helm/wires.hpp
@@ -0,0 +1,66 @@
+#pragma once
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "anchorage/http.hpp"
+#include "harbour/harbour.hpp"
+#include "pilot/pilot.hpp"
+
+namespace wharf {
+
+/// What callers speak, as a seam: a translation and nothing more.
+class CallersWire {
+public:
+  virtual ~CallersWire() = default;
+  /// Reads a request; an errand's head, or the answer where it holds none. The request keeps what goes on to
+  /// a runner.
+  virtual std::variant<ErrandHead, HttpMessage> read(HttpMessage &request) = 0;
+  /// Puts a fate into an answer; `returned` is the runner's own, for errands that were answered.
+  virtual HttpMessage tell(const Reply &reply, const HttpMessage *returned) = 0;
+  /// Answers whoever asks whether this process is ready.
+  virtual HttpMessage readiness(const HttpMessage &request, bool is_ready) = 0;
+};
+
+/// What runners speak.
+class RunnersWire {
+public:
+  virtual ~RunnersWire() = default;
+  /// The request as it goes to a runner, with `left` until its deadline.
+  virtual HttpMessage call(const Carry &carry, const HttpMessage &request, Span left) = 0;
+  /// True when a response on the link answers this errand's call.
+  virtual bool is_answer_to(const Carry &carry, const HttpMessage &request, const HttpMessage &response) = 0;
+  /// What a whole response comes to.
+  virtual CallKind judge(const Carry &carry, const HttpMessage &response) = 0;
+};
+
+/// What operators speak.
+class OperatorsWire {
+public:
+  virtual ~OperatorsWire() = default;
+  /// The first thing to ask of the group, or the answer at once.
+  virtual std::variant<OperatorAsk, HttpMessage> begin(const HttpMessage &request) = 0;
+  /// What comes after the group's answer: another ask, or the end.
+  virtual std::variant<OperatorAsk, HttpMessage> go_on(const HttpMessage &request, const OperatorAsk &asked,
+                                                       const OperatorSay &say) = 0;
+  /// The answer when the group gave none in time.
+  virtual HttpMessage silent(const HttpMessage &request) = 0;
+};
+
+/// What the platform speaks.
+class PlatformWire {
+public:
+  virtual ~PlatformWire() = default;
+  virtual HttpMessage ask_workers() = 0;
+  virtual bool read_workers(const HttpMessage &response, std::vector<WorkerSeen> &into) = 0;
+  /// Asks for a page of runners; an empty page for the first.
+  virtual HttpMessage ask_runners(const std::string &page) = 0;
+  /// Reads a page; `next` is empty after the last.
+  virtual bool read_runners(const HttpMessage &response, std::vector<RunnerSeen> &into,
+                            std::string &next) = 0;
+  /// An order, given by the leader of a term.
+  virtual HttpMessage order(const PlatformOrder &order, std::uint64_t term) = 0;
+  virtual PlatformSay read_order(const PlatformOrder &order, const HttpMessage *response) = 0;
+};
+
+} // namespace wharf
--- /dev/null
+++ b/packages/hold/disk_duty.hpp
@@ -0,0 +1,49 @@
+#pragma once
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <variant>
+
+#include "capstan/duty.hpp"
+#include "capstan/ring.hpp"
+#include "hold/shelf.hpp"
+
+namespace wharf {
+
+/// What the disk's duty says: a batch is synced, a write was refused, the folder is open again.
+struct DiskDone {
+  std::uint64_t ticket = 0;
+};
+struct DiskRefused {
+  std::string what;
+};
+struct DiskOpened {
+  Recovered recovered;
+};
+using DiskWord = std::variant<DiskDone, DiskRefused, DiskOpened>;
+
+/// Writes batches to a shelf on a duty of its own, several in one sync where they wait together. After a
+/// refused write nothing goes to disk until the folder has been opened anew.
+class DiskDuty {
+public:
+  /// `say` is called on the disk's own thread.
+  DiskDuty(std::unique_ptr<Shelf> shelf, std::function<void(DiskWord &&)> say);
+  /// Writes what is waiting and ends.
+  ~DiskDuty();
+  void give(Save save) { ring_.offer(std::move(save)); }
+  std::uint64_t writes() const { return writes_; }
+  std::uint64_t microseconds() const { return microseconds_; }
+
+private:
+  void run();
+  bool write(const Save &save);
+  std::unique_ptr<Shelf> shelf_;
+  std::function<void(DiskWord &&)> say_;
+  SteadyTide tide_;
+  Ring<Save> ring_{65536};
+  std::atomic<bool> is_stopping_{false};
+  std::atomic<std::uint64_t> writes_{0}, microseconds_{0};
+  Duty duty_;
+};
+
+} // namespace wharf
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -10,6 +10,33 @@
   const Outcome outcome = outcome_of(fate);
   return "errands_" + std::string(outcome.reason);
 }
+/// Sets how long a runner of a service is worth keeping, and whether slots are kept spare, from what starts
+/// and memory cost beside the worth of a call that comes too late for its aim.
+void weigh_starts(const Charter &charter, const Service &service, BerthPlan &plan) {
+  const Limits &limits = charter.limits;
+  if (limits.memory_price == 0 || service.boot_ms == 0) return;
+  std::uint32_t aim_ms = 0;
+  for (const Rule &rule : charter.compass.rules()) {
+    const bool leads_here = std::any_of(rule.targets.begin(), rule.targets.end(),
+                                        [&](const Target &target) { return target.service == service.name; });
+    if (leads_here && rule.aim_ms > 0) aim_ms = aim_ms == 0 ? rule.aim_ms : std::min(aim_ms, rule.aim_ms);
+  }
+  constexpr double late_share = 0.6, calls_late = 2;
+  plan.must_spare = aim_ms == 0 || service.boot_ms * 14 / 10 >= aim_ms;
+  const double gigabytes = static_cast<double>(service.memory_mb) / 1000;
+  const double a_second = gigabytes * static_cast<double>(limits.memory_price) / 1000;
+  const double a_start = static_cast<double>(limits.start_price) / 1000 +
+                         a_second * static_cast<double>(service.boot_ms) / 1000 +
+                         (plan.must_spare ? late_share * calls_late : 0.1);
+  plan.idle = std::clamp(static_cast<Span>(a_start / a_second * 1e9), milliseconds(500), seconds(30));
+}
+
+/// True while the key an errand came with is still its tenant's.
+bool holds_key(const Charter &charter, const Waybill &bill) {
+  if (bill.is_open) return true;
+  const Tenant *tenant = charter.find_tenant(bill.key);
+  return tenant != nullptr && tenant->name == bill.tenant;
+}
 } // namespace
 
 Pilot::Pilot(Member self, std::vector<std::string> seeds, PilotOptions options, Instant now)
@@ -29,7 +56,7 @@
 
 std::variant<Waybill, Fate> Pilot::front(const ErrandHead &head, Instant now) {
   const InForce force = in_force();
-  if (!force.charter || !is_fresh(now)) return Fate::stale;
+  if (!force.charter || !may_serve(now)) return Fate::stale;
   auto planned = plan_errand(*force.charter, force.version, head, now);
   if (auto *bill = std::get_if<Waybill>(&planned)) {
     const auto purse = rack_.find(tenant_index(bill->tenant));
@@ -40,6 +67,15 @@
   return planned;
 }
 
+bool Pilot::may_serve(Instant now) const {
+  return is_fresh(now) || (fresh_until_ != 0 && now < fresh_until_ + cut_off_);
+}
+
+void Pilot::knock_answered(const Knock &knock, Instant now, PilotOutput &out) {
+  stevedore_.is_up(knock.service, knock.runner, now, out.mail);
+  loop_back(now, out);
+}
+
 bool Pilot::is_settled(Instant now) const {
   return is_fresh(now) && roster_.epoch != 0 && settled_ >= roster_.epoch;
 }
@@ -245,7 +281,7 @@
     fresh_until_ = std::max(fresh_until_.load(), orders.sent_at + options_.fresh - orders.age);
   const Instant duty_until = fresh_until_ - options_.fresh + options_.duty;
   purser_.set_fresh_until(duty_until);
-  stevedore_.set_fresh_until(duty_until);
+  stevedore_.set_fresh_until(duty_until + cut_off_);
   purser_.set_quiet(orders.quiet);
   if (orders.roster.epoch > roster_.epoch) {
     roster_ = orders.roster;
@@ -272,6 +308,7 @@
     std::lock_guard guard(in_force_mutex_);
     in_force_ = {orders.version, charter};
   }
+  cut_off_ = seconds(charter->limits.cut_off_s);
   count("manifest_switches");
   out.lines.push_back("manifest " + std::to_string(orders.version) + " in force");
   std::map<std::string, Allowance> allowances;
@@ -288,6 +325,9 @@
     plan.pending_most = static_cast<std::uint32_t>(charter->limits.pending_most);
     plan.idle = seconds(service.idle_s);
     plan.wait_most = milliseconds(charter->limits.wait_most_ms);
+    plan.boot = milliseconds(service.boot_ms);
+    plan.is_self_bounding = service.self_bounding;
+    weigh_starts(*charter, service, plan);
     plans[service.name] = plan;
   }
   stevedore_.set_plans(std::move(plans), now, out.mail);
@@ -296,8 +336,7 @@
   std::vector<std::pair<std::string, Fate>> ended;
   for (const auto &[id, errand] : afloat_) {
     if (errand.is_carrying) continue;
-    const Tenant *tenant = charter->find_tenant(errand.bill.key);
-    if (tenant == nullptr || tenant->name != errand.bill.tenant)
+    if (!holds_key(*charter, errand.bill))
       ended.emplace_back(id, Fate::unknown_key);
     else if (charter->service_named(errand.bill.service) == nullptr)
       ended.emplace_back(id, Fate::no_rule);
@@ -329,7 +368,7 @@
   afloat_[id] = std::move(errand);
   if (is_full)
     finish(id, Fate::no_runner, seconds(1), now, out, nullptr, "pilot-full");
-  else if (!is_fresh(now))
+  else if (!may_serve(now))
     finish(id, Fate::stale, seconds(1), now, out);
   else
     go_on(id, now, out);
@@ -389,10 +428,9 @@
 }
 
 std::optional<Fate> Pilot::recheck(const Afloat &errand, Instant now) const {
-  if (!is_fresh(now)) return Fate::stale;
+  if (!may_serve(now)) return Fate::stale;
   const InForce force = in_force();
-  const Tenant *tenant = force.charter ? force.charter->find_tenant(errand.bill.key) : nullptr;
-  if (tenant == nullptr || tenant->name != errand.bill.tenant) return Fate::unknown_key;
+  if (!force.charter || !holds_key(*force.charter, errand.bill)) return Fate::unknown_key;
   if (force.charter->service_named(errand.bill.service) == nullptr) return Fate::no_rule;
   if (now >= errand.bill.deadline) return Fate::waited_unsent;
   return std::nullopt;
@@ -419,6 +457,7 @@
   ask.is_second = errand.tries > 0;
   ask.attempt = errand.attempt;
   ask.avoid = errand.avoid;
+  ask.zone = self_.zone;
   note(errand, now,
        "asks stevedore " + std::to_string(owner) + " for a slot, attempt " + std::to_string(errand.attempt));
   out.mail.push_back({owner, {}, ask});
@@ -517,7 +556,7 @@
   if (errand.tries > 1) count("second_tries");
   count("carried");
   out.carries.push_back({say.errand, say.runner, say.address, say.seal_key, errand.bill.tenant,
-                         errand.bill.service, errand.bill.deadline});
+                         errand.bill.service, say.handle, errand.bill.deadline, errand.bill.is_repeatable});
 }
 
 void Pilot::call_ended(const CallEnd &end, Instant now, PilotOutput &out) {
@@ -539,8 +578,10 @@
     free_slot(errand, is_refusal ? SlotEnd::refused : SlotEnd::unreached, now, out);
     ++errand.attempt;
     errand.is_granted = false;
-    errand.first_fate = is_refusal ? Fate::refused : Fate::no_runner;
-    if (errand.tries >= options_.tries_most || errand.bill.deadline - now < milliseconds(20)) {
+    if (!is_refusal && errand.bill.tries > 0 && errand.unreached++ < options_.unreached_most) --errand.tries;
+    if (!errand.first_fate || outcome_of(*errand.first_fate).verdict == Verdict::not_run)
+      errand.first_fate = is_refusal ? Fate::refused : Fate::no_runner;
+    if (!may_try_again(errand, now)) {
       finish(end.errand, *errand.first_fate, seconds(1), now, out);
     } else {
       errand.avoid = errand.runner;
@@ -550,13 +591,22 @@
     break;
   }
   case CallKind::bad_seal:
-    free_slot(errand, SlotEnd::answered, now, out);
-    finish(end.errand, Fate::bad_seal, 0, now, out, &end);
-    break;
-  case CallKind::lost:
-    free_slot(errand, SlotEnd::lost, now, out);
-    finish(end.errand, Fate::link_lost, 0, now, out, &end);
+  case CallKind::lost: {
+    const bool is_lost = end.kind == CallKind::lost;
+    free_slot(errand, is_lost ? SlotEnd::lost : SlotEnd::answered, now, out);
+    const Fate fate = is_lost ? Fate::link_lost : Fate::bad_seal;
+    if (!errand.bill.is_repeatable || !may_try_again(errand, now)) {
+      finish(end.errand, fate, 0, now, out, &end);
+      break;
+    }
+    ++errand.attempt;
+    errand.is_granted = false;
+    errand.first_fate = fate;
+    errand.avoid = errand.runner;
+    --errand.at;
+    go_on(end.errand, now, out);
     break;
+  }
   case CallKind::timed_out:
     free_slot(errand, SlotEnd::lost, now, out);
     finish(end.errand, Fate::waited_sent, seconds(1), now, out, &end);
@@ -565,6 +615,11 @@
   loop_back(now, out);
 }
 
+bool Pilot::may_try_again(const Afloat &errand, Instant now) const {
+  const std::size_t most = errand.bill.tries > 0 ? errand.bill.tries : options_.tries_most;
+  return errand.tries < most && errand.bill.deadline - now >= milliseconds(20);
+}
+
 void Pilot::caller_gone(const std::string &id, Instant now, PilotOutput &out) {
   const auto found = afloat_.find(id);
   if (found == afloat_.end() || found->second.is_carrying) return;
@@ -951,7 +1006,7 @@
     const Step step = errand.bill.steps[errand.at];
     if (now >= errand.bill.deadline) {
       finish(id, errand.first_fate ? *errand.first_fate : Fate::waited_unsent, seconds(1), now, out);
-    } else if (!is_fresh(now)) {
+    } else if (!may_serve(now)) {
       finish(id, Fate::stale, seconds(1), now, out);
     } else if (step == Step::pay && now - errand.waiting_since > patience_of(errand)) {
       finish(id, is_denied(errand, now) ? Fate::over_quota : Fate::no_permit, seconds(1), now, out);
@@ -976,6 +1031,7 @@
   std::erase_if(closing_, [now](const Closing &item) { return now > item.until; });
   std::erase_if(lost_, [now](const LostSlot &item) { return now > item.until; });
   loop_back(now, out);
+  out.knocks = stevedore_.knocks(now);
 }
 
 } // namespace wharf
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -20,8 +20,9 @@
 
 /// An order to call a runner for an errand.
 struct Carry {
-  std::string errand, runner, address, seal_key, tenant, service;
+  std::string errand, runner, address, seal_key, tenant, service, handle;
   Instant deadline = 0;
+  bool is_repeatable = false;
 };
 
 /// One line of an errand's story: how long after its arrival, and what happened.
@@ -46,6 +47,7 @@
   Outbox mail;
   std::vector<Carry> carries;
   std::vector<Reply> replies;
+  std::vector<Knock> knocks;
   std::vector<std::string> lines;
 };
 
@@ -97,6 +99,8 @@
   /// False for first come, first served: the plain way, to measure against.
   bool by_worth = true;
   std::size_t tries_most = 2;
+  /// Runners that could not be reached which one errand may meet, where its rule bounds what it is sent to.
+  std::size_t unreached_most = 6;
   BerthOptions berth;
   PurserOptions purser;
 };
@@ -116,6 +120,8 @@
   void tick(Instant now, PilotOutput &out);
   void arrive(Waybill bill, Instant now, PilotOutput &out);
   void call_ended(const CallEnd &end, Instant now, PilotOutput &out);
+  /// A runner that a knock went to listens.
+  void knock_answered(const Knock &knock, Instant now, PilotOutput &out);
   /// The caller hung up: an errand that has not gone out is given up.
   void caller_gone(const std::string &errand, Instant now, PilotOutput &out);
   void set_leaving();
@@ -126,6 +132,8 @@
   std::variant<Waybill, Fate> front(const ErrandHead &head, Instant now);
   InForce in_force() const;
   bool is_fresh(Instant now) const { return now < fresh_until_; }
+  /// True while errands are served: under a fresh permit, or cut off for no longer than the manifest allows.
+  bool may_serve(Instant now) const;
   bool is_settled(Instant now) const;
   std::size_t afloat() const { return afloat_.size(); }
   const std::map<std::string, std::uint64_t> &counters() const { return counters_; }
@@ -142,7 +150,7 @@
     Waybill bill;
     std::size_t at = 0;
     std::string runner, avoid;
-    std::size_t tries = 0;
+    std::size_t tries = 0, unreached = 0;
     std::uint32_t attempt = 0;
     Instant asked_at = 0, waiting_since = 0, carried_at = 0;
     bool has_claimed = false, is_granted = false, is_carrying = false, has_gone = false;
@@ -211,6 +219,7 @@
   /// True when the tenant's allowance was denied a moment ago.
   bool is_denied(const Afloat &errand, Instant now);
   Span patience_of(const Afloat &errand);
+  bool may_try_again(const Afloat &errand, Instant now) const;
   std::optional<Fate> recheck(const Afloat &errand, Instant now) const;
   void ask_permit(std::uint32_t tenant, Instant now, PilotOutput &out);
   void serve_line(std::uint32_t tenant, Instant now, PilotOutput &out);
@@ -258,6 +267,7 @@
   std::uint64_t runners_stamp_ = 0, runners_term_ = 0;
   NodeId leader_ = 0;
   std::atomic<Instant> fresh_until_{0};
+  std::atomic<Span> cut_off_{0};
   Instant born_ = 0, pulse_at_ = 0, heard_leader_at_ = 0;
   Instant pulsed_at_ = 0;
   std::uint64_t told_wants_ = 0;
--- a/packages/pilot/waybill.cpp
+++ b/packages/pilot/waybill.cpp
@@ -22,11 +22,15 @@
 
 std::variant<Waybill, Fate> plan_errand(const Charter &charter, Version version, const ErrandHead &head,
                                         Instant now) {
-  const Tenant *tenant = charter.find_tenant(head.key);
-  if (tenant == nullptr) return Fate::unknown_key;
+  const Tenant *tenant = head.key.empty() ? nullptr : charter.find_tenant(head.key);
   std::vector<std::string> segments;
-  if (!split_path(head.target, segments)) return Fate::malformed;
-  const Rule *rule = charter.compass.find(head.method, segments, tenant->name);
+  const bool is_proper = split_path(head.target, segments);
+  const Rule *rule = is_proper ? charter.compass.find(head.method, segments,
+                                                      tenant == nullptr ? "" : tenant->name, head.host)
+                               : nullptr;
+  const bool is_open = rule == nullptr ? charter.tenants.empty() : rule->is_open;
+  if (tenant == nullptr && !is_open) return Fate::unknown_key;
+  if (!is_proper) return Fate::malformed;
   if (rule == nullptr) return Fate::no_rule;
   const auto limit = static_cast<std::size_t>(charter.limits.body_most_bytes);
   if (head.body_size > limit) return Fate::too_large;
@@ -36,21 +40,26 @@
       charter.service_named(elect_target(*rule, stable_hash(seed.data(), seed.size())).service);
   if (service == nullptr) return Fate::no_rule;
   bill.id = head.id;
-  bill.tenant = tenant->name;
+  if (tenant != nullptr && !is_open) bill.tenant = tenant->name;
+  bill.is_open = is_open;
+  bill.is_repeatable = rule->is_repeatable;
+  bill.tries = rule->tries;
   bill.service = service->name;
   bill.rule = rule->name;
-  bill.call = head.method + " " + head.target;
+  bill.call = head.method + (head.host.empty() ? " " : " //" + head.host) + head.target;
   bill.key = head.key;
   bill.version = version;
-  bill.worth = static_cast<std::uint32_t>(service->worth);
+  bill.worth = rule->worth > 0 ? rule->worth : static_cast<std::uint32_t>(service->worth);
+  if (tenant != nullptr && !is_open) bill.worth += static_cast<std::uint32_t>(tenant->worth);
   bill.is_once = service->once;
   const std::int64_t asked = head.wait_ms > 0 ? head.wait_ms : charter.limits.wait_default_ms;
-  const std::int64_t wait = std::min(asked, charter.limits.wait_most_ms);
+  std::int64_t wait = std::min(asked, charter.limits.wait_most_ms);
+  if (rule->within_ms > 0) wait = std::min<std::int64_t>(wait, rule->within_ms);
   bill.arrived = now;
   bill.deadline = now + milliseconds(wait) - std::min(milliseconds(50), milliseconds(wait) / 10);
-  bill.steps.push_back(Step::pay);
+  if (!is_open && !tenant->unbounded) bill.steps.push_back(Step::pay);
   if (service->once && !head.idempotency_key.empty()) {
-    bill.claim_key = tenant->name + "/" + head.idempotency_key;
+    bill.claim_key = bill.tenant + "/" + head.idempotency_key;
     bill.claim_digest = digest_hex(head.method + "\n" + head.target + "\n" + head.body_digest);
     bill.steps.push_back(Step::claim);
   }
--- a/packages/pilot/waybill.hpp
+++ b/packages/pilot/waybill.hpp
@@ -12,7 +12,7 @@
 
 /// What the door read of an errand, before anything is decided.
 struct ErrandHead {
-  std::string id, method, target, key, idempotency_key, body_digest;
+  std::string id, method, target, host, key, idempotency_key, body_digest;
   std::int64_t wait_ms = 0;
   std::size_t body_size = 0;
 };
@@ -29,6 +29,10 @@
   Version version = 0;
   std::uint32_t worth = 1;
   bool is_once = false, is_paid = false;
+  /// It may run more than once; it asked for no key.
+  bool is_repeatable = false, is_open = false;
+  /// The most runners it may be sent to; 0 where the pilot's own bound holds.
+  std::uint32_t tries = 0;
   /// The permit the errand was paid from; 0 when it was not, or from the fallback share.
   std::uint64_t permit = 0;
   Instant arrived = 0, deadline = 0;
--- a/packages/rollcall/rollcall.hpp
+++ b/packages/rollcall/rollcall.hpp
@@ -22,6 +22,7 @@
   void step(const Envelope &envelope, Instant now, Outbox &out);
   void tick(Instant now, Outbox &out);
   void set_group(std::uint64_t group) { self_.group = group; }
+  void set_seeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
   void set_leaving() { self_.is_leaving = true; }
 
   /// Members heard of lately, without this one.
--- a/packages/seatrial/seatrial.cpp
+++ b/packages/seatrial/seatrial.cpp
@@ -17,9 +17,11 @@
   const std::string &sample = line.samples[which];
   const auto space = sample.find(' ');
   std::vector<std::string> segments;
-  if (space == std::string::npos || !split_path(std::string_view(sample).substr(space + 1), segments))
-    return nullptr;
-  return charter.compass.find(std::string_view(sample).substr(0, space), segments, line.tenant);
+  if (space == std::string::npos) return nullptr;
+  std::string_view target = std::string_view(sample).substr(space + 1);
+  const std::string_view host = take_host(target);
+  if (!split_path(target, segments)) return nullptr;
+  return charter.compass.find(std::string_view(sample).substr(0, space), segments, line.tenant, host);
 }
 
 struct Flow {
@@ -59,7 +61,8 @@
   std::map<std::string, double> asked;
   for (const Flow &flow : flows) asked[flow.tenant] += flow.per_second;
   for (const auto &[name, per_second] : asked) {
-    const auto base = static_cast<double>(charter.tenant_named(name)->base);
+    const Tenant &declared = *charter.tenant_named(name);
+    const double base = declared.unbounded ? per_second : static_cast<double>(declared.base);
     TenantForecast &tenant = result.tenants[name];
     tenant.per_second = per_second;
     tenant.over_quota_percent = percent_of(std::max(0.0, per_second - base), per_second);
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -134,7 +134,12 @@
 struct RunnerView {
   std::string id, service, address, worker, zone, seal_key;
   bool is_leaving = false;
-  WHARF_CARRY(id, service, address, worker, zone, seal_key, is_leaving)
+  /// Started, but not known to listen yet; for how long it has been starting.
+  bool is_booting = false;
+  Span booting_for = 0;
+  /// The name the platform gave it, where that is not ours.
+  std::string handle;
+  WHARF_CARRY(id, service, address, worker, zone, seal_key, is_leaving, is_booting, booting_for, handle)
 };
 
 /// An earlier roster, kept so that a successor can tell whether its copy is whole.
@@ -313,8 +318,8 @@
   Span patience = 0;
   std::uint32_t attempt = 0;
   bool is_second = false;
-  std::string avoid;
-  WHARF_CARRY(errand, service, tenant, epoch, worth, patience, attempt, is_second, avoid)
+  std::string avoid, zone;
+  WHARF_CARRY(errand, service, tenant, epoch, worth, patience, attempt, is_second, avoid, zone)
 };
 enum class SlotState : std::uint8_t { granted = 0, refused = 1, not_mine = 2 };
 struct SlotSay {
@@ -323,8 +328,8 @@
   std::uint8_t state = 0;
   std::uint32_t attempt = 0;
   Span retry_after = 0;
-  std::string why;
-  WHARF_CARRY(errand, service, runner, address, seal_key, epoch, state, attempt, retry_after, why)
+  std::string why, handle;
+  WHARF_CARRY(errand, service, runner, address, seal_key, epoch, state, attempt, retry_after, why, handle)
 };
 enum class SlotEnd : std::uint8_t { answered = 0, refused = 1, unreached = 2, lost = 3, unused = 4 };
 struct SlotFree {
--- a/programs/harbourd/main.cpp
+++ b/programs/harbourd/main.cpp
@@ -7,25 +7,14 @@
 #include "bridge/bridge.hpp"
 #include "capstan/ring.hpp"
 #include "hawser/hawser.hpp"
-#include "hold/shelf.hpp"
+#include "hold/disk_duty.hpp"
 #include "moorings/moorings.hpp"
 #include "quay/quay.hpp"
 
 namespace {
 using namespace wharf;
 
-struct DiskDone {
-  std::uint64_t ticket = 0;
-};
-struct DiskRefused {
-  std::string what;
-};
-struct DiskOpened {
-  Recovered recovered;
-};
-using HarbourEvent = std::variant<Envelope, OperatorAsk, PlatformPicture, DiskDone, DiskRefused, DiskOpened>;
-struct Reopen {};
-using DiskJob = std::variant<Save, Reopen>;
+using HarbourEvent = std::variant<Envelope, OperatorAsk, PlatformPicture, DiskWord>;
 using SayWaiter = Waiter<OperatorSay>;
 
 /// The daemon round one harbour: duties for links, disk, platform, operators' door and core.
@@ -33,12 +22,14 @@
 public:
   HarbourDaemon(const ProcessOptions &options, NodeId id, std::unique_ptr<Shelf> shelf,
                 const Recovered &recovered)
-      : options_(options), self_(make_self(options, id)), shelf_(std::move(shelf)), ring_(16384),
-        disk_ring_(65536), order_ring_(4096), bridge_(*this, options.operator_token),
-        server_(mooring_options(options)),
+      : options_(options), self_(make_self(options, id)), ring_(16384), order_ring_(4096),
+        bridge_(*this, options.operator_token), server_(mooring_options(options)),
         hawser_(options.listen.empty() ? options.address : options.listen,
                 [this](Envelope &&envelope) { take(std::move(envelope)); }) {
     build(recovered);
+    disk_ = std::make_unique<DiskDuty>(std::move(shelf), [this](DiskWord &&word) {
+      while (!ring_.offer(word) && !is_stopping_) std::this_thread::yield();
+    });
   }
 
   int run() {
@@ -54,7 +45,6 @@
     }
     server_.widen();
     Duty core("core", [this] { run_core(); });
-    Duty disk("disk", [this] { run_disk(); });
     std::unique_ptr<Duty> lister, orderer;
     if (!options_.platform.empty()) {
       lister = std::make_unique<Duty>("lister", [this] { run_lister(); });
@@ -73,8 +63,7 @@
     is_stopping_ = true;
     ring_.close();
     core.join();
-    disk_ring_.close();
-    disk.join();
+    disk_.reset();
     order_ring_.close();
     lister.reset();
     orderer.reset();
@@ -155,16 +144,8 @@
           harbour_->operate(std::move(*operator_ask), now, out);
         else if (auto *picture = std::get_if<PlatformPicture>(&event))
           harbour_->platform_seen(std::move(*picture), now, out);
-        else if (auto *done = std::get_if<DiskDone>(&event))
-          harbour_->saved(done->ticket, now, out);
-        else if (auto *refused = std::get_if<DiskRefused>(&event))
-          disk_refused(*refused, now, out);
-        else if (auto *opened = std::get_if<DiskOpened>(&event)) {
-          carry_out(out);
-          out = {};
-          build(opened->recovered);
-          log_line("the disk is open again");
-        }
+        else if (auto *word = std::get_if<DiskWord>(&event))
+          disk_said(*word, now, out);
       }
       const Instant now = tide_.now();
       if (is_leaving_ && !has_left_) {
@@ -181,13 +162,22 @@
     }
   }
 
-  void disk_refused(const DiskRefused &refused, Instant now, HarbourOutput &out) {
-    log_warning(refused.what);
-    harbour_->disk_failed(now, out);
+  void disk_said(DiskWord &word, Instant now, HarbourOutput &out) {
+    if (const auto *done = std::get_if<DiskDone>(&word)) {
+      harbour_->saved(done->ticket, now, out);
+    } else if (const auto *refused = std::get_if<DiskRefused>(&word)) {
+      log_warning(refused->what);
+      harbour_->disk_failed(now, out);
+    } else if (const auto *opened = std::get_if<DiskOpened>(&word)) {
+      carry_out(out);
+      out = {};
+      build(opened->recovered);
+      log_line("the disk is open again");
+    }
   }
 
   void carry_out(HarbourOutput &out) {
-    for (Save &save : out.saves) disk_ring_.offer(std::move(save));
+    for (Save &save : out.saves) disk_->give(std::move(save));
     for (Posted &posted : out.mail) {
       const std::string address =
           posted.to == 0 ? posted.address : harbour_->rollcall().address_of(posted.to);
@@ -202,51 +192,6 @@
     for (const std::string &line : out.lines) log_line(line);
   }
 
-  void run_disk() {
-    std::deque<DiskJob> jobs;
-    bool is_broken = false;
-    while (disk_ring_.drain(jobs, milliseconds(500)) && !(is_stopping_ && jobs.empty())) {
-      std::optional<Save> group;
-      for (DiskJob &job : jobs) {
-        if (is_broken || std::holds_alternative<Reopen>(job)) continue;
-        Save &save = std::get<Save>(job);
-        const bool is_joinable = group && !group->picture && !save.picture && save.cut_from == 0;
-        if (is_joinable) {
-          group->ticket = save.ticket;
-          if (save.hard) group->hard = save.hard;
-          std::move(save.append.begin(), save.append.end(), std::back_inserter(group->append));
-          continue;
-        }
-        if (group) is_broken = !write(*group);
-        group = std::move(save);
-      }
-      if (group && !is_broken) is_broken = !write(*group);
-      if (is_broken && !is_stopping_) {
-        std::this_thread::sleep_for(std::chrono::seconds(1));
-        auto opened = shelf_->open();
-        if (auto *recovered = std::get_if<Recovered>(&opened)) {
-          std::deque<DiskJob> stale;
-          disk_ring_.drain(stale, 0);
-          is_broken = false;
-          ring_.offer(DiskOpened{std::move(*recovered)});
-        }
-      }
-    }
-  }
-
-  bool write(const Save &save) {
-    const Instant started = tide_.now();
-    auto written = shelf_->write(save);
-    disk_us_ += static_cast<std::uint64_t>((tide_.now() - started) / 1000);
-    ++disk_writes_;
-    if (const auto *error = std::get_if<HoldError>(&written)) {
-      ring_.offer(DiskRefused{error->what});
-      return false;
-    }
-    while (!ring_.offer(DiskDone{save.ticket}) && !is_stopping_) std::this_thread::yield();
-    return true;
-  }
-
   void run_lister() {
     Quay quay(options_.platform);
     while (!is_stopping_) {
@@ -277,8 +222,8 @@
     for (const auto &[name, value] : harbour_->gauges(now)) root[name] = value;
     root["frames_dropped"] = hawser_.dropped();
     root["ring_full"] = ring_full_.load();
-    root["disk_writes"] = disk_writes_.load();
-    root["disk_us"] = disk_us_.load();
+    root["disk_writes"] = disk_->writes();
+    root["disk_us"] = disk_->microseconds();
     root["platform_away"] = platform_away_.load();
     root["platform_orders"] = orders_sent_.load();
     root["platform_orders_refused"] = orders_refused_.load();
@@ -289,10 +234,8 @@
   ProcessOptions options_;
   SteadyTide tide_;
   Member self_;
-  std::unique_ptr<Shelf> shelf_;
   std::unique_ptr<Harbour> harbour_;
   Ring<HarbourEvent> ring_;
-  Ring<DiskJob> disk_ring_;
   Ring<PlatformOrder> order_ring_;
   Bridge bridge_;
   Moorings server_;
@@ -303,9 +246,9 @@
   Instant publish_at_ = 0;
   bool has_left_ = false;
   std::atomic<bool> is_stopping_{false}, is_leaving_{false}, is_leading_{false};
-  std::atomic<std::uint64_t> ring_full_{0}, disk_writes_{0}, disk_us_{0}, platform_away_{0}, orders_sent_{0},
-      orders_refused_{0};
+  std::atomic<std::uint64_t> ring_full_{0}, platform_away_{0}, orders_sent_{0}, orders_refused_{0};
   Hawser hawser_;
+  std::unique_ptr<DiskDuty> disk_;
 };
 } // namespace
 
