Keep answered entries when an older picture comes; bear batches torn by a loss of power

Cause: a mate that got a picture older than its log dropped entries it had answered for; a batch of several records torn in its middle, or a segment begun when power went, was taken for damage and stopped the voter for good; what a killed process had written but not synced was believed at the next start. Ruled out: one checksum over a whole batch (loses whole entries before the tear that a reader may keep). Change: a picture the log already holds only moves the commit; each batch begins with a mark, damage without a later mark is a torn tail; segments are synced when opened.

--- a/packages/berth/berth.cpp
+++ b/packages/berth/berth.cpp
@@ -25,7 +25,6 @@
   Berth &berth = berths_[service];
   berth = Berth{};
   berth.since = roster_.epoch;
-  berth.high_at = now;
   const auto plan = plans_.find(service);
   berth.boot_guess = plan != plans_.end() && plan->second.boot > 0 ? plan->second.boot : options_.boot_guess;
   berth.expected.insert(roster_.pilots.begin(), roster_.pilots.end());
@@ -284,9 +283,9 @@
     berth.seconds_budget = std::min(options_.second_most, berth.seconds_budget + options_.second_share);
   }
   if (const Span wait = berth.is_learning ? 0 : hopeless_for(berth, plan->second, ask); wait > 0) {
-    berth.high = std::max(berth.high, 1u);
+    if (berth.levels.empty()) berth.levels.resize(1);
+    berth.levels[0].needed_at = now;
     berth.target = std::max(berth.target, 1u);
-    berth.high_at = now;
     refuse(ask, from, wait, "no-runner-in-time", out);
     return;
   }
@@ -494,20 +493,29 @@
   if (plan.must_spare && demand * 5 >= need * plan.slots * 4 && demand > 0) ++need;
   if (plan.least > 0 && !plan.is_self_bounding) need = std::max(need, 2u);
   need = std::clamp(need, plan.least, plan.most);
-  if (need >= berth.target) {
-    if (need > berth.target && berth.short_since == 0) berth.short_since = now;
-    berth.target = need;
-    berth.high = need;
-    berth.high_at = now;
-  } else {
-    berth.high = std::max(berth.high == berth.target ? 0u : berth.high, need);
-    if (now - berth.high_at >= plan.idle) {
-      berth.target = std::max(berth.high, plan.least);
-      berth.high = berth.target;
-      berth.high_at = now;
-    }
+  if (need > berth.target && berth.short_since == 0) berth.short_since = now;
+  if (berth.levels.size() < need) berth.levels.resize(need);
+  for (std::uint32_t at = berth.needed; at < need; ++at) {
+    Level &level = berth.levels[at];
+    if (level.needed_at == 0) continue;
+    const Span gap = now - level.needed_at;
+    level.gap = level.gap == 0 ? gap : (level.gap * 3 + gap) / 4;
+  }
+  berth.needed = need;
+  for (std::uint32_t at = 0; at < need; ++at) berth.levels[at].needed_at = now;
+  std::uint32_t kept = need;
+  for (auto at = static_cast<std::uint32_t>(berth.levels.size()); at > need; --at) {
+    const Level &level = berth.levels[at - 1];
+    if (level.needed_at == 0 || now - level.needed_at >= keep_for(level, plan)) continue;
+    kept = at;
+    break;
   }
-  berth.target = std::clamp(berth.target, plan.least, plan.most);
+  berth.target = std::clamp(std::min(kept, std::max(berth.target, need)), plan.least, plan.most);
+}
+
+Span Stevedore::keep_for(const Level &level, const BerthPlan &plan) const {
+  if (!plan.is_priced || level.gap == 0) return plan.idle;
+  return level.gap <= plan.idle ? std::max(plan.idle, level.gap * 3) : plan.idle / 4;
 }
 
 std::uint64_t Stevedore::wants_mark() const {
--- a/packages/berth/berth.hpp
+++ b/packages/berth/berth.hpp
@@ -14,6 +14,8 @@
   Span idle = seconds(30), wait_most = seconds(30);
   /// What a start is known to take; 0 when nothing is known.
   Span boot = 0;
+  /// True where `idle` follows from prices; then levels that are needed often are kept longer, others less.
+  bool is_priced = false;
   /// A start takes longer than callers like to wait, so some slots are kept free.
   bool must_spare = true;
   /// Runners refuse what is above their slots themselves, so a slot in doubt is freed, not its runner ended.
@@ -84,6 +86,10 @@
     Instant rests_until = 0;
     std::uint32_t strikes = 0;
   };
+  struct Level {
+    Instant needed_at = 0;
+    Span gap = 0;
+  };
   struct Waiting {
     SlotAsk ask;
     NodeId pilot = 0;
@@ -101,8 +107,10 @@
     std::deque<std::string> turns;
     std::size_t pending_count = 0;
     double seconds_budget = 1;
-    std::uint32_t target = 0, high = 0;
-    Instant high_at = 0, short_since = 0;
+    std::uint32_t target = 0, needed = 0;
+    /// For each number of runners: when that many were last needed, and how long it usually is until they are again.
+    std::vector<Level> levels;
+    Instant short_since = 0;
     Span serve_guess = milliseconds(50), boot_guess = 0;
   };
 
@@ -118,6 +126,8 @@
   void refuse(const SlotAsk &ask, NodeId pilot, Span retry_after, std::string why, Outbox &out);
   void grant(Berth &berth, Waiting waiting, const std::string &runner, Instant now, Outbox &out);
   void make_room(Berth &berth, const BerthPlan &plan, const std::string &tenant, Outbox &out);
+  /// How long a level that is not needed is kept.
+  Span keep_for(const Level &level, const BerthPlan &plan) const;
   void rescale(Berth &berth, const BerthPlan &plan, Instant now);
   Span hopeless_for(const Berth &berth, const BerthPlan &plan, const SlotAsk &ask) const;
   std::uint32_t taken(const Berth &berth) const;
--- a/packages/convoy/convoy.cpp
+++ b/packages/convoy/convoy.cpp
@@ -500,6 +500,14 @@
         {from, {}, AppendSay{hard_.group, hard_.term, std::min(synced_, commit_), true, ask.sent_at}});
     return;
   }
+  if (ask.index <= last_index() && term_at(ask.index) == ask.last_term) {
+    commit_ = ask.index;
+    verified_ = std::max(verified_, ask.index);
+    deliver(out);
+    after_.push_back(
+        {from, {}, AppendSay{hard_.group, hard_.term, std::min(synced_, verified_), true, ask.sent_at}});
+    return;
+  }
   if (arriving_.index != ask.index || arriving_.term != ask.last_term)
     arriving_ = {ask.index, ask.last_term, {}, {}};
   if (ask.offset == arriving_.body.size()) arriving_.body += ask.body;
--- a/packages/harbour/harbour.cpp
+++ b/packages/harbour/harbour.cpp
@@ -84,7 +84,9 @@
   worker_rests_.clear();
   named_.clear();
   views_.clear();
-  ++views_stamp_;
+  view_stamps_.clear();
+  views_gone_.clear();
+  views_whole_ = ++views_stamp_;
   platform_ = {};
   platform_at_ = 0;
   is_roster_proposed_ = is_runners_proposed_ = is_secret_proposed_ = false;
@@ -321,15 +323,30 @@
     orders.has_manifest = true;
     orders.manifest = registry_.manifest();
   }
-  orders.roster = registry_.roster();
+  orders.has_roster = seat.epoch < registry_.roster().epoch;
+  if (orders.has_roster)
+    orders.roster = registry_.roster();
+  else
+    orders.roster.epoch = registry_.roster().epoch;
   orders.settled = settled_epoch(now);
   orders.quiet = quiet_for(now);
-  if (platform_at_ != 0 && seat.stamp != views_stamp_) {
-    orders.has_runners = true;
-    orders.runners_stamp = views_stamp_;
+  if (platform_at_ != 0 && seat.stamp != views_stamp_) add_views(seat, orders);
+  return orders;
+}
+
+void Harbour::add_views(const Seat &seat, Orders &orders) const {
+  orders.has_runners = true;
+  orders.runners_stamp = views_stamp_;
+  if (seat.stamp <= views_whole_) {
     orders.runners = views_;
+    return;
   }
-  return orders;
+  orders.since_stamp = seat.stamp;
+  for (const RunnerView &view : views_)
+    if (const auto found = view_stamps_.find(view.id); found != view_stamps_.end() && found->second > seat.stamp)
+      orders.runners.push_back(view);
+  for (const auto &[stamp, runner] : views_gone_)
+    if (stamp > seat.stamp) orders.gone.push_back(runner);
 }
 
 void Harbour::push_orders(Instant now, HarbourOutput &out) {
@@ -891,7 +908,7 @@
       view.booting_for = now - note->second.started_at;
     view.worker = record.worker;
     view.zone = worker == workers.end() ? std::string() : worker->second->zone;
-    view.seal_key = seal_key_of(id);
+    if (handle.empty()) view.seal_key = seal_key_of(id);
     view.is_leaving = record.is_leaving || (is_listed && found->second->phase == RunnerPhase::stopping) ||
                       (worker != workers.end() && worker->second->is_draining);
     views.push_back(std::move(view));
@@ -901,8 +918,24 @@
            left.is_booting == right.is_booting;
   };
   if (std::equal(views.begin(), views.end(), views_.begin(), views_.end(), is_same)) return;
-  views_ = std::move(views);
   ++views_stamp_;
+  constexpr std::size_t gone_most = 4096;
+  std::map<std::string, const RunnerView *> before;
+  for (const RunnerView &view : views_) before[view.id] = &view;
+  for (const RunnerView &view : views) {
+    const auto old = before.find(view.id);
+    if (old == before.end() || !is_same(*old->second, view)) view_stamps_[view.id] = views_stamp_;
+    if (old != before.end()) before.erase(old);
+  }
+  for (const auto &[id, view] : before) {
+    view_stamps_.erase(id);
+    views_gone_.emplace_back(views_stamp_, id);
+  }
+  while (views_gone_.size() > gone_most) {
+    views_whole_ = std::max(views_whole_, views_gone_.front().first);
+    views_gone_.pop_front();
+  }
+  views_ = std::move(views);
 }
 
 void Harbour::tend_runners(Instant now, HarbourOutput &out) {
--- a/packages/harbour/harbour.hpp
+++ b/packages/harbour/harbour.hpp
@@ -212,6 +212,8 @@
   void tend_roster(Instant now, HarbourOutput &out);
   void tend_runners(Instant now, HarbourOutput &out);
   void refresh_views(Instant now);
+  /// Puts the views that a pilot does not have yet into its orders.
+  void add_views(const Seat &seat, Orders &orders) const;
   /// The platform's name for a runner, as committed or as just answered.
   std::string handle_of(const RunnerRecord &record) const;
   void compact_if_due(HarbourOutput &out);
@@ -264,6 +266,10 @@
   std::vector<RunnerName> named_;
   std::vector<RunnerView> views_;
   std::uint64_t views_stamp_ = 0;
+  /// The stamp at which a view was last changed, and runners that went with the stamp of that.
+  std::map<std::string, std::uint64_t> view_stamps_;
+  std::deque<std::pair<std::uint64_t, std::string>> views_gone_;
+  std::uint64_t views_whole_ = 0;
   Instant moved_at_ = 0;
   std::uint64_t starts_ordered_ = 0;
   double pace_ = 0;
--- a/packages/helm/pilot_helm.cpp
+++ b/packages/helm/pilot_helm.cpp
@@ -48,7 +48,13 @@
 
 PilotHelm::~PilotHelm() = default;
 
-PilotHelmOptions pilot_helm_options(const ProcessOptions &) { return {}; }
+PilotHelmOptions pilot_helm_options(const ProcessOptions &) {
+  PilotHelmOptions made;
+  made.pilot.purser.life = seconds(1);
+  made.pilot.sound_again = seconds(10);
+  made.pilot.soundings_most = 60;
+  return made;
+}
 
 std::string PilotHelm::next_errand() { return errand_prefix_ + std::to_string(++errands_); }
 
--- a/packages/hold/shelf.cpp
+++ b/packages/hold/shelf.cpp
@@ -88,9 +88,32 @@
   return found;
 }
 
-bool finds_record_after(std::string_view bytes, std::size_t at) {
+/// Makes sure that what a file holds is on disk, so that nothing is believed that a loss of power takes away.
+bool sync_file(const std::string &path) {
+  const int descriptor = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
+  if (descriptor < 0) return false;
+  const bool is_synced = fsync(descriptor) == 0;
+  close(descriptor);
+  return is_synced;
+}
+
+void take_entry(Recovered &recovered, Entry entry) {
+  if (entry.index <= recovered.picture.index) return;
+  std::erase_if(recovered.entries, [&entry](const Entry &older) { return older.index >= entry.index; });
+  recovered.entries.push_back(std::move(entry));
+}
+
+void cut_entries(Recovered &recovered, std::uint64_t cut_from) {
+  std::erase_if(recovered.entries, [cut_from](const Entry &entry) { return entry.index >= cut_from; });
+}
+
+/// True when a later batch begins after a damaged place, so that the place was synced once. A batch begins with a
+/// record of its own (in segments of builds before that, any record counts); what else is whole there may belong to
+/// the batch that was torn.
+bool finds_batch_after(std::string_view bytes, std::size_t at, bool marks_batches) {
   for (std::size_t next = at + 1; next + 8 < bytes.size(); ++next)
-    if (record_at(bytes, next)) return true;
+    if (const auto payload = record_at(bytes, next); payload && (!marks_batches || payload->front() == 'S'))
+      return true;
   return false;
 }
 } // namespace
@@ -186,6 +209,9 @@
     if (fault || truncate(path.c_str(), static_cast<off_t>(size - torn)) != 0)
       return trouble("cannot cut " + path);
   }
+  for (const std::uint64_t number : segments)
+    if (const std::string path = folder_ + "/seg-" + std::to_string(number); !sync_file(path))
+      return trouble("cannot sync " + path);
   segment_number_ = segments.empty() ? 0 : segments.back();
   hard_ = std::get<Recovered>(read).hard;
   auto started = start_segment();
@@ -227,15 +253,19 @@
     const bool is_last = which + 1 == segments.size();
     const auto bytes = slurp(path);
     if (!bytes) return HoldError{"cannot read " + path};
-    if (!bytes->starts_with(segment_mark)) {
-      if (is_last && bytes->size() < segment_mark.size()) continue;
-      return wrong_mark(path, *bytes, segment_mark);
+    if (bytes->empty()) continue;
+    const bool is_blank = bytes->find_first_not_of('\0') == std::string::npos;
+    if (is_last && (is_blank || bytes->size() < segment_mark.size())) {
+      torn = bytes->size();
+      continue;
     }
+    if (!bytes->starts_with(segment_mark)) return wrong_mark(path, *bytes, segment_mark);
     std::size_t at = segment_mark.size();
+    bool marks_batches = false;
     while (at < bytes->size()) {
       const auto payload = record_at(*bytes, at);
       if (!payload) {
-        if (!is_last || finds_record_after(*bytes, at))
+        if (!is_last || finds_batch_after(*bytes, at, marks_batches))
           return HoldError{path + ": damaged record at byte " + std::to_string(at)};
         torn = bytes->size() - at;
         break;
@@ -249,14 +279,16 @@
       if (payload->front() == 'C') {
         std::uint64_t cut_from = 0;
         if (!unpack(body, cut_from)) return HoldError{path + ": damaged cut"};
-        std::erase_if(recovered.entries, [cut_from](const Entry &entry) { return entry.index >= cut_from; });
+        cut_entries(recovered, cut_from);
+        continue;
+      }
+      if (payload->front() == 'S') {
+        marks_batches = true;
         continue;
       }
       Entry entry;
       if (payload->front() != 'E' || !unpack(body, entry)) return HoldError{path + ": damaged entry"};
-      if (entry.index <= recovered.picture.index) continue;
-      std::erase_if(recovered.entries, [&entry](const Entry &older) { return older.index >= entry.index; });
-      recovered.entries.push_back(std::move(entry));
+      take_entry(recovered, std::move(entry));
     }
   }
   std::uint64_t expected = recovered.picture.index + 1;
@@ -271,7 +303,7 @@
   const std::string path = folder_ + "/seg-" + std::to_string(++segment_number_);
   segment_ = ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
   if (segment_ < 0) return trouble("cannot open " + path);
-  const std::string head = std::string(segment_mark) + record('H', pack(hard_));
+  const std::string head = std::string(segment_mark) + record('H', pack(hard_)) + record('S', {});
   if (!write_all(segment_, head) || fsync(segment_) != 0 || !sync_folder())
     return trouble("cannot write " + path);
   segment_size_ = head.size();
@@ -288,11 +320,11 @@
     auto started = start_segment();
     if (std::holds_alternative<HoldError>(started)) return started;
   }
-  std::string bytes;
-  if (save.hard) bytes += record('H', pack(*save.hard));
-  if (save.cut_from != 0) bytes += record('C', pack(save.cut_from));
-  for (const Entry &entry : save.append) bytes += record('E', pack(entry));
-  if (!bytes.empty()) {
+  if (save.hard || save.cut_from != 0 || !save.append.empty()) {
+    std::string bytes = record('S', {});
+    if (save.hard) bytes += record('H', pack(*save.hard));
+    if (save.cut_from != 0) bytes += record('C', pack(save.cut_from));
+    for (const Entry &entry : save.append) bytes += record('E', pack(entry));
     if (!write_all(segment_, bytes) || fdatasync(segment_) != 0)
       return trouble("cannot write the log in " + folder_);
     segment_size_ += bytes.size();
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -22,6 +22,7 @@
     if (leads_here && rule.aim_ms > 0) aim_ms = aim_ms == 0 ? rule.aim_ms : std::min(aim_ms, rule.aim_ms);
   }
   constexpr double late_share = 0.6, calls_late = 2;
+  plan.is_priced = true;
   plan.must_spare = aim_ms == 0 || service.boot_ms * 14 / 10 >= aim_ms;
   const double gigabytes = static_cast<double>(service.memory_mb) / 1000;
   const double a_second = gigabytes * static_cast<double>(limits.memory_price) / 1000;
@@ -263,6 +264,7 @@
 void Pilot::handle(NodeId from, const Orders &orders, Instant now, PilotOutput &out) {
   const Version version = in_force().version;
   if (orders.version < version || orders.roster.epoch < roster_.epoch) return;
+  if (!orders.has_roster && orders.roster.epoch != roster_.epoch) return;
   leader_ = from;
   heard_leader_at_ = now;
   bool is_switched = false;
@@ -271,8 +273,13 @@
     switch_manifest(orders, now, out);
     is_switched = true;
   }
-  if (orders.has_runners) {
-    runners_.clear();
+  const bool takes_runners =
+      orders.has_runners && (orders.since_stamp == 0 || (orders.since_stamp <= runners_stamp_ &&
+                                                         orders.runners_stamp > runners_stamp_ &&
+                                                         orders.term == runners_term_));
+  if (takes_runners) {
+    if (orders.since_stamp == 0) runners_.clear();
+    for (const std::string &gone : orders.gone) runners_.erase(gone);
     for (const RunnerView &runner : orders.runners) runners_[runner.id] = runner;
     runners_stamp_ = orders.runners_stamp;
     runners_term_ = orders.term;
@@ -291,7 +298,11 @@
   }
   settled_ = std::max(settled_, orders.settled);
   purser_.set_roster(roster_, orders.settled, now, out.mail);
-  if (orders.has_runners) stevedore_.set_runners(orders.runners, now, out.mail);
+  if (takes_runners) {
+    std::vector<RunnerView> views;
+    for (const auto &[id, runner] : runners_) views.push_back(runner);
+    stevedore_.set_runners(views, now, out.mail);
+  }
   stevedore_.set_roster(roster_, orders.settled, now, out.mail);
   if (is_switched) send_pulse(now, out);
 }
@@ -847,7 +858,7 @@
   ask.epoch = roster_.epoch;
   ask.ask = next_ask_++;
   ask.want = static_cast<std::uint32_t>(
-      std::max(1.0, static_cast<double>(till.line.size()) + std::ceil(till.rate * 0.15)));
+      std::max(1.0, static_cast<double>(till.line.size()) + std::ceil(till.rate * permit_reach())));
   ask.returns = take_report(till, tenant, now);
   till.asks[ask.ask] = now;
   while (till.asks.size() > 16) till.asks.erase(till.asks.begin());
@@ -888,7 +899,7 @@
     serve_line(tenant, now, out);
     return;
   }
-  const Grant grant{say.permit, say.tokens, sent_at, say.window, milliseconds(250)};
+  const Grant grant{say.permit, say.tokens, sent_at, say.window, options_.purser.life};
   if (now - sent_at >= grant.life) {
     end_permit(till, {say.permit, 0, say.tokens}, now);
     serve_line(tenant, now, out);
@@ -919,7 +930,7 @@
     const bool is_low =
         !is_dead && state.permit != 0 && state.spent > 0 &&
         (purse->left(now) * 10 <= state.tokens * 3 || purse->dies_at() - now < milliseconds(60));
-    if (is_low && till.rate * 0.15 >= 1.0 && till.deny_until <= now) ask_permit(tenant, now, out);
+    if (is_low && till.rate * permit_reach() >= 1.0 && till.deny_until <= now) ask_permit(tenant, now, out);
     const Tenant *plan = declared(till.name);
     const double refill_s = plan == nullptr ? 0 : capacity_of(till.name) / static_cast<double>(plan->base);
     const Span idle = std::max(options_.eviction_least, static_cast<Span>(refill_s * 1e9));
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -218,6 +218,8 @@
   void thin_line(Till &till, Instant now, PilotOutput &out);
   /// True when the tenant's allowance was denied a moment ago.
   bool is_denied(const Afloat &errand, Instant now);
+  /// How many seconds of a node's use one permit is asked to last.
+  double permit_reach() const { return 0.6 * static_cast<double>(options_.purser.life) / 1e9; }
   Span patience_of(const Afloat &errand);
   bool may_try_again(const Afloat &errand, Instant now) const;
   std::optional<Fate> recheck(const Afloat &errand, Instant now) const;
--- a/packages/rollcall/rollcall.cpp
+++ b/packages/rollcall/rollcall.cpp
@@ -7,6 +7,16 @@
 Rollcall::Rollcall(Member self, std::vector<std::string> seeds, RollcallOptions options)
     : self_(std::move(self)), seeds_(std::move(seeds)), options_(options) {}
 
+void Rollcall::learn(const Member &member, Instant now) {
+  Known &known = known_[member.id];
+  const Member &old = known.member;
+  const bool is_news = old.id == 0 || old.address != member.address || old.http != member.http ||
+                       old.group != member.group || old.is_leaving != member.is_leaving;
+  if (is_news) known.learned = now;
+  known.member = member;
+  known.advanced = now;
+}
+
 void Rollcall::step(const Envelope &envelope, Instant now, Outbox &out) {
   const auto *muster = std::get_if<Muster>(&envelope.signal);
   if (muster == nullptr) return;
@@ -15,40 +25,75 @@
     if (member.id == self_.id || member.id == 0) continue;
     const auto found = known_.find(member.id);
     if (found == known_.end()) {
-      known_[member.id] = {member, now};
+      learn(member, now);
+      if (member.id == envelope.from) out.push_back({0, envelope.from_address, whole(now)});
       continue;
     }
     if (member.beat <= found->second.member.beat) {
       const bool is_set_back =
           member.id == envelope.from && found->second.member.beat - member.beat > options_.beats_late;
-      if (is_set_back) out.push_back({0, envelope.from_address, Muster{{found->second.member}}});
+      if (is_set_back) out.push_back({0, envelope.from_address, Muster{{found->second.member}, {}, {}}});
+      continue;
+    }
+    learn(member, now);
+  }
+  Muster reply;
+  for (const Beat &beat : muster->beats) {
+    if (beat.id == self_.id) {
+      self_.beat = std::max(self_.beat, beat.beat + 1);
       continue;
     }
-    found->second = {member, now};
+    const auto found = known_.find(beat.id);
+    if (found == known_.end()) {
+      reply.asks.push_back(beat.id);
+    } else if (beat.beat > found->second.member.beat) {
+      found->second.member.beat = beat.beat;
+      found->second.advanced = now;
+    }
   }
+  for (NodeId id : muster->asks)
+    if (const auto found = known_.find(id); found != known_.end())
+      reply.members.push_back(found->second.member);
+  if (reply.asks.empty() && reply.members.empty()) return;
+  reply.members.push_back(self_);
+  out.push_back({0, envelope.from_address, std::move(reply)});
+}
+
+Muster Rollcall::whole(Instant now) const {
+  Muster muster;
+  muster.members.push_back(self_);
+  for (const auto &[id, known] : known_)
+    if (now - known.advanced <= options_.silent_after) muster.members.push_back(known.member);
+  return muster;
 }
 
 void Rollcall::tick(Instant now, Outbox &out) {
   if (now < next_at_) return;
   next_at_ = now + options_.every;
   ++self_.beat;
+  std::erase_if(known_, [&](const auto &item) { return now - item.second.advanced > options_.forget_after; });
   Muster muster;
   muster.members.push_back(self_);
-  for (auto item = known_.begin(); item != known_.end();) {
-    if (now - item->second.advanced > options_.forget_after) {
-      item = known_.erase(item);
-      continue;
-    }
-    if (now - item->second.advanced <= options_.silent_after) muster.members.push_back(item->second.member);
-    ++item;
+  for (const auto &[id, known] : known_) {
+    if (now - known.advanced > options_.silent_after) continue;
+    if (now - known.learned <= options_.news_for)
+      muster.members.push_back(known.member);
+    else
+      muster.beats.push_back({id, known.member.beat});
+  }
+  auto next = known_.upper_bound(told_last_);
+  for (std::size_t told = 0; told < std::min(options_.told_each, known_.size()); ++told) {
+    if (next == known_.end()) next = known_.begin();
+    told_last_ = next->first;
+    out.push_back({next->first, next->second.member.address, muster});
+    ++next;
   }
-  for (const auto &[id, known] : known_) out.push_back({id, known.member.address, muster});
   for (const std::string &seed : seeds_) {
     const bool is_known =
         seed == self_.address || std::any_of(known_.begin(), known_.end(), [&](const auto &item) {
           return item.second.member.address == seed && now - item.second.advanced <= options_.silent_after;
         });
-    if (!is_known) out.push_back({0, seed, muster});
+    if (!is_known) out.push_back({0, seed, Muster{{self_}, {}, {}}});
   }
 }
 
--- a/packages/rollcall/rollcall.hpp
+++ b/packages/rollcall/rollcall.hpp
@@ -11,6 +11,10 @@
   Span every = milliseconds(250);
   Span silent_after = milliseconds(1500);
   Span forget_after = seconds(30);
+  /// Members told at each beat, in turn.
+  std::size_t told_each = 4;
+  /// How long what was learned of a member is passed on whole; later only its beat is.
+  Span news_for = seconds(1);
   /// A member this many beats behind what it once said has had its clock set back and is told so.
   std::uint64_t beats_late = 40;
 };
@@ -37,13 +41,16 @@
 private:
   struct Known {
     Member member;
-    Instant advanced = 0;
+    Instant advanced = 0, learned = 0;
   };
+  Muster whole(Instant now) const;
+  void learn(const Member &member, Instant now);
   Member self_;
   std::vector<std::string> seeds_;
   RollcallOptions options_;
   std::map<NodeId, Known> known_;
   Instant next_at_ = 0;
+  NodeId told_last_ = 0;
 };
 
 } // namespace wharf
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -36,10 +36,19 @@
   WHARF_CARRY(id, group, address, http, zone, role, beat, is_leaving)
 };
 
-/// Membership gossip: all that the sender knows.
+/// That a member lives, to those who know the rest of it.
+struct Beat {
+  NodeId id = 0;
+  std::uint64_t beat = 0;
+  WHARF_CARRY(id, beat)
+};
+/// Membership gossip: the sender, what is new to it, the beats of all others it knows to live, and whom it knows
+/// only by a beat and asks about.
 struct Muster {
   std::vector<Member> members;
-  WHARF_CARRY(members)
+  std::vector<Beat> beats;
+  std::vector<NodeId> asks;
+  WHARF_CARRY(members, beats, asks)
 };
 
 /// Asks a seed whether any group exists.
@@ -206,8 +215,13 @@
   std::uint64_t runners_stamp = 0;
   bool has_runners = false;
   std::vector<RunnerView> runners;
+  /// False when the pilot has this epoch's roster already and only the epoch is told.
+  bool has_roster = true;
+  /// When not 0, `runners` are only those that changed since this stamp, and `gone` those that went.
+  std::uint64_t since_stamp = 0;
+  std::vector<std::string> gone;
   WHARF_CARRY(sent_at, age, term, version, has_manifest, manifest, roster, settled, quiet, runners_stamp,
-              has_runners, runners)
+              has_runners, runners, has_roster, since_stamp, gone)
 };
 
 struct NotLeader {
--- a/tests/convoy_test.cpp
+++ b/tests/convoy_test.cpp
@@ -259,3 +259,23 @@
   CHECK(largest <= 1u << 20);
   CHECK(parts >= 5 && parts <= 12);
 }
+
+TEST(Convoy, an_older_picture_takes_no_entry_that_was_answered_for) {
+  Trio trio;
+  Convoy &mate = *trio.seats[2].mate;
+  AppendAsk ask{5, 1, 0, 0, 0, trio.now, {}};
+  for (std::uint64_t index = 1; index <= 5; ++index) ask.entries.push_back({index, 1, 1, "body"});
+  ConvoyOutput out;
+  mate.step(1, ask, trio.now, out);
+  trio.take(2, std::move(out));
+  trio.sync(2);
+  trio.mail.clear();
+  ConvoyOutput pictured;
+  mate.step(1, PictureAsk{5, 1, 3, 1, trio.now, trio.seats[2].disk.picture.mates, "state", 0, 5}, trio.now,
+            pictured);
+  LONGS_EQUAL(5, mate.last_index());
+  LONGS_EQUAL(3, mate.commit());
+  CHECK(!pictured.load.has_value());
+  for (const Save &save : pictured.saves) CHECK(save.cut_from == 0 && !save.picture);
+  LONGS_EQUAL(3, pictured.committed.size());
+}
--- a/tests/shelf_test.cpp
+++ b/tests/shelf_test.cpp
@@ -153,3 +153,48 @@
   DiskShelf again(folder);
   CHECK(first == std::get<NodeId>(again.identity()));
 }
+
+TEST(Shelf, a_batch_torn_in_its_middle_loses_only_what_no_one_was_told) {
+  write_entries(1, 2);
+  std::uintmax_t before = 0;
+  {
+    DiskShelf shelf(folder);
+    CHECK(std::holds_alternative<Recovered>(shelf.open()));
+    Save first;
+    first.append.push_back({3, 3, 1, "body 3"});
+    CHECK(std::holds_alternative<std::monostate>(shelf.write(first)));
+    before = fs::file_size(newest_segment());
+    Save batch;
+    for (std::uint64_t index = 4; index <= 6; ++index)
+      batch.append.push_back({index, 3, 1, std::string(600, 'x')});
+    CHECK(std::holds_alternative<std::monostate>(shelf.write(batch)));
+  }
+  const std::string path = newest_segment(), copy = folder + "/kept";
+  const std::uintmax_t size = fs::file_size(path);
+  fs::copy_file(path, copy);
+  for (std::uintmax_t hole = before; hole + 40 < size; hole += 97) {
+    for (const auto &item : fs::directory_iterator(folder))
+      if (item.path() != copy && item.path().filename().string().starts_with("seg-") && item.path() > path)
+        fs::remove(item.path());
+    fs::copy_file(copy, path, fs::copy_options::overwrite_existing);
+    std::fstream file(path, std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(static_cast<std::streamoff>(hole));
+    file << std::string(40, '\0');
+    file.close();
+    const std::size_t found = entries_found();
+    CHECK(found >= 3 && found < 6);
+    LONGS_EQUAL(found, entries_found());
+  }
+}
+
+TEST(Shelf, a_segment_begun_when_power_went_stops_nobody) {
+  write_entries(1, 3);
+  int number = 100;
+  for (const std::string &head :
+       {std::string(), std::string(5, '\0'), std::string(40, '\0'), std::string("WHJSEG02abc")}) {
+    std::ofstream(folder + "/seg-" + std::to_string(number), std::ios::binary) << head;
+    LONGS_EQUAL(3, entries_found());
+    LONGS_EQUAL(3, entries_found());
+    number += 100;
+  }
+}
