--- a/packages/berth/berth.cpp
+++ b/packages/berth/berth.cpp
@@ -1,6 +1,7 @@
 #include "berth/berth.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace wharf {
 
@@ -490,7 +491,8 @@
 void Stevedore::rescale(Berth &berth, const BerthPlan &plan, Instant now) {
   const auto demand = static_cast<std::uint32_t>(taken(berth) + berth.pending_count);
   std::uint32_t need = (demand + plan.slots - 1) / plan.slots;
-  if (plan.must_spare && demand * 5 >= need * plan.slots * 4 && demand > 0) ++need;
+  if (plan.is_priced) need = priced_need(berth, plan, demand, now);
+  if (!plan.is_priced && demand * 5 >= need * plan.slots * 4 && demand > 0) ++need;
   if (plan.least > 0 && !plan.is_self_bounding) need = std::max(need, 2u);
   need = std::clamp(need, plan.least, plan.most);
   if (need > berth.target && berth.short_since == 0) berth.short_since = now;
@@ -513,6 +515,23 @@
   berth.target = std::clamp(std::min(kept, std::max(berth.target, need)), plan.least, plan.most);
 }
 
+std::uint32_t Stevedore::priced_need(Berth &berth, const BerthPlan &plan, std::uint32_t demand,
+                                     Instant now) const {
+  const double passed = static_cast<double>(now - berth.averaged_at) / static_cast<double>(options_.demand_over);
+  berth.demand += (berth.demand_last - berth.demand) * (1 - std::exp(-std::min(passed, 50.0)));
+  berth.averaged_at = now;
+  berth.demand_last = demand;
+  const auto slots = static_cast<double>(plan.slots);
+  const double spare = plan.must_spare ? options_.spare_deviations * std::sqrt(berth.demand) : 0;
+  auto need = static_cast<std::uint32_t>(std::ceil((berth.demand + spare) / slots - 0.05));
+  std::uint32_t usable = 0;
+  for (const auto &[id, hull] : berth.hulls) usable += !hull.is_leaving && !hull.must_retire ? 1 : 0;
+  const auto lanes = static_cast<Span>(std::max(1u, usable) * plan.slots);
+  const Span wait = static_cast<Span>(berth.pending_count) * berth.serve_guess / lanes;
+  if (wait > plan.wait_well) need = std::max(need, (demand + plan.slots - 1) / plan.slots);
+  return demand > 0 ? std::max(need, 1u) : need;
+}
+
 Span Stevedore::keep_for(const Level &level, const BerthPlan &plan) const {
   if (!plan.is_priced || level.gap == 0) return plan.idle;
   return level.gap <= plan.idle ? std::max(plan.idle, level.gap * 3) : plan.idle / 4;
--- a/packages/berth/berth.hpp
+++ b/packages/berth/berth.hpp
@@ -16,6 +16,8 @@
   Span boot = 0;
   /// True where `idle` follows from prices; then levels that are needed often are kept longer, others less.
   bool is_priced = false;
+  /// Where priced: how long errands may wait for a slot before more runners are worth starting.
+  Span wait_well = 0;
   /// A start takes longer than callers like to wait, so some slots are kept free.
   bool must_spare = true;
   /// Runners refuse what is above their slots themselves, so a slot in doubt is freed, not its runner ended.
@@ -33,6 +35,10 @@
   Span boot_guess = milliseconds(1500);
   /// How often a starting runner is asked whether it listens yet.
   Span knock_again = milliseconds(40);
+  /// The time over which a priced service's demand is averaged, and how many of its own deviations are kept free above
+  /// that average where a start is slow.
+  Span demand_over = seconds(1);
+  double spare_deviations = 1.3;
   /// Calls in a row that a self-bounding runner may lose before it is ended.
   std::uint32_t lost_most = 5;
 };
@@ -110,7 +116,9 @@
     std::uint32_t target = 0, needed = 0;
     /// For each number of runners: when that many were last needed, and how long it usually is until they are again.
     std::vector<Level> levels;
-    Instant short_since = 0;
+    Instant short_since = 0, averaged_at = 0;
+    double demand = 0;
+    std::uint32_t demand_last = 0;
     Span serve_guess = milliseconds(50), boot_guess = 0;
   };
 
@@ -126,6 +134,8 @@
   void refuse(const SlotAsk &ask, NodeId pilot, Span retry_after, std::string why, Outbox &out);
   void grant(Berth &berth, Waiting waiting, const std::string &runner, Instant now, Outbox &out);
   void make_room(Berth &berth, const BerthPlan &plan, const std::string &tenant, Outbox &out);
+  /// Runners a priced service needs, by its averaged demand and by how long errands would wait.
+  std::uint32_t priced_need(Berth &berth, const BerthPlan &plan, std::uint32_t demand, Instant now) const;
   /// How long a level that is not needed is kept.
   Span keep_for(const Level &level, const BerthPlan &plan) const;
   void rescale(Berth &berth, const BerthPlan &plan, Instant now);
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -23,6 +23,7 @@
   }
   constexpr double late_share = 0.6, calls_late = 2;
   plan.is_priced = true;
+  plan.wait_well = milliseconds(aim_ms) * 3 / 10;
   plan.must_spare = aim_ms == 0 || service.boot_ms * 14 / 10 >= aim_ms;
   const double gigabytes = static_cast<double>(service.memory_mb) / 1000;
   const double a_second = gigabytes * static_cast<double>(limits.memory_price) / 1000;
