Recover sooner: roster at once, owners proven ended, nodes go on as they were granted

A new leader waited out permits that could not run any more; successors of slots waited for a settled roster; successors took found runners for not needed and ended them; a silent owner left its nodes 5 percent of base, and an unknown ledger began a second in debt. Change: rosters older than the group's clock allows count no more; the first election comes 350 ms sooner; self-bounding slots need no settled roster; what a successor finds is kept as needed; nodes go on at the rate they were lately granted, halved after 2 s, and a successor charges 1.5 s of base for that; an unknown ledger whose predecessors are proven ended begins with 8 percent of a window; replicas get single charges, whole ledgers every 2 s.

--- a/packages/berth/berth.cpp
+++ b/packages/berth/berth.cpp
@@ -35,6 +35,15 @@
     if (runner.service != service) continue;
     take_view(berth.hulls[runner.id], runner, now);
   }
+  keep_found(berth, now);
+}
+
+void Stevedore::keep_found(Berth &berth, Instant now) const {
+  const auto found = static_cast<std::uint32_t>(std::count_if(
+      berth.hulls.begin(), berth.hulls.end(), [](const auto &item) { return !item.second.is_leaving; }));
+  if (berth.levels.size() < found) berth.levels.resize(found);
+  for (std::uint32_t at = 0; at < found; ++at) berth.levels[at].needed_at = now;
+  berth.target = std::max(berth.target, found);
 }
 
 void Stevedore::take_view(Hull &hull, const RunnerView &runner, Instant now) {
@@ -442,6 +451,7 @@
 void Stevedore::finish_learning(const std::string &service, Berth &berth, Instant now) {
   const BerthPlan &plan = plans_.at(service);
   berth.is_learning = false;
+  keep_found(berth, now);
   const bool is_whole =
       std::includes(berth.heard.begin(), berth.heard.end(), berth.expected.begin(), berth.expected.end());
   if (roster_.is_first || berth.is_inherited || is_whole || plan.is_self_bounding) return;
@@ -463,11 +473,13 @@
         for (NodeId pilot : berth.expected)
           if (!berth.heard.contains(pilot)) out.push_back({pilot, {}, InventoryAsk{service, roster_.epoch}});
       }
-      if (settled_ >= berth.since && berth.settled_at == 0) berth.settled_at = now;
+      const bool is_bounding = plan->second.is_self_bounding;
+      if ((settled_ >= berth.since || is_bounding) && berth.settled_at == 0) berth.settled_at = now;
+      const Span patience = is_bounding ? options_.inventory_brief : options_.inventory_patience;
       const bool is_whole =
           roster_.is_first || berth.is_inherited ||
           std::includes(berth.heard.begin(), berth.heard.end(), berth.expected.begin(), berth.expected.end());
-      if (berth.settled_at != 0 && (is_whole || now - berth.settled_at >= options_.inventory_patience))
+      if (berth.settled_at != 0 && (is_whole || now - berth.settled_at >= patience))
         finish_learning(service, berth, now);
     }
     for (auto &[id, hull] : berth.hulls) {
@@ -517,7 +529,8 @@
 
 std::uint32_t Stevedore::priced_need(Berth &berth, const BerthPlan &plan, std::uint32_t demand,
                                      Instant now) const {
-  const double passed = static_cast<double>(now - berth.averaged_at) / static_cast<double>(options_.demand_over);
+  const double passed =
+      static_cast<double>(now - berth.averaged_at) / static_cast<double>(options_.demand_over);
   berth.demand += (berth.demand_last - berth.demand) * (1 - std::exp(-std::min(passed, 50.0)));
   berth.averaged_at = now;
   berth.demand_last = demand;
--- a/packages/berth/berth.hpp
+++ b/packages/berth/berth.hpp
@@ -27,6 +27,8 @@
 
 struct BerthOptions {
   Span inventory_patience = milliseconds(500);
+  /// The same for self-bounding services, whose slots in doubt are no danger.
+  Span inventory_brief = milliseconds(60);
   Span inventory_again = milliseconds(100);
   Span free_grace = seconds(1);
   Span unreached_rest = milliseconds(500);
@@ -35,8 +37,8 @@
   Span boot_guess = milliseconds(1500);
   /// How often a starting runner is asked whether it listens yet.
   Span knock_again = milliseconds(40);
-  /// The time over which a priced service's demand is averaged, and how many of its own deviations are kept free above
-  /// that average where a start is slow.
+  /// The time over which a priced service's demand is averaged, and how many of its own deviations are kept
+  /// free above that average where a start is slow.
   Span demand_over = seconds(1);
   double spare_deviations = 1.3;
   /// Calls in a row that a self-bounding runner may lose before it is ended.
@@ -114,7 +116,8 @@
     std::size_t pending_count = 0;
     double seconds_budget = 1;
     std::uint32_t target = 0, needed = 0;
-    /// For each number of runners: when that many were last needed, and how long it usually is until they are again.
+    /// For each number of runners: when that many were last needed, and how long it usually is until they are
+    /// again.
     std::vector<Level> levels;
     Instant short_since = 0, averaged_at = 0;
     double demand = 0;
@@ -129,6 +132,8 @@
   void finish_learning(const std::string &service, Berth &berth, Instant now);
   void serve(const std::string &service, Berth &berth, Instant now, Outbox &out);
   Hull *free_hull(Berth &berth, const BerthPlan &plan, const SlotAsk &ask, Instant now, std::string &id);
+  /// Takes the runners that are there as needed a moment ago, as a successor does not know how many are.
+  void keep_found(Berth &berth, Instant now) const;
   void take_view(Hull &hull, const RunnerView &runner, Instant now);
   SlotSay held_say(const SlotAsk &ask, Berth &berth, const std::string &runner) const;
   void refuse(const SlotAsk &ask, NodeId pilot, Span retry_after, std::string why, Outbox &out);
--- a/packages/convoy/convoy.cpp
+++ b/packages/convoy/convoy.cpp
@@ -16,6 +16,7 @@
   remember_mates();
   heard_leader_ = now - options_.election_most;
   set_election(now);
+  election_at_ -= options_.first_sooner;
 }
 
 std::uint64_t Convoy::term_at(std::uint64_t index) const {
--- a/packages/convoy/convoy.hpp
+++ b/packages/convoy/convoy.hpp
@@ -56,6 +56,8 @@
 struct ConvoyOptions {
   Span election_least = milliseconds(500);
   Span election_most = milliseconds(1000);
+  /// How much sooner than usual the first election after a start may come, as no leader is expected then.
+  Span first_sooner = milliseconds(350);
   Span heartbeat = milliseconds(75);
   Span disk_patience = milliseconds(1500);
   std::size_t batch_entries = 256;
--- a/packages/harbour/harbour.cpp
+++ b/packages/harbour/harbour.cpp
@@ -93,6 +93,7 @@
   roster_differs_since_ = 0;
   if (is_leader) {
     floor_ = now + options_.fresh + options_.drift;
+    duty_floor_ = now + std::max(options_.fresh, options_.duty) + options_.drift;
     clock_at_ = now;
     pace_at_ = now;
     pace_ = 0;
@@ -255,17 +256,34 @@
 
 bool Harbour::is_all_known() const {
   const auto is_known = [this](NodeId pilot) { return seats_.contains(pilot) || ended_.contains(pilot); };
+  const auto at_risk = rosters_at_risk();
+  return std::all_of(at_risk.begin(), at_risk.end(), [&](const std::vector<NodeId> *pilots) {
+    return std::all_of(pilots->begin(), pilots->end(), is_known);
+  });
+}
+
+std::vector<const std::vector<NodeId> *> Harbour::rosters_at_risk() const {
   const Roster &roster = registry_.roster();
-  return std::all_of(roster.pilots.begin(), roster.pilots.end(), is_known) &&
-         std::all_of(roster.past.begin(), roster.past.end(), [&](const PastRoster &past) {
-           return std::all_of(past.pilots.begin(), past.pilots.end(), is_known);
-         });
+  const std::int64_t span_ms =
+      (std::max(options_.fresh, options_.duty) + options_.drift + options_.clock_every) / 1'000'000;
+  std::vector<const std::vector<NodeId> *> list{&roster.pilots};
+  std::int64_t replaced_ms = roster.taken_ms;
+  for (auto past = roster.past.rbegin(); past != roster.past.rend(); ++past) {
+    if (registry_.clock_ms() - replaced_ms > span_ms) break;
+    list.push_back(&past->pilots);
+    replaced_ms = past->taken_ms;
+  }
+  return list;
 }
 
 Span Harbour::quiet_for(Instant now) const {
   Instant last = 0;
-  for (const PastRoster &past : registry_.roster().past)
-    for (NodeId pilot : past.pilots) {
+  const Roster &roster = registry_.roster();
+  if (roster.past.empty()) return 0;
+  auto earlier = rosters_at_risk();
+  earlier.front() = &roster.past.back().pilots;
+  for (const std::vector<NodeId> *pilots : earlier)
+    for (NodeId pilot : *pilots) {
       const auto found = ended_.find(pilot);
       if (found == ended_.end()) return 0;
       last = std::max(last, found->second);
@@ -343,7 +361,8 @@
   }
   orders.since_stamp = seat.stamp;
   for (const RunnerView &view : views_)
-    if (const auto found = view_stamps_.find(view.id); found != view_stamps_.end() && found->second > seat.stamp)
+    if (const auto found = view_stamps_.find(view.id);
+        found != view_stamps_.end() && found->second > seat.stamp)
       orders.runners.push_back(view);
   for (const auto &[stamp, runner] : views_gone_)
     if (stamp > seat.stamp) orders.gone.push_back(runner);
@@ -367,7 +386,7 @@
 }
 
 Epoch Harbour::settled_epoch(Instant now) const {
-  if (!is_leading() || (now < floor_ && !is_all_known())) return 0;
+  if (!is_leading() || (now < duty_floor_ && !is_all_known())) return 0;
   Epoch lowest = registry_.roster().epoch;
   for (const auto &[pilot, seat] : seats_)
     if (seat.duty_until > now) lowest = std::min(lowest, seat.epoch);
@@ -705,7 +724,7 @@
 void Harbour::tend_roster(Instant now, HarbourOutput &out) {
   if (is_roster_proposed_) return;
   const Roster &roster = registry_.roster();
-  if (now < floor_ && roster.epoch != 0 && !is_all_known()) return;
+  if (options_.must_wait_roster && now < duty_floor_ && roster.epoch != 0 && !is_all_known()) return;
   std::vector<NodeId> wanted;
   for (const auto &[pilot, seat] : seats_)
     if (!seat.is_leaving && now - seat.last_pulse < options_.pilot_silence) wanted.push_back(pilot);
--- a/packages/harbour/harbour.hpp
+++ b/packages/harbour/harbour.hpp
@@ -103,6 +103,9 @@
   Span clock_every = seconds(5);
   /// How long after a change what was foretold is set beside what came.
   Span outlook_after = seconds(30);
+  /// True where a new leader waits until it may settle a roster before it changes it; else successors are
+  /// named at once, and those that must wait for a settled roster do so themselves.
+  bool must_wait_roster = true;
   /// False only to show that a checker can fail.
   bool must_try = true;
   /// False for first come, first served and the first worker that fits: the plain way, to measure against.
@@ -192,6 +195,10 @@
   void answer_pulse(const Envelope &envelope, const Pulse &pulse, Instant now, HarbourOutput &out);
   /// How long ago all pilots of earlier rosters had provably ended; 0 when some may still act.
   Span quiet_for(Instant now) const;
+  /// The rosters whose owners may still act: the newest and those it took the place of a short while ago, by
+  /// the group's own clock. With every permit goes the newest roster, so older ones have ended with their
+  /// permits.
+  std::vector<const std::vector<NodeId> *> rosters_at_risk() const;
   /// True when no pilot of any roster could act on a permit that this leader does not know of.
   bool is_all_known() const;
   std::string address_of_pilot(NodeId pilot) const;
@@ -247,7 +254,8 @@
   std::uint64_t applied_ = 0;
 
   bool was_leader_ = false;
-  Instant floor_ = 0;
+  /// Until when permits, and duties, of leaders before may run.
+  Instant floor_ = 0, duty_floor_ = 0;
   std::map<NodeId, Seat> seats_;
   /// Pilots that ended before another began at their address, and when at the latest.
   std::map<NodeId, Instant> ended_;
--- a/packages/harbour/registry.cpp
+++ b/packages/harbour/registry.cpp
@@ -94,13 +94,14 @@
 
 Applied Registry::apply_one(const PutRoster &command) {
   if (roster_.epoch != 0) {
-    roster_.past.push_back({roster_.epoch, roster_.pilots, roster_.addresses});
+    roster_.past.push_back({roster_.epoch, roster_.pilots, roster_.addresses, roster_.taken_ms});
     if (roster_.past.size() > past_kept) roster_.past.erase(roster_.past.begin());
   }
   roster_.is_first = roster_.epoch == 0;
   ++roster_.epoch;
   roster_.pilots = command.pilots;
   roster_.addresses = command.addresses;
+  roster_.taken_ms = clock_ms_;
   return {};
 }
 
--- a/packages/harbour/registry.hpp
+++ b/packages/harbour/registry.hpp
@@ -104,6 +104,8 @@
   Version version_of_write(const std::string &write_id) const;
   void set_claim_keep(std::int64_t keep_ms) { claim_keep_ms_ = keep_ms; }
   std::size_t answer_bytes() const { return answer_bytes_; }
+  /// The group's own clock, which trails the leader's by one step of it at most.
+  std::int64_t clock_ms() const { return clock_ms_; }
   std::uint64_t next_runner() const { return next_runner_; }
 
 private:
--- a/packages/helm/harbour_helm.cpp
+++ b/packages/helm/harbour_helm.cpp
@@ -52,6 +52,11 @@
   HarbourHelmOptions made;
   made.harbour.platform_pace = static_cast<double>(options.pace);
   made.harbour.may_found = options.may_found != 0;
+  made.harbour.duty = helm_duty;
+  made.harbour.pilot_silence = milliseconds(900);
+  made.harbour.enrol_gather = milliseconds(150);
+  made.harbour.must_wait_roster = false;
+  made.harbour.clock_every = seconds(1);
   return made;
 }
 
--- a/packages/helm/pilot_helm.cpp
+++ b/packages/helm/pilot_helm.cpp
@@ -51,6 +51,13 @@
 PilotHelmOptions pilot_helm_options(const ProcessOptions &) {
   PilotHelmOptions made;
   made.pilot.purser.life = seconds(1);
+  made.pilot.purser.fallback_taken = milliseconds(1500);
+  made.pilot.purser.start_slack = 0.08;
+  made.pilot.fallback_as_before = 1;
+  made.pilot.fallback_burst_s = 0.3;
+  made.pilot.fallback_after = milliseconds(200);
+  made.pilot.duty = helm_duty;
+  made.pilot.report_again = milliseconds(250);
   made.pilot.sound_again = seconds(10);
   made.pilot.soundings_most = 60;
   return made;
--- a/packages/helm/wires.hpp
+++ b/packages/helm/wires.hpp
@@ -9,6 +9,10 @@
 
 namespace wharf {
 
+/// How long owners may act on one permit where pilots serve on while cut off: as long as the permit, as nodes
+/// go on as they did while an owner is silent, and successors of slots need not wait.
+constexpr Span helm_duty = seconds(2);
+
 /// What callers speak, as a seam: a translation and nothing more.
 class CallersWire {
 public:
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -275,9 +275,9 @@
     is_switched = true;
   }
   const bool takes_runners =
-      orders.has_runners && (orders.since_stamp == 0 || (orders.since_stamp <= runners_stamp_ &&
-                                                         orders.runners_stamp > runners_stamp_ &&
-                                                         orders.term == runners_term_));
+      orders.has_runners &&
+      (orders.since_stamp == 0 || (orders.since_stamp <= runners_stamp_ &&
+                                   orders.runners_stamp > runners_stamp_ && orders.term == runners_term_));
   if (takes_runners) {
     if (orders.since_stamp == 0) runners_.clear();
     for (const std::string &gone : orders.gone) runners_.erase(gone);
@@ -366,6 +366,7 @@
   Till &till = tills_[tenant];
   till.name = errand.bill.tenant;
   ++till.recent;
+  if (errand.bill.permit != 0) ++till.paid_recent;
   soundings_.arrived(errand.bill.tenant, errand.bill.rule, errand.bill.service, errand.bill.call);
   std::string steps;
   for (Step step : errand.bill.steps) steps += " " + std::string(step_name(step));
@@ -751,14 +752,18 @@
   if (tenant == nullptr || roster_.pilots.empty()) return false;
   std::size_t nodes = roster_.pilots.size();
   for (const PastRoster &past : roster_.past) nodes = std::max(nodes, past.pilots.size());
-  const double rate =
-      options_.fallback_share * static_cast<double>(tenant->base) / static_cast<double>(nodes);
+  const double even = static_cast<double>(tenant->base) / static_cast<double>(nodes);
+  const bool is_long = till.unanswered_since != 0 && now - till.unanswered_since > options_.fallback_whole;
+  const double as_before =
+      std::min(till.paid_rate * options_.fallback_as_before, 3 * even) * (is_long ? 0.5 : 1.0);
+  const double rate = std::max(options_.purser.fallback_share * even, as_before);
   if (!till.is_fallback) {
     till.is_fallback = true;
     till.fallback_at = now;
     till.fallback = 0;
   }
-  till.fallback = std::min(1.0, till.fallback + rate * static_cast<double>(now - till.fallback_at) / 1e9);
+  till.fallback = std::min(std::max(1.0, rate * options_.fallback_burst_s),
+                           till.fallback + rate * static_cast<double>(now - till.fallback_at) / 1e9);
   till.fallback_at = now;
   if (till.fallback < 1.0) return false;
   till.fallback -= 1.0;
@@ -835,6 +840,7 @@
     Afloat &errand = afloat_.at(id);
     errand.bill.is_paid = true;
     errand.bill.permit = permit;
+    if (permit != 0) ++till.paid_recent;
     note(errand, now, "paid");
     next_step(id, now, out);
   }
@@ -917,6 +923,12 @@
   if (till.rate_at == 0) till.rate_at = now;
   if (now - till.rate_at >= milliseconds(200)) {
     const double fresh = static_cast<double>(till.recent) * 1e9 / static_cast<double>(now - till.rate_at);
+    if (till.unanswered_since == 0 || now - till.unanswered_since < options_.silent_owner) {
+      const double paid =
+          static_cast<double>(till.paid_recent) * 1e9 / static_cast<double>(now - till.rate_at);
+      till.paid_rate = till.paid_rate * 0.9 + paid * 0.1;
+    }
+    till.paid_recent = 0;
     till.rate = till.rate * 0.5 + fresh * 0.5;
     till.recent = 0;
     till.rate_at = now;
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -84,7 +84,12 @@
   Span silent_owner = milliseconds(100);
   double silent_line_share = 0.2;
   Span fallback_after = milliseconds(300);
-  double fallback_share = 0.05;
+  /// How many seconds of the fallback share may be spent at once.
+  double fallback_burst_s = 0;
+  /// A node whose owner fell silent goes on as it was lately granted, this share of it, for so long, then at
+  /// half.
+  double fallback_as_before = 0;
+  Span fallback_whole = seconds(2);
   Span claim_again = milliseconds(200);
   Span berth_again = milliseconds(150);
   Span free_again = milliseconds(200);
@@ -173,6 +178,10 @@
     double rate = 0, fallback = 0;
     Instant fallback_at = 0;
     bool is_fallback = false;
+    /// Errands paid from permits since the rate was last taken, and that rate; what a silent owner let this
+    /// node spend.
+    std::uint64_t paid_recent = 0;
+    double paid_rate = 0;
     std::uint64_t served = 0;
     std::map<std::uint64_t, Outlay> outlays;
     Instant reported_at = 0;
--- a/packages/purser/purser.cpp
+++ b/packages/purser/purser.cpp
@@ -148,8 +148,10 @@
   ++unknown_starts_;
   ledger.charges.clear();
   ledger.blind_before = roster_.epoch;
-  const double passed = static_cast<double>(std::max<Span>(0, quiet_ - options_.life)) / 1e9;
-  ledger.tokens = std::min(allowance.base + allowance.burst, allowance.base * (passed - 1.0));
+  const double passed = static_cast<double>(std::max<Span>(0, quiet_ - options_.arrive_late)) / 1e9;
+  const double window = allowance.base * static_cast<double>(options_.quota_window) / 1e9 + allowance.burst;
+  ledger.tokens = std::min(allowance.base + allowance.burst,
+                           allowance.base * (passed - 1.0) + window * options_.start_slack);
   ledger.refilled_at = now;
 }
 
@@ -163,6 +165,11 @@
       start_unknown(allowance, ledger, now);
     }
   }
+  if (!roster_.is_first && quiet_ == 0 && options_.fallback_taken > 0) {
+    const double taken =
+        allowance.base * options_.fallback_taken_share * static_cast<double>(options_.fallback_taken) / 1e9;
+    charge(ledger, static_cast<std::uint32_t>(std::ceil(taken)), now + options_.quota_window);
+  }
   ledger.post = Post::ready;
   ++ledger.sequence;
   ledger.acked = 0;
@@ -170,12 +177,24 @@
   ledger.answers.clear();
 }
 
+void Purser::charge(Ledger &ledger, std::uint32_t tokens, Instant expires) const {
+  const Instant until = (expires + options_.charge_step - 1) / options_.charge_step * options_.charge_step;
+  for (auto entry = ledger.charges.rbegin(); entry != ledger.charges.rend(); ++entry) {
+    if (entry->permit != 0 || entry->expires != until) continue;
+    entry->tokens += tokens;
+    return;
+  }
+  ledger.charges.push_back({0, 0, tokens, 0, 0, until, false, false});
+}
+
 void Purser::tick(Instant now, Outbox &out) {
   for (auto &[tenant, ledger] : ledgers_) {
     if (ledger.post == Post::awaiting && settled_ >= roster_.epoch && allowances_.contains(tenant) &&
         now < fresh_until_) {
       if (ledger.settled_at == 0) ledger.settled_at = now;
-      if (ledger.has_copy || roster_.is_first || now - ledger.settled_at >= options_.handover_patience)
+      const bool can_hand_over = quiet_ == 0 || options_.start_slack == 0;
+      if (ledger.has_copy || roster_.is_first || !can_hand_over ||
+          now - ledger.settled_at >= options_.handover_patience)
         begin(tenant, ledger, now, out);
     }
     const bool must_copy = ledger.post == Post::ready && ledger.sequence > ledger.acked;
@@ -196,9 +215,31 @@
     release(ledger, out);
     return;
   }
+  ledger.whole_at = now;
   out.push_back({replica, {}, copy_of(tenant, ledger, now, false)});
 }
 
+void Purser::send_charge(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out) {
+  const NodeId replica = replica_in(roster_.pilots, tenant);
+  const bool has_all = ledger.acked + 1 == ledger.sequence && ledger.whole_at != 0;
+  if (replica == 0 || !has_all || now - ledger.whole_at >= options_.copy_whole) {
+    send_copy(tenant, ledger, now, out);
+    return;
+  }
+  const Entry &entry = ledger.charges.back();
+  LedgerCopy copy;
+  copy.tenant = tenant;
+  copy.epoch = roster_.epoch;
+  copy.sequence = ledger.sequence;
+  copy.next_permit = ledger.next_permit;
+  copy.tokens = ledger.tokens;
+  copy.is_delta = true;
+  copy.charges.push_back({entry.permit, entry.node, entry.tokens, entry.granted, entry.gone,
+                          entry.expires - now, entry.is_open, entry.is_final});
+  ledger.copied_at = now;
+  out.push_back({replica, {}, std::move(copy)});
+}
+
 void Purser::release(Ledger &ledger, Outbox &out) {
   while (!ledger.answers.empty() && ledger.answers.front().sequence <= ledger.acked) {
     out.push_back({ledger.answers.front().to, {}, ledger.answers.front().say});
@@ -267,17 +308,7 @@
   }
   std::erase_if(ledger.charges,
                 [](const Entry &entry) { return entry.tokens == 0 && (!entry.is_open || entry.is_final); });
-  for (const Entry &entry : closed) {
-    if (!ledger.charges.empty()) {
-      Entry &last = ledger.charges.back();
-      if (!last.is_open && entry.expires - last.expires < milliseconds(20)) {
-        last.tokens += entry.tokens;
-        last.expires = entry.expires;
-        continue;
-      }
-    }
-    ledger.charges.push_back(entry);
-  }
+  for (const Entry &entry : closed) charge(ledger, entry.tokens, entry.expires);
 }
 
 void Purser::step(NodeId from, const Signal &signal, Instant now, Outbox &out) {
@@ -335,7 +366,7 @@
       {say.permit, from, granted, granted, 0, now + options_.life + options_.quota_window, true, false});
   ++ledger.sequence;
   ledger.answers.push_back({ledger.sequence, from, say});
-  send_copy(ask.tenant, ledger, now, out);
+  send_charge(ask.tenant, ledger, now, out);
 }
 
 void Purser::handle(NodeId from, const LedgerCopy &copy, Instant now, Outbox &out) {
@@ -354,6 +385,9 @@
         ledger.has_copy && (copy.epoch < ledger.copy_epoch ||
                             (copy.epoch == ledger.copy_epoch && copy.sequence < ledger.sequence));
     if (is_older) return;
+    const bool follows =
+        ledger.has_copy && copy.epoch == ledger.copy_epoch && copy.sequence == ledger.sequence + 1;
+    if (copy.is_delta && !follows) return;
     out.push_back({from, {}, ack});
   }
   ledger.copy_epoch = copy.epoch;
@@ -362,7 +396,8 @@
   ledger.next_permit = copy.next_permit;
   ledger.tokens = copy.tokens;
   ledger.refilled_at = now;
-  ledger.charges.clear();
+  if (!copy.is_delta) ledger.charges.clear();
+  std::erase_if(ledger.charges, [now](const Entry &entry) { return entry.expires <= now; });
   for (const Charge &charge : copy.charges)
     ledger.charges.push_back({charge.permit, charge.node, charge.tokens, charge.granted, charge.gone,
                               now + charge.age, charge.is_open, charge.is_final});
--- a/packages/purser/purser.hpp
+++ b/packages/purser/purser.hpp
@@ -19,7 +19,21 @@
   Span quota_window = seconds(5);
   Span handover_patience = milliseconds(300);
   Span copy_again = milliseconds(80);
+  /// How often a replica gets the whole ledger; between, only each new charge.
+  Span copy_whole = seconds(2);
   double permit_share = 0.10;
+  /// What all nodes together may spend of base a second while an owner is silent, and for how long a
+  /// successor takes it that they did.
+  double fallback_share = 0.05;
+  Span fallback_taken = 0;
+  double fallback_taken_share = 1;
+  /// What an owner that knows nothing may grant above what is proven left, as a share of a quota window's
+  /// allowance.
+  double start_slack = 0;
+  /// How long after the end of the pilots before something they sent may still arrive.
+  Span arrive_late = milliseconds(250);
+  /// Charges that end within the same of these spans are kept as one.
+  Span charge_step = milliseconds(100);
   /// Multiplies every allowance; other than 1 only to show that a checker can fail.
   double slack = 1;
 };
@@ -70,7 +84,7 @@
     bool has_copy = false;
     /// Permits of earlier epochs may be out that this ledger has never seen.
     Epoch blind_before = 0;
-    Instant settled_at = 0, copied_at = 0;
+    Instant settled_at = 0, copied_at = 0, whole_at = 0;
     std::deque<Answer> answers;
     NodeId handover_to = 0;
     Epoch handover_epoch = 0;
@@ -94,8 +108,12 @@
   bool was_owner_since(Epoch epoch, const std::string &tenant) const;
   bool is_copy_whole(const std::string &tenant, const Ledger &ledger) const;
   void begin(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out);
+  /// Keeps tokens charged until they are older than the quota window.
+  void charge(Ledger &ledger, std::uint32_t tokens, Instant expires) const;
   void start_unknown(const Allowance &allowance, Ledger &ledger, Instant now);
   void send_copy(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out);
+  /// Sends the newest charge alone when the replica has all before it, else the whole ledger.
+  void send_charge(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out);
   void release(Ledger &ledger, Outbox &out);
 
   NodeId self_;
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -42,8 +42,8 @@
   std::uint64_t beat = 0;
   WHARF_CARRY(id, beat)
 };
-/// Membership gossip: the sender, what is new to it, the beats of all others it knows to live, and whom it knows
-/// only by a beat and asks about.
+/// Membership gossip: the sender, what is new to it, the beats of all others it knows to live, and whom it
+/// knows only by a beat and asks about.
 struct Muster {
   std::vector<Member> members;
   std::vector<Beat> beats;
@@ -156,7 +156,9 @@
   Epoch epoch = 0;
   std::vector<NodeId> pilots;
   std::vector<std::string> addresses;
-  WHARF_CARRY(epoch, pilots, addresses)
+  /// When it was taken, by the group's own clock.
+  std::int64_t taken_ms = 0;
+  WHARF_CARRY(epoch, pilots, addresses, taken_ms)
 };
 
 /// Who serves as purser and stevedore, by epoch.
@@ -167,7 +169,8 @@
   bool is_first = false;
   /// Where each pilot listens, in the order of `pilots`.
   std::vector<std::string> addresses;
-  WHARF_CARRY(epoch, pilots, past, is_first, addresses)
+  std::int64_t taken_ms = 0;
+  WHARF_CARRY(epoch, pilots, past, is_first, addresses, taken_ms)
 };
 
 /// Ranks nodes for a name by highest random weight; the first is its owner, the second its replica.
@@ -316,7 +319,9 @@
   double tokens = 0;
   std::vector<Charge> charges;
   bool is_handover = false;
-  WHARF_CARRY(tenant, epoch, sequence, next_permit, tokens, charges, is_handover)
+  /// True when `charges` holds only what the sequence number before did not have.
+  bool is_delta = false;
+  WHARF_CARRY(tenant, epoch, sequence, next_permit, tokens, charges, is_handover, is_delta)
 };
 struct LedgerAck {
   std::string tenant;
