Test recovery, starts by the platform's names, and the loop's door and calls

Ruled out: nothing; no behaviour changes. Change: 17 tests of the state machines (found runners kept, slots in doubt, knocks, repeats, serving while cut off, changed views, silent owners, numbered versions, named starts, beats, single charges) and 11 of the loop over loopback (framing at every cut, order on a link, lost against unreached, surplus answers, knocks).

--- /dev/null
+++ b/tests/anchorage_test.cpp
@@ -0,0 +1,287 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <optional>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "anchorage/http_calls.hpp"
+#include "anchorage/http_door.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wharf;
+
+namespace {
+std::string free_address() {
+  const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in place{};
+  place.sin_family = AF_INET;
+  place.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof place;
+  bind(descriptor, reinterpret_cast<sockaddr *>(&place), size);
+  getsockname(descriptor, reinterpret_cast<sockaddr *>(&place), &size);
+  close(descriptor);
+  return "127.0.0.1:" + std::to_string(ntohs(place.sin_port));
+}
+
+/// A runner that answers each request with bytes the test has laid out, and may end its link then.
+class Scripted final : public Watched {
+public:
+  Scripted(Loop &loop, std::string address) : loop_(loop), listener_(open_listener(address, 8)) {
+    loop_.add(listener_, 1, *this);
+  }
+  ~Scripted() override {
+    close(listener_);
+    if (link_ >= 0) close(link_);
+  }
+  void ready(std::uint32_t) override {
+    if (link_ < 0) {
+      link_ = accept(listener_, nullptr, nullptr);
+      ++links;
+    }
+    char bytes[4096];
+    const ssize_t count = recv(link_, bytes, sizeof bytes, MSG_DONTWAIT);
+    if (count <= 0) {
+      if (count == 0) end();
+      loop_.add(link_ >= 0 ? link_ : listener_, 1, *this);
+      return;
+    }
+    seen.append(bytes, static_cast<std::size_t>(count));
+    if (!answer.empty()) (void)!send(link_, answer.data(), answer.size(), MSG_NOSIGNAL);
+    if (must_end) end();
+  }
+  void end() {
+    loop_.remove(link_);
+    close(link_);
+    link_ = -1;
+  }
+  std::string seen, answer;
+  bool must_end = false;
+  int links = 0;
+
+private:
+  Loop &loop_;
+  int listener_, link_ = -1;
+};
+
+struct Caller {
+  Loop loop;
+  std::string address = free_address();
+  HttpCalls calls{loop, HttpCallOptions{}};
+  SteadyTide tide;
+  std::optional<CallAnswer> answer;
+
+  CallAnswer call(const std::string &method = "GET", Span within = milliseconds(300)) {
+    answer.reset();
+    HttpCall one;
+    one.address = address;
+    one.peer = "r";
+    one.request.method = method;
+    one.request.target = "/x";
+    one.request.set("Id", "mine");
+    one.deadline = tide.now() + within;
+    one.is_mine = [](const HttpMessage &response) {
+      const std::string *id = response.find("Id");
+      return id == nullptr || *id == "mine";
+    };
+    one.done = [this](CallAnswer &&given) { answer = std::move(given); };
+    calls.call(std::move(one));
+    for (int turn = 0; turn < 400 && !answer; ++turn) {
+      loop.turn(milliseconds(5));
+      calls.tick(tide.now());
+    }
+    CHECK(answer.has_value());
+    return *answer;
+  }
+};
+
+class Echo final : public HttpDoorSink {
+public:
+  void asked(LinkId link, HttpMessage &&request) override {
+    requests.push_back(request);
+    if (is_slow) {
+      waiting = link;
+      return;
+    }
+    HttpMessage response;
+    response.status = 200;
+    response.body = request.method + " " + request.target + " " + request.body;
+    door->answer(link, response, true);
+  }
+  void left(LinkId) override { ++gone; }
+  HttpDoor *door = nullptr;
+  std::vector<HttpMessage> requests;
+  LinkId waiting = 0;
+  int gone = 0;
+  bool is_slow = false;
+};
+
+struct Doored {
+  Loop loop;
+  std::string address = free_address();
+  Echo echo;
+  HttpDoor door{loop, address, echo, HttpDoorOptions{}};
+  int link = -1;
+  Doored() {
+    echo.door = &door;
+    link = open_call(address, seconds(1));
+    turn();
+  }
+  ~Doored() {
+    if (link >= 0) close(link);
+  }
+  void turn() {
+    for (int at = 0; at < 6; ++at) loop.turn(milliseconds(1));
+  }
+  std::string say(const std::string &bytes) {
+    if (!bytes.empty()) (void)!send(link, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    turn();
+    char buffer[65536];
+    const ssize_t count = recv(link, buffer, sizeof buffer, MSG_DONTWAIT);
+    return count > 0 ? std::string(buffer, static_cast<std::size_t>(count)) : std::string();
+  }
+};
+} // namespace
+
+TEST_GROUP(Anchorage){};
+
+TEST(Anchorage, a_request_is_the_same_however_its_bytes_are_cut) {
+  const std::string bytes = "POST /a?b=%20c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            "4\r\nbody\r\n3\r\n-ed\r\n0\r\n\r\nGET /next HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (std::size_t cut = 1; cut < bytes.size(); ++cut) {
+    HttpReader reader(HttpReader::Side::requests);
+    std::vector<HttpMessage> messages;
+    for (std::string_view part :
+         {std::string_view(bytes).substr(0, cut), std::string_view(bytes).substr(cut)})
+      while (!part.empty()) {
+        std::size_t used = 0;
+        const Reading reading = reader.feed(part, used);
+        CHECK(reading == Reading::whole || reading == Reading::partial);
+        part.remove_prefix(used);
+        if (reading == Reading::whole) messages.push_back(reader.take());
+      }
+    LONGS_EQUAL(2, messages.size());
+    STRCMP_EQUAL("/a?b=%20c", messages[0].target.c_str());
+    STRCMP_EQUAL("body-ed", messages[0].body.c_str());
+    STRCMP_EQUAL("/next", messages[1].target.c_str());
+  }
+}
+
+TEST(Anchorage, doubtful_framing_and_what_is_too_large_is_refused_and_ends_the_link) {
+  const std::pair<std::string, const char *> cases[] = {
+      {"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", "400"},
+      {"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc", "400"},
+      {"NONSENSE\r\n\r\n", "400"},
+      {"GET / HTTP/1.1\r\nX: " + std::string(70'000, 'x') + "\r\n\r\n", "431"},
+      {"POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n", "413"}};
+  for (const auto &[bytes, status] : cases) {
+    Doored doored;
+    std::string answer = doored.say(bytes);
+    for (int at = 0; at < 20 && answer.empty(); ++at) answer = doored.say("");
+    STRCMP_CONTAINS((std::string("HTTP/1.1 ") + status).c_str(), answer.c_str());
+    STRCMP_CONTAINS("Connection: close", answer.c_str());
+    CHECK(doored.echo.requests.empty());
+  }
+}
+
+TEST(Anchorage, one_link_carries_one_request_after_another_in_order) {
+  Doored doored;
+  doored.echo.is_slow = true;
+  CHECK(doored.say("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n").empty());
+  LONGS_EQUAL(1, doored.echo.requests.size());
+  doored.echo.is_slow = false;
+  HttpMessage response;
+  response.status = 204;
+  doored.door.answer(doored.echo.waiting, response, true);
+  const std::string answers = doored.say("");
+  CHECK(answers.find("204") < answers.find("GET /2"));
+  doored.door.drain();
+  STRCMP_CONTAINS("Connection: close", doored.say("GET /3 HTTP/1.1\r\n\r\n").c_str());
+}
+
+TEST(Anchorage, a_caller_that_leaves_is_told_of_once_and_its_answer_goes_nowhere) {
+  Doored doored;
+  doored.echo.is_slow = true;
+  doored.say("GET /1 HTTP/1.1\r\n\r\n");
+  close(doored.link);
+  doored.link = -1;
+  doored.turn();
+  LONGS_EQUAL(1, doored.echo.gone);
+  HttpMessage response;
+  response.status = 200;
+  doored.door.answer(doored.echo.waiting, response, true);
+  doored.turn();
+  LONGS_EQUAL(0, doored.door.links());
+}
+
+TEST(Anchorage, a_call_nobody_listens_to_was_not_sent) {
+  Caller caller;
+  CHECK(caller.call().fate == CallFate::unreached);
+}
+
+TEST(Anchorage, a_link_ended_after_the_request_went_out_is_lost_never_unreached) {
+  Caller caller;
+  Scripted runner(caller.loop, caller.address);
+  runner.must_end = true;
+  CHECK(caller.call("POST").fate == CallFate::lost);
+}
+
+TEST(Anchorage, an_answer_that_ends_early_or_is_none_is_garbled) {
+  for (const std::string bytes :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", "no answer at all\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbo"}) {
+    Caller caller;
+    Scripted runner(caller.loop, caller.address);
+    runner.answer = bytes;
+    runner.must_end = true;
+    CHECK(caller.call().fate == CallFate::garbled);
+  }
+}
+
+TEST(Anchorage, an_answer_to_another_request_is_passed_over) {
+  Caller caller;
+  Scripted runner(caller.loop, caller.address);
+  runner.answer = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrong"
+                  "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 5\r\n\r\nright";
+  const CallAnswer answer = caller.call();
+  CHECK(answer.fate == CallFate::answered);
+  STRCMP_EQUAL("right", answer.response.body.c_str());
+}
+
+TEST(Anchorage, a_link_is_kept_after_a_whole_answer_and_not_after_a_surplus_one) {
+  Caller caller;
+  Scripted runner(caller.loop, caller.address);
+  const std::string right = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 5\r\n\r\nright";
+  runner.answer = right;
+  CHECK(!caller.call().was_reused);
+  CHECK(caller.call().was_reused);
+  LONGS_EQUAL(1, caller.calls.opened());
+  runner.answer = right + right;
+  CHECK(caller.call().fate == CallFate::answered);
+  for (int at = 0; at < 5; ++at) caller.loop.turn(milliseconds(1));
+  runner.answer = right;
+  CHECK(!caller.call().was_reused);
+}
+
+TEST(Anchorage, a_silent_peer_is_late_at_the_deadline) {
+  Caller caller;
+  Scripted runner(caller.loop, caller.address);
+  CHECK(caller.call("GET", milliseconds(60)).fate == CallFate::late);
+}
+
+TEST(Anchorage, a_knock_tells_whether_anything_listens) {
+  for (const bool listens : {false, true}) {
+    Caller caller;
+    std::optional<Scripted> runner;
+    if (listens) runner.emplace(caller.loop, caller.address);
+    std::optional<bool> told;
+    caller.calls.knock(caller.address, "r", caller.tide.now() + milliseconds(200),
+                       [&](bool is_up) { told = is_up; });
+    for (int turn = 0; turn < 100 && !told; ++turn) {
+      caller.loop.turn(milliseconds(5));
+      caller.calls.tick(caller.tide.now());
+    }
+    CHECK(told.has_value());
+    LONGS_EQUAL(listens, *told);
+  }
+}
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -15,7 +15,8 @@
 using Json = nlohmann::json;
 
 namespace {
-HttpMessage message(std::string method, std::string target, std::vector<HttpHeader> headers = {}, std::string body = {}) {
+HttpMessage message(std::string method, std::string target, std::vector<HttpHeader> headers = {},
+                    std::string body = {}) {
   HttpMessage made;
   made.method = std::move(method);
   made.target = std::move(target);
@@ -87,7 +88,8 @@
   STRCMP_EQUAL("shop.example", head.host.c_str());
   STRCMP_EQUAL("key-000001", head.key.c_str());
   LONGS_EQUAL(2500, head.wait_ms);
-  for (const char *gone : {"Authorization", tenant_header, expect_header, deadline_header, "Connection", "X-Hop"})
+  for (const char *gone :
+       {"Authorization", tenant_header, expect_header, deadline_header, "Connection", "X-Hop"})
     CHECK(request.find(gone) == nullptr);
   for (const char *kept : {"X-Kept", attempt_header, "Host"}) CHECK(request.find(kept) != nullptr);
 }
@@ -178,7 +180,8 @@
   Reply reply;
   reply.fate = Fate::answered;
   const HttpMessage returned =
-      answer(500, {{seal_header, "3e1b"}, {"Connection", "close"}, {"Keep-Alive", "timeout=3"}, {"X", "y"}}, "bytes");
+      answer(500, {{seal_header, "3e1b"}, {"Connection", "close"}, {"Keep-Alive", "timeout=3"}, {"X", "y"}},
+             "bytes");
   const HttpMessage response = callers.tell(reply, &returned);
   LONGS_EQUAL(500, response.status);
   STRCMP_EQUAL("bytes", response.body.c_str());
@@ -331,10 +334,11 @@
   LONGS_EQUAL(4096, workers[0].memory_mb);
   std::vector<RunnerSeen> runners;
   std::string next;
-  CHECK(api.read_runners(answer(200, {}, R"({"runners": [{"target": "till", "address": "10.1.0.9:80", "zone": "a",
+  CHECK(api.read_runners(
+      answer(200, {}, R"({"runners": [{"target": "till", "address": "10.1.0.9:80", "zone": "a",
       "generation": "v1", "capacity": 8, "phase": "draining", "coldLeftMs": 0, "id": "i-7", "workerId": "w-3"}],
       "nextToken": "p-50"})"),
-                         runners, next));
+      runners, next));
   STRCMP_EQUAL("p-50", next.c_str());
   CHECK(runners[0].phase == RunnerPhase::stopping && runners[0].worker == "w-3" && runners[0].id == "i-7");
   CHECK(api.read_runners(answer(200, {}, R"({"runners": [], "nextToken": null})"), runners, next));
--- /dev/null
+++ b/tests/recovery_test.cpp
@@ -0,0 +1,468 @@
+#include <cmath>
+
+#include "harbour/harbour.hpp"
+#include "rig.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wharf;
+
+namespace {
+constexpr Instant start = seconds(100);
+
+BerthPlan priced_plan() {
+  BerthPlan plan;
+  plan.slots = 2;
+  plan.most = 50;
+  plan.idle = seconds(2);
+  plan.boot = milliseconds(800);
+  plan.wait_well = milliseconds(120);
+  plan.is_priced = plan.is_self_bounding = true;
+  return plan;
+}
+
+RunnerView view(const std::string &id, const std::string &zone = "a", bool is_booting = false) {
+  RunnerView made;
+  made.id = id;
+  made.service = "s";
+  made.address = "10.0.0.1:1";
+  made.zone = zone;
+  made.handle = "i-" + id;
+  made.is_booting = is_booting;
+  return made;
+}
+
+SlotAsk slot_ask(const std::string &errand, const std::string &zone = "a", std::uint32_t attempt = 0) {
+  SlotAsk ask;
+  ask.errand = errand;
+  ask.service = "s";
+  ask.tenant = "t";
+  ask.zone = zone;
+  ask.attempt = attempt;
+  ask.patience = seconds(3);
+  return ask;
+}
+
+struct Berthed {
+  Stevedore stevedore{rig_self, BerthOptions{}};
+  Outbox out;
+  explicit Berthed(std::vector<RunnerView> runners, BerthPlan plan = priced_plan()) {
+    stevedore.set_fresh_until(start + seconds(1000));
+    stevedore.set_plans({{"s", plan}}, start, out);
+    stevedore.set_runners(runners, start, out);
+    Roster roster;
+    roster.epoch = 1;
+    roster.pilots = {rig_self};
+    roster.is_first = true;
+    stevedore.set_roster(roster, 1, start, out);
+    stevedore.set_runners(runners, start, out);
+  }
+  std::string granted_runner(const std::string &errand) const {
+    std::string runner;
+    for (const Posted &posted : out)
+      if (const auto *say = std::get_if<SlotSay>(&posted.signal))
+        if (say->errand == errand && say->state == static_cast<std::uint8_t>(SlotState::granted))
+          runner = say->runner;
+    return runner;
+  }
+  std::uint32_t wanted(Instant now) const { return stevedore.wants(now).front().runners; }
+};
+
+Orders orders_for(const PilotRig &rig, const std::string &limits) {
+  Orders orders = rig.orders(2, "first-key-00000000");
+  orders.manifest = R"({"tenants": {")" + rig.tenant +
+                    R"(": {"keys": ["first-key-00000000"], "unbounded": true}}, "services": {")" +
+                    rig.service +
+                    R"(": {"image": "i", "slots": 4, "self_bounding": true}}, "rules": {"r": "GET /** to )" +
+                    rig.service + R"( tries 2 repeatable", "w": "POST /** to )" + rig.service +
+                    R"( tries 2"}, "limits": {)" + limits + "}}";
+  return orders;
+}
+
+Waybill plan_call(PilotRig &rig, const std::string &id, const std::string &method) {
+  ErrandHead head;
+  head.id = id;
+  head.method = method;
+  head.target = "/x";
+  head.key = "first-key-00000000";
+  return std::get<Waybill>(rig.pilot.front(head, rig.now));
+}
+} // namespace
+
+TEST_GROUP(Recovery){};
+
+TEST(Recovery, a_successor_keeps_the_runners_it_finds_until_it_knows_better) {
+  Berthed berthed({view("r1"), view("r2"), view("r3")});
+  LONGS_EQUAL(3, berthed.wanted(start + milliseconds(100)));
+  berthed.stevedore.tick(start + seconds(30), berthed.out);
+  CHECK(berthed.wanted(start + seconds(30)) < 3);
+}
+
+TEST(Recovery, a_slot_whose_call_was_lost_frees_by_itself_and_its_runner_stays) {
+  Berthed berthed({view("r1")});
+  berthed.stevedore.step(9, slot_ask("e"), start, berthed.out);
+  STRCMP_EQUAL("r1", berthed.granted_runner("e").c_str());
+  berthed.stevedore.step(9, SlotFree{"e", "s", "r1", static_cast<std::uint8_t>(SlotEnd::lost), 0}, start,
+                         berthed.out);
+  LONGS_EQUAL(1, berthed.stevedore.slots_taken("r1"));
+  berthed.stevedore.tick(start + seconds(1), berthed.out);
+  LONGS_EQUAL(0, berthed.stevedore.slots_taken("r1"));
+  CHECK(berthed.stevedore.wants(start).front().retire.empty());
+}
+
+TEST(Recovery, a_runner_that_loses_call_after_call_is_ended) {
+  Berthed berthed({view("r1")});
+  for (int at = 0; at < 5; ++at) {
+    const Instant now = start + seconds(at);
+    const std::string errand = "e" + std::to_string(at);
+    berthed.stevedore.tick(now, berthed.out);
+    berthed.stevedore.step(9, slot_ask(errand), now, berthed.out);
+    berthed.stevedore.step(9, SlotFree{errand, "s", "r1", static_cast<std::uint8_t>(SlotEnd::lost), 0}, now,
+                           berthed.out);
+  }
+  LONGS_EQUAL(1, berthed.stevedore.wants(start).front().retire.size());
+}
+
+TEST(Recovery, a_starting_runner_gets_errands_only_once_it_answers_a_knock) {
+  Berthed berthed({view("r1", "a", true)});
+  berthed.stevedore.step(9, slot_ask("e"), start, berthed.out);
+  STRCMP_EQUAL("", berthed.granted_runner("e").c_str());
+  CHECK(berthed.stevedore.knocks(start + milliseconds(100)).empty());
+  const auto knocks = berthed.stevedore.knocks(start + milliseconds(400));
+  LONGS_EQUAL(1, knocks.size());
+  STRCMP_EQUAL("i-r1", knocks[0].handle.c_str());
+  CHECK(berthed.stevedore.knocks(start + milliseconds(410)).empty());
+  berthed.stevedore.is_up("s", "r1", start + milliseconds(450), berthed.out);
+  STRCMP_EQUAL("r1", berthed.granted_runner("e").c_str());
+  CHECK(berthed.stevedore.knocks(start + seconds(2)).empty());
+}
+
+TEST(Recovery, runners_of_the_askers_own_zone_go_first) {
+  Berthed berthed({view("r1", "a"), view("r2", "b")});
+  berthed.stevedore.step(9, slot_ask("e", "b"), start, berthed.out);
+  berthed.stevedore.step(9, slot_ask("f", "b"), start, berthed.out);
+  berthed.stevedore.step(9, slot_ask("g", "b"), start, berthed.out);
+  STRCMP_EQUAL("r2", berthed.granted_runner("e").c_str());
+  STRCMP_EQUAL("r2", berthed.granted_runner("f").c_str());
+  STRCMP_EQUAL("r1", berthed.granted_runner("g").c_str());
+}
+
+TEST(Recovery, a_moment_of_waiting_starts_no_runner_and_a_long_line_does) {
+  Berthed berthed({view("r1")});
+  for (int at = 0; at < 4; ++at)
+    berthed.stevedore.step(9, slot_ask("e" + std::to_string(at)), start, berthed.out);
+  LONGS_EQUAL(1, berthed.wanted(start));
+  for (int at = 4; at < 20; ++at)
+    berthed.stevedore.step(9, slot_ask("e" + std::to_string(at)), start, berthed.out);
+  CHECK(berthed.wanted(start) >= 10);
+}
+
+TEST(Recovery, a_lost_call_goes_to_another_runner_only_where_it_may_run_twice) {
+  for (const std::string method : {"GET", "POST"}) {
+    PilotRig rig;
+    PilotOutput out;
+    rig.pilot.receive({rig_leader, "h", orders_for(rig, "")}, rig.now, out);
+    rig.pilot.arrive(plan_call(rig, "e", method), rig.now, out);
+    rig.pilot.receive({rig_other, "q", rig.grant("e", "r1", 0)}, rig.now, out);
+    LONGS_EQUAL(1, out.carries.size());
+    rig.pilot.call_ended({"e", CallKind::lost, 0, {}, {}, {}}, rig.now, out);
+    rig.pilot.receive({rig_other, "q", rig.grant("e", "r2", 1)}, rig.now, out);
+    if (method == "POST") {
+      LONGS_EQUAL(1, out.carries.size());
+      LONGS_EQUAL(1, out.replies.size());
+      CHECK(outcome_of(out.replies[0].fate).verdict == Verdict::unknown);
+      continue;
+    }
+    LONGS_EQUAL(2, out.carries.size());
+    rig.pilot.call_ended({"e", CallKind::refused, 0, {}, {}, {}}, rig.now, out);
+    LONGS_EQUAL(1, out.replies.size());
+    CHECK(out.replies[0].fate == Fate::link_lost);
+  }
+}
+
+TEST(Recovery, runners_that_were_never_reached_are_no_tries) {
+  PilotRig rig;
+  PilotOutput out;
+  rig.pilot.receive({rig_leader, "h", orders_for(rig, "")}, rig.now, out);
+  rig.pilot.arrive(plan_call(rig, "e", "POST"), rig.now, out);
+  for (std::uint32_t attempt = 0; attempt < 4; ++attempt) {
+    rig.pilot.receive({rig_other, "q", rig.grant("e", "r" + std::to_string(attempt), attempt)}, rig.now, out);
+    LONGS_EQUAL(attempt + 1, out.carries.size());
+    rig.pilot.call_ended({"e", CallKind::unreached, 0, {}, {}, {}}, rig.now, out);
+    CHECK(out.replies.empty());
+  }
+}
+
+TEST(Recovery, a_pilot_cut_off_serves_on_only_as_long_as_the_manifest_says) {
+  for (const bool may_go_on : {false, true}) {
+    PilotRig rig;
+    PilotOutput out;
+    rig.pilot.receive({rig_leader, "h", orders_for(rig, may_go_on ? R"("cut_off_s": 30)" : "")}, rig.now,
+                      out);
+    CHECK(rig.pilot.may_serve(rig.now));
+    LONGS_EQUAL(may_go_on, rig.pilot.may_serve(rig.now + seconds(20)));
+    CHECK(!rig.pilot.may_serve(rig.now + seconds(33)));
+  }
+}
+
+TEST(Recovery, changed_runners_are_taken_only_on_top_of_what_they_changed) {
+  PilotRig rig;
+  PilotOutput out;
+  const auto told = [&](std::uint64_t since, std::uint64_t stamp, std::vector<std::string> ids,
+                        std::vector<std::string> gone) {
+    Orders orders = rig.orders(1, "first-key-00000000");
+    orders.has_runners = true;
+    orders.since_stamp = since;
+    orders.runners_stamp = stamp;
+    orders.gone = std::move(gone);
+    for (const std::string &id : ids) orders.runners.push_back(view(id));
+    rig.pilot.receive({rig_leader, "h", orders}, rig.now, out);
+    return rig.pilot.gauges(rig.now).at("runners_known");
+  };
+  LONGS_EQUAL(2, told(0, 5, {"r1", "r2"}, {}));
+  LONGS_EQUAL(2, told(7, 8, {"r3"}, {"r1"}));
+  LONGS_EQUAL(2, told(5, 6, {"r3"}, {"r1"}));
+  LONGS_EQUAL(2, told(5, 6, {"r3"}, {"r1"}));
+  LONGS_EQUAL(3, told(5, 9, {"r3", "r4"}, {"r1"}));
+  LONGS_EQUAL(1, told(0, 10, {"r9"}, {}));
+}
+
+TEST(Recovery, a_node_whose_owner_falls_silent_goes_on_as_it_was_granted) {
+  for (const double as_before : {0.0, 1.0}) {
+    PilotOptions options;
+    options.fallback_as_before = as_before;
+    options.fallback_burst_s = 0.3;
+    PilotRig rig;
+    Pilot pilot(PilotRig::make_self(), {"seed"}, options, rig.now);
+    PilotOutput out;
+    pilot.receive({rig_leader, "h", rig.orders(1, "first-key-00000000")}, rig.now, out);
+    int served = 0, number = 0;
+    std::uint64_t permit = 1;
+    const auto second = [&](bool is_owner_there) {
+      served = 0;
+      for (const Instant until = rig.now + seconds(1); rig.now < until; rig.now += milliseconds(20)) {
+        Orders fresh = rig.orders(1, "first-key-00000000");
+        fresh.has_manifest = false;
+        pilot.receive({rig_leader, "h", fresh}, rig.now, out);
+        ErrandHead head;
+        head.id = "e" + std::to_string(++number);
+        head.method = "POST";
+        head.target = "/x";
+        head.key = "first-key-00000000";
+        const Waybill bill = std::get<Waybill>(pilot.front(head, rig.now));
+        pilot.arrive(bill, rig.now, out);
+        pilot.tick(rig.now, out);
+        for (const Posted &posted : std::exchange(out.mail, {})) {
+          if (const auto *slot = std::get_if<SlotAsk>(&posted.signal)) {
+            ++served;
+            SlotSay full = rig.grant(slot->errand, "", slot->attempt);
+            full.state = static_cast<std::uint8_t>(SlotState::refused);
+            pilot.receive({rig_other, "q", full}, rig.now, out);
+          }
+          const auto *ask = std::get_if<PermitAsk>(&posted.signal);
+          if (ask == nullptr || ask->want == 0 || !is_owner_there) continue;
+          PermitSay say;
+          say.tenant = rig.tenant;
+          say.ask = ask->ask;
+          say.permit = permit++;
+          say.tokens = ask->want;
+          say.window = milliseconds(100);
+          pilot.receive({rig_other, "q", say}, rig.now, out);
+        }
+      }
+      return served;
+    };
+    for (int at = 0; at < 10; ++at) second(true);
+    CHECK(second(true) > 40);
+    second(false);
+    const int silent = second(false);
+    if (as_before > 0)
+      CHECK(silent > 20 && silent <= 52);
+    else
+      CHECK(silent < 10);
+  }
+}
+
+namespace {
+struct Yarded {
+  Instant now = seconds(10);
+  std::unique_ptr<Harbour> harbour;
+  std::vector<OperatorSay> answers;
+  std::vector<PlatformOrder> orders;
+  std::vector<Orders> told;
+
+  Yarded() {
+    Member self;
+    self.id = 7;
+    self.address = self.http = "h";
+    self.role = static_cast<std::uint8_t>(Role::harbour);
+    harbour =
+        std::make_unique<Harbour>(self, std::vector<std::string>{"h"}, HarbourOptions{}, 3, Recovered{}, now);
+    pass(seconds(5));
+  }
+  void take(HarbourOutput &out) {
+    while (true) {
+      answers.insert(answers.end(), out.answers.begin(), out.answers.end());
+      orders.insert(orders.end(), out.orders.begin(), out.orders.end());
+      for (const Posted &posted : out.mail)
+        if (const auto *one = std::get_if<Orders>(&posted.signal)) told.push_back(*one);
+      if (out.saves.empty()) return;
+      HarbourOutput next;
+      harbour->saved(out.saves.back().ticket, now, next);
+      out = std::move(next);
+    }
+  }
+  void pass(Span span) {
+    for (const Instant until = now + span; now < until; now += milliseconds(20)) {
+      HarbourOutput out;
+      harbour->tick(now, out);
+      take(out);
+    }
+  }
+  void list(std::vector<RunnerSeen> runners) {
+    HarbourOutput out;
+    harbour->platform_seen({{{"w0", "a", 4096, false}, {"w1", "b", 4096, false}}, std::move(runners)}, now,
+                           out);
+    take(out);
+    pass(milliseconds(200));
+  }
+  int write(const std::string &body, const std::string &base) {
+    HarbourOutput out;
+    harbour->operate({1, OperatorVerb::put_manifest, body, base, body}, now, out);
+    take(out);
+    pass(milliseconds(300));
+    return answers.back().status;
+  }
+  void say(const PlatformOrder &order, OrderEnd end, const std::string &handle = {}) {
+    HarbourOutput out;
+    harbour->platform_said({order.runner.id, order.runner.worker, order.is_start, end, handle, "10.0.0.9:1"},
+                           now, out);
+    take(out);
+    pass(milliseconds(200));
+  }
+  static std::string manifest(int number) {
+    return R"({"number": )" + std::to_string(number) +
+           R"(, "services": {"s": {"image": "i", "memory_mb": 100, "least": 1}}})";
+  }
+  const RunnerRecord &only_runner() const {
+    LONGS_EQUAL(1, harbour->registry().runners().size());
+    return harbour->registry().runners().begin()->second;
+  }
+};
+} // namespace
+
+TEST(Recovery, operators_number_versions_themselves_and_only_upwards) {
+  Yarded yard;
+  LONGS_EQUAL(200, yard.write(Yarded::manifest(5), "0"));
+  LONGS_EQUAL(5, yard.harbour->registry().version());
+  LONGS_EQUAL(422, yard.write(R"({"number": 5})", "5"));
+  LONGS_EQUAL(412, yard.write(Yarded::manifest(9), "4"));
+  LONGS_EQUAL(200, yard.write(Yarded::manifest(9), "5"));
+  LONGS_EQUAL(200, yard.write(Yarded::manifest(9), "5"));
+  LONGS_EQUAL(9, yard.harbour->registry().version());
+  Registry registry;
+  PutManifest behind;
+  behind.bytes = "{}";
+  behind.number = 3;
+  CHECK(registry.apply(behind).is_taken);
+  CHECK(!registry.apply(behind).is_taken);
+}
+
+TEST(Recovery, a_start_is_repeated_under_its_name_until_the_platform_has_named_the_runner) {
+  Yarded yard;
+  yard.list({});
+  yard.write(Yarded::manifest(1), "0");
+  yard.pass(milliseconds(300));
+  LONGS_EQUAL(1, yard.orders.size());
+  const PlatformOrder first = yard.orders.back();
+  yard.say(first, OrderEnd::unknown);
+  yard.pass(seconds(2));
+  LONGS_EQUAL(2, yard.orders.size());
+  STRCMP_EQUAL(first.runner.id.c_str(), yard.orders.back().runner.id.c_str());
+  yard.say(yard.orders.back(), OrderEnd::done, "i-7");
+  STRCMP_EQUAL("i-7", yard.only_runner().handle.c_str());
+  STRCMP_EQUAL("10.0.0.9:1", yard.only_runner().address.c_str());
+  yard.pass(seconds(5));
+  LONGS_EQUAL(2, yard.orders.size());
+  yard.list({{"i-7", "s", "w0", "10.0.0.9:1", RunnerPhase::ready}});
+  yard.pass(seconds(5));
+  LONGS_EQUAL(2, yard.orders.size());
+  yard.list({});
+  yard.pass(seconds(1));
+  CHECK(yard.only_runner().id != first.runner.id);
+}
+
+TEST(Recovery, a_worker_that_refuses_a_start_is_passed_over) {
+  Yarded yard;
+  yard.list({});
+  yard.write(Yarded::manifest(1), "0");
+  yard.pass(milliseconds(300));
+  const PlatformOrder first = yard.orders.back();
+  yard.say(first, OrderEnd::refused);
+  yard.pass(milliseconds(300));
+  CHECK(yard.orders.back().runner.id != first.runner.id);
+  CHECK(yard.orders.back().runner.worker != first.runner.worker);
+}
+
+TEST(Recovery, a_listed_runner_that_no_record_knows_is_stopped_but_not_at_once) {
+  Yarded yard;
+  yard.write(R"({"number": 1})", "0");
+  yard.list({{"i-9", "s", "w0", "10.0.0.9:1", RunnerPhase::ready}});
+  yard.pass(seconds(2));
+  LONGS_EQUAL(0, yard.orders.size());
+  yard.pass(seconds(4));
+  LONGS_EQUAL(1, yard.orders.size());
+  CHECK(!yard.orders[0].is_start);
+  STRCMP_EQUAL("i-9", yard.orders[0].runner.listed_as().c_str());
+}
+
+TEST(Recovery, a_member_known_by_its_beat_alone_is_asked_about) {
+  Member self, other;
+  self.id = 1;
+  self.address = "a";
+  other.id = 2;
+  other.address = "b";
+  Rollcall rollcall(self, {}, RollcallOptions{});
+  Outbox out;
+  rollcall.step({2, "b", Muster{{other}, {{3, 7}}, {}}}, start, out);
+  CHECK(rollcall.is_living(2, start));
+  CHECK(!rollcall.is_living(3, start));
+  const auto asks = std::any_of(out.begin(), out.end(), [](const Posted &posted) {
+    const auto *muster = std::get_if<Muster>(&posted.signal);
+    return muster != nullptr && muster->asks == std::vector<NodeId>{3};
+  });
+  CHECK(asks);
+  out.clear();
+  rollcall.step({4, "d", Muster{{}, {}, {2}}}, start, out);
+  CHECK(!out.empty() && std::get<Muster>(out.back().signal).members.front().id == 2);
+  rollcall.step({2, "b", Muster{{}, {{2, 9}}, {}}}, start + seconds(1), out);
+  CHECK(rollcall.is_living(2, start + seconds(2)));
+}
+
+TEST(Recovery, a_replica_takes_a_single_charge_only_on_top_of_the_one_before) {
+  const std::vector<NodeId> ranked = rank_nodes({1, 2, 3}, "t", purser_salt);
+  Purser replica(ranked[1], PurserOptions{});
+  replica.set_allowances({{"t", {100, 50}}}, start);
+  Roster roster;
+  roster.epoch = 1;
+  roster.pilots = ranked;
+  roster.is_first = true;
+  Outbox out;
+  replica.set_roster(roster, 1, start, out);
+  const auto acks = [&](std::uint64_t sequence, bool is_delta) {
+    out.clear();
+    LedgerCopy copy;
+    copy.tenant = "t";
+    copy.epoch = 1;
+    copy.sequence = sequence;
+    copy.is_delta = is_delta;
+    copy.charges.push_back({sequence, 9, 1, 1, 0, seconds(5), true, false});
+    replica.step(ranked[0], copy, start, out);
+    return !out.empty();
+  };
+  CHECK(!acks(1, true));
+  CHECK(acks(1, false));
+  CHECK(!acks(3, true));
+  CHECK(acks(2, true));
+  CHECK(acks(3, true));
+}
