--- a/packages/harbour/harbour.cpp
+++ b/packages/harbour/harbour.cpp
@@ -40,7 +40,7 @@
 
 Harbour::Harbour(Member self, std::vector<std::string> seeds, HarbourOptions options, std::uint64_t seed,
                  const Recovered &recovered, Instant now)
-    : self_(self), options_(options), rollcall_(self, std::move(seeds), RollcallOptions{}),
+    : self_(self), options_(options), rollcall_(self, std::move(seeds), options.rollcall),
       convoy_(self.id, options.convoy, seed, recovered, now), dice_(seed ^ (self.id * 31)) {
   registry_.load(recovered.picture.body);
   applied_ = recovered.picture.index;
--- a/packages/harbour/harbour.hpp
+++ b/packages/harbour/harbour.hpp
@@ -82,6 +82,7 @@
 
 struct HarbourOptions {
   ConvoyOptions convoy;
+  RollcallOptions rollcall;
   Span fresh = seconds(2);
   /// How long a pilot may act as purser or stevedore on one permit; shorter, so that successors start sooner.
   Span duty = milliseconds(1200);
--- a/packages/helm/harbour_helm.cpp
+++ b/packages/helm/harbour_helm.cpp
@@ -53,6 +53,7 @@
   made.harbour.platform_pace = static_cast<double>(options.pace);
   made.harbour.may_found = options.may_found != 0;
   made.harbour.duty = helm_duty;
+  made.harbour.rollcall.told_each = helm_told_each;
   made.harbour.pilot_silence = milliseconds(900);
   made.harbour.enrol_gather = milliseconds(150);
   made.harbour.must_wait_roster = false;
--- a/packages/helm/pilot_helm.cpp
+++ b/packages/helm/pilot_helm.cpp
@@ -57,6 +57,7 @@
   made.pilot.fallback_burst_s = 0.3;
   made.pilot.fallback_after = milliseconds(200);
   made.pilot.duty = helm_duty;
+  made.pilot.rollcall.told_each = helm_told_each;
   made.pilot.report_again = milliseconds(250);
   made.pilot.sound_again = seconds(10);
   made.pilot.soundings_most = 60;
--- a/packages/helm/wires.hpp
+++ b/packages/helm/wires.hpp
@@ -12,6 +12,8 @@
 /// How long owners may act on one permit where pilots serve on while cut off: as long as the permit, as nodes
 /// go on as they did while an owner is silent, and successors of slots need not wait.
 constexpr Span helm_duty = seconds(2);
+/// Members told at each beat, where bytes between zones are dear.
+constexpr std::size_t helm_told_each = 4;
 
 /// What callers speak, as a seam: a translation and nothing more.
 class CallersWire {
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -42,7 +42,7 @@
 } // namespace
 
 Pilot::Pilot(Member self, std::vector<std::string> seeds, PilotOptions options, Instant now)
-    : self_(self), options_(options), rollcall_(self, std::move(seeds), RollcallOptions{}),
+    : self_(self), options_(options), rollcall_(self, std::move(seeds), options.rollcall),
       purser_(self.id, options.purser), stevedore_(self.id, options.berth), born_(now) {}
 
 InForce Pilot::in_force() const {
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -108,6 +108,7 @@
   std::size_t unreached_most = 6;
   BerthOptions berth;
   PurserOptions purser;
+  RollcallOptions rollcall;
 };
 
 /// The manifest a pilot has in force, shared with the threads at the door.
--- a/packages/rollcall/rollcall.hpp
+++ b/packages/rollcall/rollcall.hpp
@@ -12,7 +12,7 @@
   Span silent_after = milliseconds(1500);
   Span forget_after = seconds(30);
   /// Members told at each beat, in turn.
-  std::size_t told_each = 4;
+  std::size_t told_each = 8;
   /// How long what was learned of a member is passed on whole; later only its beat is.
   Span news_for = seconds(1);
   /// A member this many beats behind what it once said has had its clock set back and is told so.
