Let those turned away for want of tokens come back one after another

Ruled out: larger starting ledgers (the overrun allowed is spent already). Change: Retry-After is not before the owner has tokens, and one errand after another at the node's even share of base, two seconds at most.

--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -817,10 +817,21 @@
     if (found == afloat_.end())
       std::erase(till.line, id);
     else
-      finish(id, Fate::over_quota, std::max<Span>(1, till.deny_until - now), now, out);
+      finish(id, Fate::over_quota, come_back(till, now), now, out);
   }
 }
 
+Span Pilot::come_back(Till &till, Instant now) {
+  const Tenant *tenant = declared(till.name);
+  const double base = tenant == nullptr ? 1 : static_cast<double>(std::max<std::int64_t>(1, tenant->base));
+  const auto nodes = static_cast<double>(std::max<std::size_t>(1, roster_.pilots.size()));
+  constexpr Span longest = seconds(2);
+  till.come_back_at = std::clamp(till.come_back_at, std::max(till.deny_until, now), now + longest);
+  const Span wait = till.come_back_at - now;
+  till.come_back_at += static_cast<Span>(nodes / base * 1e9);
+  return std::max<Span>(1, wait);
+}
+
 void Pilot::serve_line(std::uint32_t tenant, Instant now, PilotOutput &out) {
   Till &till = tills_[tenant];
   std::erase_if(till.line, [this](const std::string &id) { return !afloat_.contains(id); });
@@ -901,6 +912,7 @@
   till.asked_at = 0;
   if (say.tokens == 0) {
     till.deny_until = std::max(till.deny_until, now + std::min(say.retry_after, milliseconds(250)));
+    till.come_back_at = std::max(till.come_back_at, now + std::min(say.retry_after, seconds(1)));
     if (const auto purse = rack_.find(tenant)) purse->set_short(now + seconds(1));
     till.asked_at = now;
     serve_line(tenant, now, out);
@@ -1033,7 +1045,8 @@
     } else if (!may_serve(now)) {
       finish(id, Fate::stale, seconds(1), now, out);
     } else if (step == Step::pay && now - errand.waiting_since > patience_of(errand)) {
-      finish(id, is_denied(errand, now) ? Fate::over_quota : Fate::no_permit, seconds(1), now, out);
+      finish(id, is_denied(errand, now) ? Fate::over_quota : Fate::no_permit,
+             come_back(tills_[tenant_index(errand.bill.tenant)], now), now, out);
     } else if (step == Step::claim && now - errand.asked_at >= options_.claim_again) {
       ask_claim(errand, now, out);
     } else if (step == Step::berth && now - errand.asked_at >= options_.berth_again) {
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -181,6 +181,9 @@
     bool is_fallback = false;
     /// Errands paid from permits since the rate was last taken, and that rate; what a silent owner let this
     /// node spend.
+    /// When the next of those turned away for want of tokens may well come back: each gets a moment of its
+    /// own.
+    Instant come_back_at = 0;
     std::uint64_t paid_recent = 0;
     double paid_rate = 0;
     std::uint64_t served = 0;
@@ -226,6 +229,9 @@
   std::string first_of_least_worth(const Till &till) const;
   /// Ends those in line whom the tokens to come will not reach.
   void thin_line(Till &till, Instant now, PilotOutput &out);
+  /// When an errand turned away for want of tokens should come again: not before the owner has some, and one
+  /// after another at this node's even share of the tenant's base.
+  Span come_back(Till &till, Instant now);
   /// True when the tenant's allowance was denied a moment ago.
   bool is_denied(const Afloat &errand, Instant now);
   /// How many seconds of a node's use one permit is asked to last.
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -283,6 +283,35 @@
   }
 }
 
+TEST(Recovery, errands_turned_away_for_want_of_tokens_come_back_one_after_another) {
+  PilotRig rig;
+  PilotOutput out;
+  std::vector<Span> waits;
+  for (int at = 0; at < 6; ++at) {
+    rig.pilot.arrive(rig.bill("e" + std::to_string(at)), rig.now, out);
+    Waybill unpaid = rig.bill("u" + std::to_string(at));
+    unpaid.is_paid = false;
+    unpaid.permit = 0;
+    rig.pilot.arrive(unpaid, rig.now, out);
+  }
+  for (const Posted &posted : std::exchange(out.mail, {}))
+    if (const auto *ask = std::get_if<PermitAsk>(&posted.signal)) {
+      PermitSay say;
+      say.tenant = rig.tenant;
+      say.ask = ask->ask;
+      say.retry_after = milliseconds(600);
+      rig.pilot.receive({rig_other, "q", say}, rig.now, out);
+    }
+  rig.now += milliseconds(1600);
+  rig.pilot.tick(rig.now, out);
+  for (const Reply &reply : out.replies)
+    if (reply.fate == Fate::over_quota || reply.fate == Fate::no_permit) waits.push_back(reply.retry_after);
+  CHECK(waits.size() >= 3);
+  std::sort(waits.begin(), waits.end());
+  for (std::size_t at = 1; at < waits.size(); ++at) CHECK(waits[at] - waits[at - 1] >= milliseconds(19));
+  CHECK(waits.back() <= seconds(2));
+}
+
 namespace {
 struct Yarded {
   Instant now = seconds(10);
