Make one roster of pilots that come one after another

The gathering time counted from the first difference only, and not again after a change. Change: the pilots wanted must have stayed the same for the gathering time, 0.9 s at most, before they become the roster.

--- a/packages/harbour/harbour.cpp
+++ b/packages/harbour/harbour.cpp
@@ -736,8 +736,12 @@
     roster_differs_since_ = 0;
     return;
   }
-  if (roster_differs_since_ == 0) roster_differs_since_ = now;
-  if (now - roster_differs_since_ < options_.enrol_gather) return;
+  if (roster_differs_since_ == 0) roster_differs_since_ = roster_steady_since_ = now;
+  if (wanted != roster_wanted_) roster_steady_since_ = now;
+  roster_wanted_ = wanted;
+  if (now - roster_steady_since_ < options_.enrol_gather && now - roster_differs_since_ < options_.enrol_most)
+    return;
+  roster_differs_since_ = 0;
   const std::size_t count = wanted.size();
   is_roster_proposed_ = true;
   roster_index_ = convoy_.last_index() + 1;
--- a/packages/harbour/harbour.hpp
+++ b/packages/harbour/harbour.hpp
@@ -88,7 +88,9 @@
   Span duty = milliseconds(1200);
   Span drift = milliseconds(100);
   Span pilot_silence = milliseconds(1100);
-  Span enrol_gather = milliseconds(300);
+  /// How long the pilots wanted must have stayed the same before they become the roster, and how long that
+  /// may be put off while they come and go.
+  Span enrol_gather = milliseconds(300), enrol_most = milliseconds(900);
   Span voter_silence = seconds(3);
   Span learner_silence = seconds(15);
   Span settle_every = milliseconds(100);
@@ -265,6 +267,8 @@
   std::vector<WaitingRead> reads_;
   bool is_roster_proposed_ = false, is_runners_proposed_ = false, is_secret_proposed_ = false;
   std::uint64_t roster_index_ = 0, runners_index_ = 0;
+  std::vector<NodeId> roster_wanted_;
+  Instant roster_steady_since_ = 0;
   Instant roster_differs_since_ = 0, settle_at_ = 0, clock_at_ = 0, found_at_ = 0;
   PlatformPicture platform_;
   Instant platform_at_ = 0;
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -495,3 +495,20 @@
   CHECK(acks(2, true));
   CHECK(acks(3, true));
 }
+
+TEST(Recovery, pilots_that_come_one_after_another_make_one_roster) {
+  Yarded yard;
+  yard.pass(seconds(3));
+  const Epoch before = yard.harbour->registry().roster().epoch;
+  for (NodeId id = 100; id < 105; ++id) {
+    HarbourOutput out;
+    Pulse pulse;
+    pulse.sent_at = yard.now;
+    yard.harbour->receive({id, "p" + std::to_string(id), pulse}, yard.now, out);
+    yard.take(out);
+    yard.pass(milliseconds(120));
+  }
+  yard.pass(milliseconds(400));
+  LONGS_EQUAL(5, yard.harbour->registry().roster().pilots.size());
+  LONGS_EQUAL(before + 1, yard.harbour->registry().roster().epoch);
+}
