Drive a lone harbour by one rig in both tests that do

Cause: recovery_test wrote the control group of one of harbour_test again. Ruled out: one rig for daemons too; the helms' and the daemons' own member and option code is as alike, but linking it is another change. Change: tests/harbour_rig.hpp; no assertion is changed, no source of a program is.

--- a/tests/harbour_test.cpp
+++ b/tests/harbour_test.cpp
@@ -1,4 +1,4 @@
-#include "harbour/harbour.hpp"
+#include "harbour_rig.hpp"
 #include "rig.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -6,43 +6,11 @@
 using namespace wharf;
 
 namespace {
-/// A control group of one, driven by hand; its disk syncs at once.
-struct Alone {
-  Instant now = seconds(10);
-  std::unique_ptr<Harbour> harbour;
-  std::vector<OperatorSay> answers;
-  std::vector<PlatformOrder> orders;
+/// A control group of one that is listed one worker and written to.
+struct Alone : LoneHarbour {
   std::uint64_t ticket = 0;
 
-  Alone() {
-    Member self;
-    self.id = 7;
-    self.address = self.http = "h";
-    self.role = static_cast<std::uint8_t>(Role::harbour);
-    harbour =
-        std::make_unique<Harbour>(self, std::vector<std::string>{"h"}, HarbourOptions{}, 3, Recovered{}, now);
-    pass(seconds(5));
-    CHECK(harbour->is_leading());
-  }
-  void take(HarbourOutput &out) {
-    answers.insert(answers.end(), out.answers.begin(), out.answers.end());
-    orders.insert(orders.end(), out.orders.begin(), out.orders.end());
-    while (!out.saves.empty()) {
-      HarbourOutput next;
-      harbour->saved(out.saves.back().ticket, now, next);
-      out = {};
-      answers.insert(answers.end(), next.answers.begin(), next.answers.end());
-      orders.insert(orders.end(), next.orders.begin(), next.orders.end());
-      out.saves = std::move(next.saves);
-    }
-  }
-  void pass(Span span) {
-    for (const Instant until = now + span; now < until; now += milliseconds(20)) {
-      HarbourOutput out;
-      harbour->tick(now, out);
-      take(out);
-    }
-  }
+  Alone() { CHECK(harbour->is_leading()); }
   void list(std::uint32_t memory_mb) {
     HarbourOutput out;
     harbour->platform_seen({{{"w0", "a", memory_mb, false}}, {}}, now, out);
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -1,6 +1,6 @@
 #include <cmath>
 
-#include "harbour/harbour.hpp"
+#include "harbour_rig.hpp"
 #include "rig.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -313,41 +313,7 @@
 }
 
 namespace {
-struct Yarded {
-  Instant now = seconds(10);
-  std::unique_ptr<Harbour> harbour;
-  std::vector<OperatorSay> answers;
-  std::vector<PlatformOrder> orders;
-  std::vector<Orders> told;
-
-  Yarded() {
-    Member self;
-    self.id = 7;
-    self.address = self.http = "h";
-    self.role = static_cast<std::uint8_t>(Role::harbour);
-    harbour =
-        std::make_unique<Harbour>(self, std::vector<std::string>{"h"}, HarbourOptions{}, 3, Recovered{}, now);
-    pass(seconds(5));
-  }
-  void take(HarbourOutput &out) {
-    while (true) {
-      answers.insert(answers.end(), out.answers.begin(), out.answers.end());
-      orders.insert(orders.end(), out.orders.begin(), out.orders.end());
-      for (const Posted &posted : out.mail)
-        if (const auto *one = std::get_if<Orders>(&posted.signal)) told.push_back(*one);
-      if (out.saves.empty()) return;
-      HarbourOutput next;
-      harbour->saved(out.saves.back().ticket, now, next);
-      out = std::move(next);
-    }
-  }
-  void pass(Span span) {
-    for (const Instant until = now + span; now < until; now += milliseconds(20)) {
-      HarbourOutput out;
-      harbour->tick(now, out);
-      take(out);
-    }
-  }
+struct Yarded : LoneHarbour {
   void list(std::vector<RunnerSeen> runners) {
     HarbourOutput out;
     harbour->platform_seen({{{"w0", "a", 4096, false}, {"w1", "b", 4096, false}}, std::move(runners)}, now,
