--- a/packages/bosun/options.cpp
+++ b/packages/bosun/options.cpp
@@ -62,9 +62,9 @@
 }
 
 bool fits(ProgramKind kind, std::string_view name) {
-  const bool is_harbour_only = name == "data" || name == "platform" || name == "operator_token" ||
+  const bool is_control_only = name == "data" || name == "platform" || name == "operator_token" ||
                                name == "pace" || name == "may_found";
-  return kind == ProgramKind::harbourd ? name != "readiness" : !is_harbour_only;
+  return kind == ProgramKind::harbourd ? name != "readiness" : !is_control_only;
 }
 
 struct Known {
--- a/packages/bridge/bridge.cpp
+++ b/packages/bridge/bridge.cpp
@@ -17,7 +17,7 @@
 }
 } // namespace
 
-Bridge::Bridge(HarbourDesk &desk, std::string token) : desk_(desk), token_(std::move(token)) {}
+Bridge::Bridge(ControlDesk &desk, std::string token) : desk_(desk), token_(std::move(token)) {}
 
 void Bridge::pass_on(const std::string &leader, const httplib::Request &request,
                      const httplib::Headers &original, bool is_write, httplib::Response &response) const {
--- a/packages/bridge/bridge.hpp
+++ b/packages/bridge/bridge.hpp
@@ -3,14 +3,14 @@
 #include <string>
 
 #include "bosun/door.hpp"
-#include "harbour/harbour.hpp"
+#include "control/control_node.hpp"
 
 namespace wharf {
 
-/// What the operators' API needs of the harbour's core duty.
-class HarbourDesk {
+/// What the operators' API needs of the control's core duty.
+class ControlDesk {
 public:
-  virtual ~HarbourDesk() = default;
+  virtual ~ControlDesk() = default;
   /// Asks the core and waits; status 0 when no answer came in time.
   virtual OperatorSay ask(OperatorAsk ask) = 0;
   virtual std::string counters_json() = 0;
@@ -19,13 +19,13 @@
 /// The operators' adapter: HTTP/JSON, any harbourd takes a call and passes it to the leader.
 class Bridge {
 public:
-  Bridge(HarbourDesk &desk, std::string token);
+  Bridge(ControlDesk &desk, std::string token);
   void serve(const httplib::Request &request, const httplib::Headers &original, httplib::Response &response);
 
 private:
   void pass_on(const std::string &leader, const httplib::Request &request, const httplib::Headers &original,
                bool is_write, httplib::Response &response) const;
-  HarbourDesk &desk_;
+  ControlDesk &desk_;
   std::string token_;
 };
 
--- a/packages/harbour/harbour.cpp
+++ b/packages/control/control_node.cpp
@@ -1,4 +1,4 @@
-#include "harbour/harbour.hpp"
+#include "control/control_node.hpp"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -10,7 +10,7 @@
 namespace {
 using Json = nlohmann::json;
 
-bool is_harbour(const Member &member) { return member.role == static_cast<std::uint8_t>(Role::harbour); }
+bool is_control_node(const Member &member) { return member.role == static_cast<std::uint8_t>(Role::control); }
 
 std::string faults_json(const std::vector<Fault> &faults) {
   Json list = Json::array();
@@ -38,25 +38,25 @@
 }
 } // namespace
 
-Harbour::Harbour(Member self, std::vector<std::string> seeds, HarbourOptions options, std::uint64_t seed,
-                 const Recovered &recovered, Instant now)
+ControlNode::ControlNode(Member self, std::vector<std::string> seeds, ControlOptions options,
+                         std::uint64_t seed, const Recovered &recovered, Instant now)
     : self_(self), options_(options), rollcall_(self, std::move(seeds), options.rollcall),
-      convoy_(self.id, options.convoy, seed, recovered, now), dice_(seed ^ (self.id * 31)) {
-  registry_.load(recovered.picture.body);
-  applied_ = recovered.picture.index;
-  if (convoy_.group() != 0) rollcall_.set_group(convoy_.group());
+      raft_(self.id, options.raft, seed, recovered, now), dice_(seed ^ (self.id * 31)) {
+  registry_.load(recovered.snapshot.body);
+  applied_ = recovered.snapshot.index;
+  if (raft_.group() != 0) rollcall_.set_group(raft_.group());
 }
 
-std::optional<std::uint64_t> Harbour::propose(const Command &command, Instant now, HarbourOutput &out) {
-  ConvoyOutput step;
-  const auto index = convoy_.propose(pack_command(command), now, step);
+std::optional<std::uint64_t> ControlNode::propose(const Command &command, Instant now, ControlOutput &out) {
+  RaftOutput step;
+  const auto index = raft_.propose(pack_command(command), now, step);
   absorb(std::move(step), now, out);
   return index;
 }
 
-void Harbour::absorb(ConvoyOutput &&step, Instant now, HarbourOutput &out) {
+void ControlNode::absorb(RaftOutput &&step, Instant now, ControlOutput &out) {
   std::move(step.mail.begin(), step.mail.end(), std::back_inserter(out.mail));
-  std::move(step.saves.begin(), step.saves.end(), std::back_inserter(out.saves));
+  std::move(step.batches.begin(), step.batches.end(), std::back_inserter(out.batches));
   if (step.load) {
     registry_.load(step.load->body);
     applied_ = step.load->index;
@@ -68,15 +68,15 @@
     charter_version_ = registry_.version();
     auto read = read_charter(registry_.manifest());
     if (auto *charter = std::get_if<std::shared_ptr<const Charter>>(&read)) charter_ = *charter;
-    if (convoy_.is_leader()) push_orders(now, out);
+    if (raft_.is_leader()) push_orders(now, out);
   }
 }
 
-void Harbour::lead_changed(Instant now, HarbourOutput &out) {
-  const bool is_leader = convoy_.is_leader();
+void ControlNode::lead_changed(Instant now, ControlOutput &out) {
+  const bool is_leader = raft_.is_leader();
   if (is_leader == was_leader_) return;
   was_leader_ = is_leader;
-  seats_.clear();
+  sessions_.clear();
   ended_.clear();
   almanac_.clear();
   outlook_ = {};
@@ -97,7 +97,7 @@
     clock_at_ = now;
     pace_at_ = now;
     pace_ = 0;
-    out.lines.push_back("leads in term " + std::to_string(convoy_.term()));
+    out.lines.push_back("leads in term " + std::to_string(raft_.term()));
     return;
   }
   out.lines.push_back("no longer leads");
@@ -114,9 +114,9 @@
   reads_.clear();
 }
 
-void Harbour::apply(const Entry &entry, Instant now, HarbourOutput &out) {
+void ControlNode::apply(const Entry &entry, Instant now, ControlOutput &out) {
   applied_ = entry.index;
-  bytes_since_picture_ += entry.body.size() + 64;
+  bytes_since_snapshot_ += entry.body.size() + 64;
   Applied applied;
   if (entry.kind == static_cast<std::uint8_t>(EntryKind::command)) {
     Command command;
@@ -158,17 +158,17 @@
   push_orders(now, out);
 }
 
-void Harbour::receive(const Envelope &envelope, Instant now, HarbourOutput &out) {
+void ControlNode::receive(const Envelope &envelope, Instant now, ControlOutput &out) {
   const Signal &signal = envelope.signal;
   if (std::holds_alternative<Muster>(signal)) {
     rollcall_.step(envelope, now, out.mail);
   } else if (const auto *ask = std::get_if<FoundAsk>(&signal)) {
     FoundSay say;
     say.nonce = ask->nonce;
-    say.group = convoy_.group();
+    say.group = raft_.group();
     say.id = self_.id;
     say.zone = self_.zone;
-    bool knows_group = convoy_.group() != 0;
+    bool knows_group = raft_.group() != 0;
     for (const Member &member : rollcall_.living(now)) {
       if (member.group != 0) {
         knows_group = true;
@@ -180,9 +180,9 @@
   } else if (const auto *heard = std::get_if<FoundSay>(&signal)) {
     if (heard->nonce == found_nonce_) seed_says_[envelope.from_address] = {*heard, now};
   } else if (const auto *order = std::get_if<FoundOrder>(&signal)) {
-    if (convoy_.group() == 0) {
-      ConvoyOutput step;
-      convoy_.found(order->group, order->mates, now, step);
+    if (raft_.group() == 0) {
+      RaftOutput step;
+      raft_.found(order->group, order->replicas, now, step);
       rollcall_.set_group(order->group);
       out.lines.push_back("joins the founding of group " + std::to_string(order->group));
       absorb(std::move(step), now, out);
@@ -193,76 +193,76 @@
     const auto index =
         is_leading() ? propose(PutClaim{claim->key, claim->errand, claim->digest}, now, out) : std::nullopt;
     if (!index) {
-      out.mail.push_back({envelope.from, {}, NotLeader{convoy_.leader()}});
+      out.mail.push_back({envelope.from, {}, NotLeader{raft_.leader()}});
       return;
     }
     Proposal proposal;
-    proposal.term = convoy_.term();
+    proposal.term = raft_.term();
     proposal.pilot = envelope.from;
     proposal.is_claim = true;
     if (*index > applied_) proposals_[*index] = proposal;
   } else if (const auto *close = std::get_if<CloseAsk>(&signal)) {
     const auto index = is_leading() ? propose(PutClose{*close}, now, out) : std::nullopt;
     if (!index) {
-      out.mail.push_back({envelope.from, {}, NotLeader{convoy_.leader()}});
+      out.mail.push_back({envelope.from, {}, NotLeader{raft_.leader()}});
       return;
     }
     Proposal proposal;
-    proposal.term = convoy_.term();
+    proposal.term = raft_.term();
     proposal.pilot = envelope.from;
     proposal.is_close = true;
     proposal.errand = close->errand;
     if (*index > applied_) proposals_[*index] = proposal;
   } else {
-    ConvoyOutput step;
-    convoy_.step(envelope.from, signal, now, step);
+    RaftOutput step;
+    raft_.step(envelope.from, signal, now, step);
     absorb(std::move(step), now, out);
-    if (convoy_.is_leader()) {
+    if (raft_.is_leader()) {
       settle_reads(now, out);
       settle_writes(now, out);
     }
   }
 }
 
-void Harbour::saved(std::uint64_t ticket, Instant now, HarbourOutput &out) {
-  ConvoyOutput step;
-  convoy_.saved(ticket, now, step);
+void ControlNode::saved(std::uint64_t ticket, Instant now, ControlOutput &out) {
+  RaftOutput step;
+  raft_.saved(ticket, now, step);
   absorb(std::move(step), now, out);
   compact_if_due(out);
 }
 
-void Harbour::disk_failed(Instant now, HarbourOutput &out) {
-  ConvoyOutput step;
-  convoy_.disk_failed(now, step);
+void ControlNode::disk_failed(Instant now, ControlOutput &out) {
+  RaftOutput step;
+  raft_.disk_failed(now, step);
   absorb(std::move(step), now, out);
   out.lines.push_back("the disk refused a write");
 }
 
-void Harbour::set_leaving(Instant now, HarbourOutput &out) {
+void ControlNode::set_leaving(Instant now, ControlOutput &out) {
   rollcall_.set_leaving();
-  ConvoyOutput step;
-  convoy_.step_down(now, step);
+  RaftOutput step;
+  raft_.step_down(now, step);
   absorb(std::move(step), now, out);
 }
 
-std::string Harbour::address_of_pilot(NodeId pilot) const {
-  const auto seat = seats_.find(pilot);
-  if (seat != seats_.end()) return seat->second.address;
+std::string ControlNode::address_of_pilot(NodeId pilot) const {
+  const auto session = sessions_.find(pilot);
+  if (session != sessions_.end()) return session->second.address;
   const Roster &roster = registry_.roster();
   for (std::size_t at = 0; at < roster.pilots.size() && at < roster.addresses.size(); ++at)
     if (roster.pilots[at] == pilot) return roster.addresses[at];
   return {};
 }
 
-bool Harbour::is_all_known() const {
-  const auto is_known = [this](NodeId pilot) { return seats_.contains(pilot) || ended_.contains(pilot); };
+bool ControlNode::is_all_known() const {
+  const auto is_known = [this](NodeId pilot) { return sessions_.contains(pilot) || ended_.contains(pilot); };
   const auto at_risk = rosters_at_risk();
   return std::all_of(at_risk.begin(), at_risk.end(), [&](const std::vector<NodeId> *pilots) {
     return std::all_of(pilots->begin(), pilots->end(), is_known);
   });
 }
 
-std::vector<const std::vector<NodeId> *> Harbour::rosters_at_risk() const {
+std::vector<const std::vector<NodeId> *> ControlNode::rosters_at_risk() const {
   const Roster &roster = registry_.roster();
   const std::int64_t span_ms =
       (std::max(options_.fresh, options_.duty) + options_.drift + options_.clock_every) / 1'000'000;
@@ -276,7 +276,7 @@
   return list;
 }
 
-Span Harbour::quiet_for(Instant now) const {
+Span ControlNode::quiet_for(Instant now) const {
   Instant last = 0;
   const Roster &roster = registry_.roster();
   if (roster.past.empty()) return 0;
@@ -291,10 +291,11 @@
   return last == 0 ? 0 : std::max<Span>(0, now - last);
 }
 
-void Harbour::answer_pulse(const Envelope &envelope, const Pulse &pulse, Instant now, HarbourOutput &out) {
+void ControlNode::answer_pulse(const Envelope &envelope, const Pulse &pulse, Instant now,
+                               ControlOutput &out) {
   const NodeId from = envelope.from;
   if (!is_leading()) {
-    out.mail.push_back({from, {}, NotLeader{convoy_.leader()}});
+    out.mail.push_back({from, {}, NotLeader{raft_.leader()}});
     return;
   }
   if (ended_.contains(from)) return;
@@ -304,96 +305,96 @@
     const auto [found, is_new] = ended_.emplace(ended, moment);
     found->second = std::min(found->second, moment);
     if (!is_new) continue;
-    seats_.erase(ended);
+    sessions_.erase(ended);
     settle_at_ = now;
   }
   almanac_.add(pulse.soundings, now);
-  Seat &seat = seats_[from];
-  seat.address = envelope.from_address;
-  seat.last_pulse = now;
-  seat.last_sent_at = std::max(seat.last_sent_at, pulse.sent_at);
-  seat.version = std::max(seat.version, pulse.version);
-  seat.epoch = std::max(seat.epoch, pulse.epoch);
-  seat.stamp = pulse.runners_term == convoy_.term() ? pulse.runners_stamp : 0;
-  seat.is_leaving = pulse.is_leaving;
-  const auto before = std::move(seat.wants);
-  seat.wants.clear();
+  NodeSession &session = sessions_[from];
+  session.address = envelope.from_address;
+  session.last_pulse = now;
+  session.last_sent_at = std::max(session.last_sent_at, pulse.sent_at);
+  session.version = std::max(session.version, pulse.version);
+  session.epoch = std::max(session.epoch, pulse.epoch);
+  session.stamp = pulse.runners_term == raft_.term() ? pulse.runners_stamp : 0;
+  session.is_leaving = pulse.is_leaving;
+  const auto before = std::move(session.wants);
+  session.wants.clear();
   for (const Want &want : pulse.wants) {
     const auto known = before.find(want.service);
     if (known == before.end() || known->second.runners != want.runners || known->second.retire != want.retire)
       settle_at_ = now;
-    seat.wants[want.service] = want;
+    session.wants[want.service] = want;
   }
-  Orders orders = orders_for(seat, now);
+  Orders orders = orders_for(session, now);
   orders.sent_at = pulse.sent_at;
-  seat.permit_until = now + options_.fresh + options_.drift;
-  seat.duty_until = now + options_.duty + options_.drift;
+  session.permit_until = now + options_.fresh + options_.drift;
+  session.duty_until = now + options_.duty + options_.drift;
   out.mail.push_back({from, {}, std::move(orders)});
   settle_writes(now, out);
 }
 
-Orders Harbour::orders_for(const Seat &seat, Instant now) const {
+Orders ControlNode::orders_for(const NodeSession &session, Instant now) const {
   Orders orders;
-  orders.age = now - std::min(now, convoy_.confirmed_at(now));
-  orders.term = convoy_.term();
+  orders.age = now - std::min(now, raft_.confirmed_at(now));
+  orders.term = raft_.term();
   orders.version = registry_.version();
-  if (seat.version < orders.version) {
+  if (session.version < orders.version) {
     orders.has_manifest = true;
     orders.manifest = registry_.manifest();
   }
-  orders.has_roster = seat.epoch < registry_.roster().epoch;
+  orders.has_roster = session.epoch < registry_.roster().epoch;
   if (orders.has_roster)
     orders.roster = registry_.roster();
   else
     orders.roster.epoch = registry_.roster().epoch;
   orders.settled = settled_epoch(now);
   orders.quiet = quiet_for(now);
-  if (platform_at_ != 0 && seat.stamp != views_stamp_) add_views(seat, orders);
+  if (platform_at_ != 0 && session.stamp != views_stamp_) add_views(session, orders);
   return orders;
 }
 
-void Harbour::add_views(const Seat &seat, Orders &orders) const {
+void ControlNode::add_views(const NodeSession &session, Orders &orders) const {
   orders.has_runners = true;
   orders.runners_stamp = views_stamp_;
-  if (seat.stamp <= views_whole_) {
+  if (session.stamp <= views_whole_) {
     orders.runners = views_;
     return;
   }
-  orders.since_stamp = seat.stamp;
+  orders.since_stamp = session.stamp;
   for (const RunnerView &view : views_)
     if (const auto found = view_stamps_.find(view.id);
-        found != view_stamps_.end() && found->second > seat.stamp)
+        found != view_stamps_.end() && found->second > session.stamp)
       orders.runners.push_back(view);
   for (const auto &[stamp, runner] : views_gone_)
-    if (stamp > seat.stamp) orders.gone.push_back(runner);
+    if (stamp > session.stamp) orders.gone.push_back(runner);
 }
 
-void Harbour::push_orders(Instant now, HarbourOutput &out) {
+void ControlNode::push_orders(Instant now, ControlOutput &out) {
   if (!is_leading()) return;
-  for (auto &[pilot, seat] : seats_) {
-    if (now - seat.last_pulse > options_.fresh * 2) continue;
-    out.mail.push_back({pilot, {}, orders_for(seat, now)});
-    seat.stamp = views_stamp_;
+  for (auto &[pilot, session] : sessions_) {
+    if (now - session.last_pulse > options_.fresh * 2) continue;
+    out.mail.push_back({pilot, {}, orders_for(session, now)});
+    session.stamp = views_stamp_;
   }
 }
 
-Version Harbour::settled_version(Instant now) const {
+Version ControlNode::settled_version(Instant now) const {
   if (!is_leading() || now < floor_) return 0;
   Version lowest = registry_.version();
-  for (const auto &[pilot, seat] : seats_)
-    if (seat.permit_until > now) lowest = std::min(lowest, seat.version);
+  for (const auto &[pilot, session] : sessions_)
+    if (session.permit_until > now) lowest = std::min(lowest, session.version);
   return lowest;
 }
 
-Epoch Harbour::settled_epoch(Instant now) const {
+Epoch ControlNode::settled_epoch(Instant now) const {
   if (!is_leading() || (now < duty_floor_ && !is_all_known())) return 0;
   Epoch lowest = registry_.roster().epoch;
-  for (const auto &[pilot, seat] : seats_)
-    if (seat.duty_until > now) lowest = std::min(lowest, seat.epoch);
+  for (const auto &[pilot, session] : sessions_)
+    if (session.duty_until > now) lowest = std::min(lowest, session.epoch);
   return lowest;
 }
 
-void Harbour::settle_writes(Instant now, HarbourOutput &out) {
+void ControlNode::settle_writes(Instant now, ControlOutput &out) {
   if (writes_.empty()) return;
   const Version settled = settled_version(now);
   std::erase_if(writes_, [&](const WaitingWrite &write) {
@@ -407,9 +408,9 @@
   });
 }
 
-void Harbour::settle_reads(Instant now, HarbourOutput &out) {
+void ControlNode::settle_reads(Instant now, ControlOutput &out) {
   if (reads_.empty() || !is_leading()) return;
-  const Instant confirmed = convoy_.confirmed_at(now);
+  const Instant confirmed = raft_.confirmed_at(now);
   std::erase_if(reads_, [&](const WaitingRead &read) {
     if (confirmed < read.asked_at) return false;
     OperatorSay say{read.ask.ticket, 200, registry_.version(), {}, {}};
@@ -428,19 +429,19 @@
   });
 }
 
-void Harbour::refuse_operator(std::uint64_t ticket, int status, std::string outcome, std::string why,
-                              HarbourOutput &out) {
+void ControlNode::refuse_operator(std::uint64_t ticket, int status, std::string outcome, std::string why,
+                                  ControlOutput &out) {
   OperatorSay say{ticket, status, registry_.version(), {}, {}};
   say.body = Json{{"outcome", outcome}, {"why", why}}.dump(2) + "\n";
   out.answers.push_back(std::move(say));
 }
 
-std::string Harbour::leader_http() const {
-  const Member *member = rollcall_.find(convoy_.leader());
-  return member == nullptr || convoy_.leader() == self_.id ? std::string() : member->http;
+std::string ControlNode::leader_http() const {
+  const Member *member = rollcall_.find(raft_.leader());
+  return member == nullptr || raft_.leader() == self_.id ? std::string() : member->http;
 }
 
-void Harbour::operate(OperatorAsk ask, Instant now, HarbourOutput &out) {
+void ControlNode::operate(OperatorAsk ask, Instant now, ControlOutput &out) {
   if (!is_leading()) {
     OperatorSay say{ask.ticket, 503, 0, {}, leader_http()};
     say.body =
@@ -468,7 +469,7 @@
   }
 }
 
-void Harbour::write_manifest(OperatorAsk ask, Instant now, HarbourOutput &out) {
+void ControlNode::write_manifest(OperatorAsk ask, Instant now, ControlOutput &out) {
   const bool is_try = ask.verb == OperatorVerb::try_manifest || ask.verb == OperatorVerb::try_patch;
   const bool is_patch = ask.verb == OperatorVerb::patch_manifest || ask.verb == OperatorVerb::try_patch;
   if (!ask.write_id.empty() && !is_try) {
@@ -548,18 +549,18 @@
   Proposal proposal;
   proposal.trial = figures;
   proposal.foretold = std::move(trial);
-  proposal.term = convoy_.term();
+  proposal.term = raft_.term();
   proposal.operator_ticket = ask.ticket;
   proposal.ask = std::move(ask);
-  const std::uint64_t expected = convoy_.last_index() + 1;
+  const std::uint64_t expected = raft_.last_index() + 1;
   proposals_[expected] = proposal;
   if (const auto index = propose(put, now, out); !index) {
     proposals_.erase(expected);
-    refuse_operator(proposal.operator_ticket, 503, "not-taken", "this mate cannot write now", out);
+    refuse_operator(proposal.operator_ticket, 503, "not-taken", "this replica cannot write now", out);
   }
 }
 
-Yard Harbour::yard() const {
+Yard ControlNode::yard() const {
   Yard result;
   result.is_known = platform_at_ != 0 && !platform_.workers.empty();
   result.pace = options_.platform_pace;
@@ -573,7 +574,7 @@
   return result;
 }
 
-void Harbour::judge_outlook(Instant now) {
+void ControlNode::judge_outlook(Instant now) {
   if (outlook_.version == 0 || outlook_.is_judged || now - outlook_.taken_at < options_.outlook_after) return;
   outlook_.is_judged = true;
   std::map<std::string, double> arrived, refused;
@@ -586,16 +587,16 @@
   for (const auto &[id, record] : registry_.runners()) outlook_.runners += record.is_leaving ? 0 : 1;
 }
 
-void Harbour::tick(Instant now, HarbourOutput &out) {
+void ControlNode::tick(Instant now, ControlOutput &out) {
   rollcall_.tick(now, out.mail);
-  ConvoyOutput step;
-  convoy_.tick(now, step);
+  RaftOutput step;
+  raft_.tick(now, step);
   absorb(std::move(step), now, out);
-  if (convoy_.group() == 0) {
-    tend_founding(now, out);
+  if (raft_.group() == 0) {
+    maintain_founding(now, out);
     return;
   }
-  if (!founded_mates_.empty()) tend_founding(now, out);
+  if (!founding_replicas_.empty()) maintain_founding(now, out);
   if (!is_leading()) return;
   settle_reads(now, out);
   settle_writes(now, out);
@@ -603,7 +604,7 @@
   settle_at_ = now + options_.settle_every;
   if (registry_.secret().empty() && !is_secret_proposed_) {
     is_secret_proposed_ = true;
-    propose(PutSecret{digest_hex(std::to_string(dice_.next()) + std::to_string(convoy_.group()) +
+    propose(PutSecret{digest_hex(std::to_string(dice_.next()) + std::to_string(raft_.group()) +
                                  std::to_string(dice_.next()))},
             now, out);
   }
@@ -612,32 +613,32 @@
     clock_at_ = now;
   }
   judge_outlook(now);
-  tend_mates(now, out);
-  tend_roster(now, out);
-  tend_runners(now, out);
+  maintain_replicas(now, out);
+  maintain_roster(now, out);
+  maintain_runners(now, out);
 }
 
-void Harbour::tend_founding(Instant now, HarbourOutput &out) {
+void ControlNode::maintain_founding(Instant now, ControlOutput &out) {
   if (now < found_at_) return;
   found_at_ = now + milliseconds(300);
   const auto &seeds = rollcall_.seeds();
-  if (convoy_.group() != 0) {
+  if (raft_.group() != 0) {
     bool is_done = true;
-    for (const Mate &mate : founded_mates_) {
-      const Member *member = rollcall_.find(mate.id);
-      if (mate.id == self_.id || (member != nullptr && member->group == convoy_.group())) continue;
+    for (const Replica &replica : founding_replicas_) {
+      const Member *member = rollcall_.find(replica.id);
+      if (replica.id == self_.id || (member != nullptr && member->group == raft_.group())) continue;
       is_done = false;
-      if (convoy_.is_disk_well(now))
-        out.mail.push_back({mate.id, {}, FoundOrder{convoy_.group(), founded_mates_}});
+      if (raft_.is_disk_well(now))
+        out.mail.push_back({replica.id, {}, FoundOrder{raft_.group(), founding_replicas_}});
     }
-    if (is_done) founded_mates_.clear();
+    if (is_done) founding_replicas_.clear();
     return;
   }
   const bool is_seed = std::find(seeds.begin(), seeds.end(), self_.address) != seeds.end();
   for (const Member &member : rollcall_.living(now)) {
-    if (member.group == 0 || !is_harbour(member)) continue;
-    ConvoyOutput step;
-    convoy_.found(member.group, {}, now, step);
+    if (member.group == 0 || !is_control_node(member)) continue;
+    RaftOutput step;
+    raft_.found(member.group, {}, now, step);
     rollcall_.set_group(member.group);
     out.lines.push_back("joins group " + std::to_string(member.group));
     absorb(std::move(step), now, out);
@@ -647,90 +648,92 @@
   for (const Member &member : rollcall_.living(now))
     if (member.group != 0) return;
   if (found_nonce_ == 0) found_nonce_ = dice_.next() | 1;
-  std::vector<Mate> mates{{self_.id, true, self_.zone}};
+  std::vector<Replica> replicas{{self_.id, true, self_.zone}};
   for (const std::string &seed : seeds) {
     if (seed == self_.address) continue;
     out.mail.push_back({0, seed, FoundAsk{found_nonce_, seeds}});
     const auto found = seed_says_.find(seed);
     if (found == seed_says_.end() || now - found->second.at > seconds(1) || !found->second.say.may_found)
       continue;
-    mates.push_back({found->second.say.id, true, found->second.say.zone});
+    replicas.push_back({found->second.say.id, true, found->second.say.zone});
   }
-  if (mates.size() != seeds.size()) return;
-  founded_mates_ = mates;
-  ConvoyOutput step;
+  if (replicas.size() != seeds.size()) return;
+  founding_replicas_ = replicas;
+  RaftOutput step;
   const std::uint64_t group = dice_.next() | 1;
-  convoy_.found(group, mates, now, step);
+  raft_.found(group, replicas, now, step);
   rollcall_.set_group(group);
   out.lines.push_back("founds group " + std::to_string(group));
   absorb(std::move(step), now, out);
 }
 
-void Harbour::tend_mates(Instant now, HarbourOutput &out) {
-  std::vector<Mate> mates = convoy_.mates();
-  const auto is_dead = [&](const Mate &mate, Span patience) {
-    return mate.id != self_.id && !rollcall_.is_living(mate.id, now) &&
-           now - std::max(convoy_.heard_from(mate.id), convoy_.led_since()) > patience;
+void ControlNode::maintain_replicas(Instant now, ControlOutput &out) {
+  std::vector<Replica> replicas = raft_.replicas();
+  const auto is_dead = [&](const Replica &replica, Span patience) {
+    return replica.id != self_.id && !rollcall_.is_living(replica.id, now) &&
+           now - std::max(raft_.heard_from(replica.id), raft_.led_since()) > patience;
   };
-  const auto propose_change = [&](const std::vector<Mate> &changed, const std::string &why) {
-    ConvoyOutput step;
-    if (convoy_.propose_mates(changed, now, step)) out.lines.push_back(why);
+  const auto propose_change = [&](const std::vector<Replica> &changed, const std::string &why) {
+    RaftOutput step;
+    if (raft_.propose_replicas(changed, now, step)) out.lines.push_back(why);
     absorb(std::move(step), now, out);
   };
   for (const Member &member : rollcall_.living(now)) {
-    if (!is_harbour(member) || member.is_leaving || member.group != convoy_.group()) continue;
-    if (std::any_of(mates.begin(), mates.end(), [&](const Mate &mate) { return mate.id == member.id; }))
+    if (!is_control_node(member) || member.is_leaving || member.group != raft_.group()) continue;
+    if (std::any_of(replicas.begin(), replicas.end(),
+                    [&](const Replica &replica) { return replica.id == member.id; }))
       continue;
-    mates.push_back({member.id, false, member.zone});
-    propose_change(mates, "enrols learner " + member.address);
+    replicas.push_back({member.id, false, member.zone});
+    propose_change(replicas, "enrols learner " + member.address);
     return;
   }
   std::size_t living = 0, voters = 0, dead_voters = 0;
-  for (const Mate &mate : mates) {
-    if (!is_dead(mate, options_.voter_silence)) ++living;
-    if (!mate.is_voter) continue;
+  for (const Replica &replica : replicas) {
+    if (!is_dead(replica, options_.voter_silence)) ++living;
+    if (!replica.is_voter) continue;
     ++voters;
-    if (is_dead(mate, options_.voter_silence)) ++dead_voters;
+    if (is_dead(replica, options_.voter_silence)) ++dead_voters;
   }
   const std::size_t target = living >= 5 ? 5 : living >= 3 ? 3 : 1;
   if (voters - dead_voters < target) {
     std::set<std::string> zones;
-    for (const Mate &mate : mates)
-      if (mate.is_voter && !is_dead(mate, options_.voter_silence)) zones.insert(mate.zone);
-    Mate *best = nullptr;
-    for (Mate &mate : mates) {
-      const bool is_ready = !mate.is_voter && !is_dead(mate, options_.voter_silence) &&
-                            convoy_.match_of(mate.id) + 200 >= convoy_.last_index() &&
-                            convoy_.match_of(mate.id) > 0;
-      if (is_ready && (best == nullptr || (zones.contains(best->zone) && !zones.contains(mate.zone))))
-        best = &mate;
+    for (const Replica &replica : replicas)
+      if (replica.is_voter && !is_dead(replica, options_.voter_silence)) zones.insert(replica.zone);
+    Replica *best = nullptr;
+    for (Replica &replica : replicas) {
+      const bool is_ready = !replica.is_voter && !is_dead(replica, options_.voter_silence) &&
+                            raft_.match_of(replica.id) + 200 >= raft_.last_index() &&
+                            raft_.match_of(replica.id) > 0;
+      if (is_ready && (best == nullptr || (zones.contains(best->zone) && !zones.contains(replica.zone))))
+        best = &replica;
     }
     if (best != nullptr) {
       best->is_voter = true;
-      propose_change(mates, "promotes a learner to voter");
+      propose_change(replicas, "promotes a learner to voter");
       return;
     }
   }
-  for (auto mate = mates.begin(); mate != mates.end(); ++mate) {
-    const bool is_spare_voter = mate->is_voter && voters > target && is_dead(*mate, options_.voter_silence);
-    const bool is_lost_learner = !mate->is_voter && is_dead(*mate, options_.learner_silence);
+  for (auto replica = replicas.begin(); replica != replicas.end(); ++replica) {
+    const bool is_spare_voter =
+        replica->is_voter && voters > target && is_dead(*replica, options_.voter_silence);
+    const bool is_lost_learner = !replica->is_voter && is_dead(*replica, options_.learner_silence);
     if (!is_spare_voter && !is_lost_learner) continue;
-    mates.erase(mate);
-    propose_change(mates, "strikes off a lost mate");
+    replicas.erase(replica);
+    propose_change(replicas, "strikes off a lost replica");
     return;
   }
 }
 
-void Harbour::tend_roster(Instant now, HarbourOutput &out) {
+void ControlNode::maintain_roster(Instant now, ControlOutput &out) {
   if (is_roster_proposed_) return;
   const Roster &roster = registry_.roster();
   if (options_.must_wait_roster && now < duty_floor_ && roster.epoch != 0 && !is_all_known()) return;
   std::vector<NodeId> wanted;
-  for (const auto &[pilot, seat] : seats_)
-    if (!seat.is_leaving && now - seat.last_pulse < options_.pilot_silence) wanted.push_back(pilot);
-  if (now - convoy_.led_since() < options_.pilot_silence)
+  for (const auto &[pilot, session] : sessions_)
+    if (!session.is_leaving && now - session.last_pulse < options_.pilot_silence) wanted.push_back(pilot);
+  if (now - raft_.led_since() < options_.pilot_silence)
     for (NodeId pilot : roster.pilots)
-      if (!seats_.contains(pilot) && !ended_.contains(pilot)) wanted.push_back(pilot);
+      if (!sessions_.contains(pilot) && !ended_.contains(pilot)) wanted.push_back(pilot);
   std::sort(wanted.begin(), wanted.end());
   if (wanted == roster.pilots || wanted.empty()) {
     roster_differs_since_ = 0;
@@ -744,7 +747,7 @@
   roster_differs_since_ = 0;
   const std::size_t count = wanted.size();
   is_roster_proposed_ = true;
-  roster_index_ = convoy_.last_index() + 1;
+  roster_index_ = raft_.last_index() + 1;
   std::vector<std::string> addresses;
   for (NodeId pilot : wanted) addresses.push_back(address_of_pilot(pilot));
   if (!propose(PutRoster{std::move(wanted), std::move(addresses)}, now, out))
@@ -753,12 +756,12 @@
     out.lines.push_back("roster of " + std::to_string(count) + " pilots");
 }
 
-std::string Harbour::seal_key_of(const std::string &runner) const {
+std::string ControlNode::seal_key_of(const std::string &runner) const {
   return hmac_hex(registry_.secret(), "runner/" + runner);
 }
 
-std::optional<std::string> Harbour::elect_worker(const std::string &service, std::uint32_t memory_mb,
-                                                 const std::vector<RunnerRecord> &planned) const {
+std::optional<std::string> ControlNode::elect_worker(const std::string &service, std::uint32_t memory_mb,
+                                                     const std::vector<RunnerRecord> &planned) const {
   std::map<std::string, std::uint64_t> used;
   std::map<std::string, int> mine, zone_mine;
   std::map<std::string, std::string> zone_of;
@@ -787,13 +790,13 @@
   return best->id;
 }
 
-std::string Harbour::zone_of_worker(const std::string &id) const {
+std::string ControlNode::zone_of_worker(const std::string &id) const {
   for (const WorkerSeen &worker : platform_.workers)
     if (worker.id == id) return worker.zone;
   return {};
 }
 
-bool Harbour::is_lopsided(const Service &service, const std::vector<const RunnerRecord *> &list) const {
+bool ControlNode::is_lopsided(const Service &service, const std::vector<const RunnerRecord *> &list) const {
   if (list.size() < 2 || !options_.must_spread) return false;
   const std::string zone = zone_of_worker(list.front()->worker);
   for (const RunnerRecord *record : list)
@@ -802,8 +805,8 @@
   return worker && zone_of_worker(*worker) != zone;
 }
 
-std::vector<std::string> Harbour::elect_leaving(std::vector<const RunnerRecord *> list,
-                                                std::size_t target) const {
+std::vector<std::string> ControlNode::elect_leaving(std::vector<const RunnerRecord *> list,
+                                                    std::size_t target) const {
   std::vector<std::string> leaving;
   while (list.size() > target) {
     std::map<std::string, int> in_zone, on_worker;
@@ -825,8 +828,8 @@
 }
 
 std::vector<std::string>
-Harbour::make_memory(const Service &service,
-                     std::map<std::string, std::vector<const RunnerRecord *>> &active) const {
+ControlNode::make_memory(const Service &service,
+                         std::map<std::string, std::vector<const RunnerRecord *>> &active) const {
   const Service *least_worth = nullptr;
   for (const Service &other : charter_->services) {
     const auto found = active.find(other.name);
@@ -841,7 +844,7 @@
   return leaving;
 }
 
-void Harbour::order_starts(std::vector<const RunnerRecord *> waiting, Instant now, HarbourOutput &out) {
+void ControlNode::order_starts(std::vector<const RunnerRecord *> waiting, Instant now, ControlOutput &out) {
   const auto worth_of = [this](const RunnerRecord *record) {
     const Service *service = charter_->service_named(record->service);
     return service == nullptr ? 0 : service->worth;
@@ -863,23 +866,23 @@
   }
 }
 
-void Harbour::platform_seen(PlatformPicture picture, Instant now, HarbourOutput &out) {
-  platform_ = std::move(picture);
+void ControlNode::platform_seen(PlatformView snapshot, Instant now, ControlOutput &out) {
+  platform_ = std::move(snapshot);
   platform_at_ = now;
   if (!is_leading()) return;
   const std::uint64_t stamp = views_stamp_;
   refresh_views(now);
   if (views_stamp_ != stamp) push_orders(now, out);
-  tend_runners(now, out);
+  maintain_runners(now, out);
 }
 
-std::string Harbour::handle_of(const RunnerRecord &record) const {
+std::string ControlNode::handle_of(const RunnerRecord &record) const {
   if (!record.handle.empty()) return record.handle;
   const auto note = notes_.find(record.id);
   return note == notes_.end() ? std::string() : note->second.handle;
 }
 
-void Harbour::platform_said(const PlatformSay &say, Instant now, HarbourOutput &out) {
+void ControlNode::platform_said(const PlatformSay &say, Instant now, ControlOutput &out) {
   const auto found = registry_.runners().find(say.runner);
   if (!is_leading() || found == registry_.runners().end()) return;
   RunnerNote &note = notes_[say.runner];
@@ -904,7 +907,7 @@
   push_orders(now, out);
 }
 
-void Harbour::refresh_views(Instant now) {
+void ControlNode::refresh_views(Instant now) {
   std::map<std::string, const RunnerSeen *> seen;
   for (const RunnerSeen &runner : platform_.runners) seen[runner.id] = &runner;
   std::map<std::string, const WorkerSeen *> workers;
@@ -961,7 +964,7 @@
   views_ = std::move(views);
 }
 
-void Harbour::tend_runners(Instant now, HarbourOutput &out) {
+void ControlNode::maintain_runners(Instant now, ControlOutput &out) {
   if (platform_at_ == 0 || registry_.secret().empty() || !charter_) return;
   pace_ = std::min(options_.platform_pace / 4,
                    pace_ + options_.platform_pace * static_cast<double>(now - pace_at_) / 1e9);
@@ -979,9 +982,9 @@
   std::map<std::string, std::vector<const RunnerRecord *>> active;
   std::set<std::string> idle, retire;
   std::map<std::string, const Want *> wants;
-  for (const auto &[pilot, seat] : seats_) {
-    if (now - seat.last_pulse > options_.pilot_silence) continue;
-    for (const auto &[service, want] : seat.wants) {
+  for (const auto &[pilot, session] : sessions_) {
+    if (now - session.last_pulse > options_.pilot_silence) continue;
+    for (const auto &[service, want] : session.wants) {
       const auto ranked = rank_nodes(registry_.roster().pilots, service, stevedore_salt);
       if (ranked.empty() || ranked[0] != pilot) continue;
       wants[service] = &want;
@@ -1099,7 +1102,7 @@
         break;
       }
       RunnerRecord record;
-      record.id = "r" + std::to_string(convoy_.term()) + "-" + std::to_string(next++);
+      record.id = "r" + std::to_string(raft_.term()) + "-" + std::to_string(next++);
       record.service = service->name;
       record.worker = *worker;
       record.image = service->image;
@@ -1117,27 +1120,27 @@
     return;
   }
   is_runners_proposed_ = true;
-  runners_index_ = convoy_.last_index() + 1;
+  runners_index_ = raft_.last_index() + 1;
   if (!propose(put, now, out)) is_runners_proposed_ = false;
   refresh_views(now);
 }
 
-void Harbour::compact_if_due(HarbourOutput &out) {
-  const bool is_due = applied_ > convoy_.first_index() + options_.compact_entries ||
-                      bytes_since_picture_ > options_.compact_bytes;
-  if (!is_due || applied_ < convoy_.first_index()) return;
-  bytes_since_picture_ = 0;
-  ConvoyOutput step;
-  convoy_.compact(applied_, registry_.picture(), step);
-  std::move(step.saves.begin(), step.saves.end(), std::back_inserter(out.saves));
+void ControlNode::compact_if_due(ControlOutput &out) {
+  const bool is_due = applied_ > raft_.first_index() + options_.compact_entries ||
+                      bytes_since_snapshot_ > options_.compact_bytes;
+  if (!is_due || applied_ < raft_.first_index()) return;
+  bytes_since_snapshot_ = 0;
+  RaftOutput step;
+  raft_.compact(applied_, registry_.snapshot(), step);
+  std::move(step.batches.begin(), step.batches.end(), std::back_inserter(out.batches));
 }
 
-std::map<std::string, std::uint64_t> Harbour::gauges(Instant now) const {
+std::map<std::string, std::uint64_t> ControlNode::gauges(Instant now) const {
   std::map<std::string, std::uint64_t> values;
-  values["term"] = convoy_.term();
-  values["commit"] = convoy_.commit();
-  values["log_entries"] = convoy_.log().size();
-  values["is_leader"] = convoy_.is_leader() ? 1 : 0;
+  values["term"] = raft_.term();
+  values["commit"] = raft_.commit();
+  values["log_entries"] = raft_.log().size();
+  values["is_leader"] = raft_.is_leader() ? 1 : 0;
   values["manifest_version"] = registry_.version();
   values["settled_version"] = settled_version(now);
   values["roster_epoch"] = registry_.roster().epoch;
@@ -1145,15 +1148,15 @@
   values["claims"] = registry_.claims().size();
   values["runners"] = registry_.runners().size();
   values["runners_ready"] = views_.size();
-  values["seats"] = seats_.size();
+  values["sessions"] = sessions_.size();
   values["members_living"] = rollcall_.living(now).size();
-  values["mates"] = convoy_.mates().size();
-  values["is_disk_well"] = convoy_.is_disk_well(now) ? 1 : 0;
+  values["replicas"] = raft_.replicas().size();
+  values["is_disk_well"] = raft_.is_disk_well(now) ? 1 : 0;
   return values;
 }
 
-std::string Harbour::why_unsettled(const Service &service, std::size_t ready, std::size_t wanted,
-                                   Instant now) const {
+std::string ControlNode::why_unsettled(const Service &service, std::size_t ready, std::size_t wanted,
+                                       Instant now) const {
   if (ready >= wanted) return {};
   if (platform_at_ == 0 || now - platform_at_ > seconds(3)) return "the platform is away";
   std::size_t planned = 0, unordered = 0;
@@ -1165,30 +1168,30 @@
   }
   if (planned < wanted && !elect_worker(service.name, static_cast<std::uint32_t>(service.memory_mb), {}))
     return "no worker has " + std::to_string(service.memory_mb) + " MB left";
-  if (!is_leading()) return "this mate does not lead";
+  if (!is_leading()) return "this replica does not lead";
   if (unordered > 0) return std::to_string(unordered) + " starts wait for the platform's pace";
   return "runners are booting";
 }
 
-std::string Harbour::why_unheld(Instant now) const {
+std::string ControlNode::why_unheld(Instant now) const {
   if (settled_version(now) >= registry_.version()) return {};
-  if (!is_leading()) return "no majority: this mate does not lead";
+  if (!is_leading()) return "no majority: this replica does not lead";
   if (now < floor_) return "a new leader waits out its predecessors' permits";
   std::string late;
-  for (const auto &[pilot, seat] : seats_)
-    if (seat.permit_until > now && seat.version < registry_.version())
-      late += (late.empty() ? "" : ", ") + seat.address;
+  for (const auto &[pilot, session] : sessions_)
+    if (session.permit_until > now && session.version < registry_.version())
+      late += (late.empty() ? "" : ", ") + session.address;
   return "not yet switched: " + late;
 }
 
-std::string Harbour::status_json(Instant now) const {
+std::string ControlNode::status_json(Instant now) const {
   Json root;
   root["version"] = registry_.version();
   root["settled_version"] = settled_version(now);
   root["roster_epoch"] = registry_.roster().epoch;
   root["settled_epoch"] = settled_epoch(now);
-  root["term"] = convoy_.term();
-  root["group"] = std::to_string(convoy_.group());
+  root["term"] = raft_.term();
+  root["group"] = std::to_string(raft_.group());
   if (outlook_.version != 0) {
     Json item{{"version", outlook_.version},
               {"is_measured", outlook_.trial.is_measured},
@@ -1207,27 +1210,27 @@
     root["last_change"] = std::move(item);
   }
   if (const std::string why = why_unheld(now); !why.empty()) root["why_not_held"] = why;
-  root["mates"] = Json::array();
-  for (const Mate &mate : convoy_.mates()) {
-    const Member *member = rollcall_.find(mate.id);
-    root["mates"].push_back({{"id", std::to_string(mate.id)},
-                             {"address", member == nullptr ? "" : member->address},
-                             {"zone", mate.zone},
-                             {"is_voter", mate.is_voter},
-                             {"is_leader", mate.id == convoy_.leader()},
-                             {"is_living", rollcall_.is_living(mate.id, now)}});
+  root["replicas"] = Json::array();
+  for (const Replica &replica : raft_.replicas()) {
+    const Member *member = rollcall_.find(replica.id);
+    root["replicas"].push_back({{"id", std::to_string(replica.id)},
+                                {"address", member == nullptr ? "" : member->address},
+                                {"zone", replica.zone},
+                                {"is_voter", replica.is_voter},
+                                {"is_leader", replica.id == raft_.leader()},
+                                {"is_living", rollcall_.is_living(replica.id, now)}});
   }
   root["pilots"] = Json::array();
-  for (const auto &[pilot, seat] : seats_) {
+  for (const auto &[pilot, session] : sessions_) {
     const Member *member = rollcall_.find(pilot);
     const auto &roster = registry_.roster().pilots;
     root["pilots"].push_back(
         {{"id", std::to_string(pilot)},
          {"http", member == nullptr ? "" : member->http},
          {"zone", member == nullptr ? "" : member->zone},
-         {"version", seat.version},
-         {"epoch", seat.epoch},
-         {"is_fresh", seat.permit_until > now},
+         {"version", session.version},
+         {"epoch", session.epoch},
+         {"is_fresh", session.permit_until > now},
          {"is_enrolled", std::find(roster.begin(), roster.end(), pilot) != roster.end()}});
   }
   if (charter_) {
@@ -1252,10 +1255,10 @@
                                    {"is_leaving", record.is_leaving}});
       }
       if (!ranked.empty()) {
-        const auto seat = seats_.find(ranked[0]);
-        if (seat != seats_.end()) {
-          const auto want = seat->second.wants.find(service.name);
-          if (want != seat->second.wants.end()) {
+        const auto session = sessions_.find(ranked[0]);
+        if (session != sessions_.end()) {
+          const auto want = session->second.wants.find(service.name);
+          if (want != session->second.wants.end()) {
             wanted = std::max<std::size_t>(wanted, want->second.runners);
             item["wanted"] = want->second.runners;
             item["pending"] = want->second.pending;
--- a/packages/harbour/harbour.hpp
+++ b/packages/control/control_node.hpp
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "charter/charter.hpp"
-#include "convoy/convoy.hpp"
-#include "harbour/registry.hpp"
+#include "control/registry.hpp"
+#include "raft/raft.hpp"
 #include "rollcall/rollcall.hpp"
 #include "seatrial/seatrial.hpp"
 
@@ -35,7 +35,7 @@
   int status = 200;
   Version version = 0;
   std::string body;
-  /// Where the leader's API is, when this mate cannot answer.
+  /// Where the leader's API is, when this replica cannot answer.
   std::string leader_http;
 };
 
@@ -50,7 +50,7 @@
   RunnerPhase phase = RunnerPhase::booting;
 };
 /// What the platform listed, late as it may be.
-struct PlatformPicture {
+struct PlatformView {
   std::vector<WorkerSeen> workers;
   std::vector<RunnerSeen> runners;
 };
@@ -72,16 +72,16 @@
   std::string handle, address;
 };
 
-struct HarbourOutput {
+struct ControlOutput {
   Outbox mail;
-  std::vector<Save> saves;
+  std::vector<WriteBatch> batches;
   std::vector<OperatorSay> answers;
   std::vector<PlatformOrder> orders;
   std::vector<std::string> lines;
 };
 
-struct HarbourOptions {
-  ConvoyOptions convoy;
+struct ControlOptions {
+  RaftOptions raft;
   RollcallOptions rollcall;
   Span fresh = seconds(2);
   /// How long a pilot may act as purser or stevedore on one permit; shorter, so that successors start sooner.
@@ -122,31 +122,31 @@
   std::size_t compact_bytes = 16u << 20;
 };
 
-/// A mate of the control group: replicated state, permits, operators' writes and placements; pure.
-class Harbour {
+/// A replica of the control group: replicated state, permits, operators' writes and placements; pure.
+class ControlNode {
 public:
-  Harbour(Member self, std::vector<std::string> seeds, HarbourOptions options, std::uint64_t seed,
-          const Recovered &recovered, Instant now);
+  ControlNode(Member self, std::vector<std::string> seeds, ControlOptions options, std::uint64_t seed,
+              const Recovered &recovered, Instant now);
 
-  void receive(const Envelope &envelope, Instant now, HarbourOutput &out);
-  void tick(Instant now, HarbourOutput &out);
-  void saved(std::uint64_t ticket, Instant now, HarbourOutput &out);
-  void disk_failed(Instant now, HarbourOutput &out);
-  void operate(OperatorAsk ask, Instant now, HarbourOutput &out);
-  void platform_seen(PlatformPicture picture, Instant now, HarbourOutput &out);
-  void platform_said(const PlatformSay &say, Instant now, HarbourOutput &out);
-  void set_leaving(Instant now, HarbourOutput &out);
+  void receive(const Envelope &envelope, Instant now, ControlOutput &out);
+  void tick(Instant now, ControlOutput &out);
+  void saved(std::uint64_t ticket, Instant now, ControlOutput &out);
+  void disk_failed(Instant now, ControlOutput &out);
+  void operate(OperatorAsk ask, Instant now, ControlOutput &out);
+  void platform_seen(PlatformView snapshot, Instant now, ControlOutput &out);
+  void platform_said(const PlatformSay &say, Instant now, ControlOutput &out);
+  void set_leaving(Instant now, ControlOutput &out);
 
-  const Convoy &convoy() const { return convoy_; }
+  const RaftNode &raft() const { return raft_; }
   const Registry &registry() const { return registry_; }
   Rollcall &rollcall() { return rollcall_; }
-  /// True when this mate leads and its reads are of the newest state.
-  bool is_leading() const { return convoy_.is_settled(); }
+  /// True when this replica leads and its reads are of the newest state.
+  bool is_leading() const { return raft_.is_settled(); }
   std::map<std::string, std::uint64_t> gauges(Instant now) const;
   std::string status_json(Instant now) const;
 
 private:
-  struct Seat {
+  struct NodeSession {
     Instant permit_until = 0, duty_until = 0, last_pulse = 0, last_sent_at = 0;
     Version version = 0;
     Epoch epoch = 0;
@@ -191,11 +191,11 @@
     std::string handle, address;
   };
 
-  void absorb(ConvoyOutput &&step, Instant now, HarbourOutput &out);
-  void apply(const Entry &entry, Instant now, HarbourOutput &out);
-  std::optional<std::uint64_t> propose(const Command &command, Instant now, HarbourOutput &out);
-  void lead_changed(Instant now, HarbourOutput &out);
-  void answer_pulse(const Envelope &envelope, const Pulse &pulse, Instant now, HarbourOutput &out);
+  void absorb(RaftOutput &&step, Instant now, ControlOutput &out);
+  void apply(const Entry &entry, Instant now, ControlOutput &out);
+  std::optional<std::uint64_t> propose(const Command &command, Instant now, ControlOutput &out);
+  void lead_changed(Instant now, ControlOutput &out);
+  void answer_pulse(const Envelope &envelope, const Pulse &pulse, Instant now, ControlOutput &out);
   /// How long ago all pilots of earlier rosters had provably ended; 0 when some may still act.
   Span quiet_for(Instant now) const;
   /// The rosters whose owners may still act: the newest and those it took the place of a short while ago, by
@@ -205,30 +205,30 @@
   /// True when no pilot of any roster could act on a permit that this leader does not know of.
   bool is_all_known() const;
   std::string address_of_pilot(NodeId pilot) const;
-  Orders orders_for(const Seat &seat, Instant now) const;
-  void push_orders(Instant now, HarbourOutput &out);
+  Orders orders_for(const NodeSession &session, Instant now) const;
+  void push_orders(Instant now, ControlOutput &out);
   Version settled_version(Instant now) const;
   Epoch settled_epoch(Instant now) const;
-  void settle_writes(Instant now, HarbourOutput &out);
-  void settle_reads(Instant now, HarbourOutput &out);
-  void write_manifest(OperatorAsk ask, Instant now, HarbourOutput &out);
+  void settle_writes(Instant now, ControlOutput &out);
+  void settle_reads(Instant now, ControlOutput &out);
+  void write_manifest(OperatorAsk ask, Instant now, ControlOutput &out);
   Yard yard() const;
   /// Sets what was foretold of the newest change beside what was measured since.
   void judge_outlook(Instant now);
   void refuse_operator(std::uint64_t ticket, int status, std::string outcome, std::string why,
-                       HarbourOutput &out);
-  void tend_founding(Instant now, HarbourOutput &out);
-  void tend_mates(Instant now, HarbourOutput &out);
-  void tend_roster(Instant now, HarbourOutput &out);
-  void tend_runners(Instant now, HarbourOutput &out);
+                       ControlOutput &out);
+  void maintain_founding(Instant now, ControlOutput &out);
+  void maintain_replicas(Instant now, ControlOutput &out);
+  void maintain_roster(Instant now, ControlOutput &out);
+  void maintain_runners(Instant now, ControlOutput &out);
   void refresh_views(Instant now);
   /// Puts the views that a pilot does not have yet into its orders.
-  void add_views(const Seat &seat, Orders &orders) const;
+  void add_views(const NodeSession &session, Orders &orders) const;
   /// The platform's name for a runner, as committed or as just answered.
   std::string handle_of(const RunnerRecord &record) const;
-  void compact_if_due(HarbourOutput &out);
+  void compact_if_due(ControlOutput &out);
   /// Starts what is planned but not listed, worthier services first, every fifth the one that waited longest.
-  void order_starts(std::vector<const RunnerRecord *> waiting, Instant now, HarbourOutput &out);
+  void order_starts(std::vector<const RunnerRecord *> waiting, Instant now, ControlOutput &out);
   /// Runners of less worthy services that must leave so that one of `service` finds memory.
   std::vector<std::string>
   make_memory(const Service &service, std::map<std::string, std::vector<const RunnerRecord *>> &active) const;
@@ -247,9 +247,9 @@
   std::string why_unheld(Instant now) const;
 
   Member self_;
-  HarbourOptions options_;
+  ControlOptions options_;
   Rollcall rollcall_;
-  Convoy convoy_;
+  RaftNode raft_;
   Registry registry_;
   Dice dice_;
   std::shared_ptr<const Charter> charter_;
@@ -259,7 +259,7 @@
   bool was_leader_ = false;
   /// Until when permits, and duties, of leaders before may run.
   Instant floor_ = 0, duty_floor_ = 0;
-  std::map<NodeId, Seat> seats_;
+  std::map<NodeId, NodeSession> sessions_;
   /// Pilots that ended before another began at their address, and when at the latest.
   std::map<NodeId, Instant> ended_;
   std::map<std::uint64_t, Proposal> proposals_;
@@ -270,7 +270,7 @@
   std::vector<NodeId> roster_wanted_;
   Instant roster_steady_since_ = 0;
   Instant roster_differs_since_ = 0, settle_at_ = 0, clock_at_ = 0, found_at_ = 0;
-  PlatformPicture platform_;
+  PlatformView platform_;
   Instant platform_at_ = 0;
   Almanac almanac_;
   Outlook outlook_;
@@ -287,7 +287,7 @@
   std::uint64_t starts_ordered_ = 0;
   double pace_ = 0;
   Instant pace_at_ = 0;
-  std::size_t bytes_since_picture_ = 0;
+  std::size_t bytes_since_snapshot_ = 0;
 
   std::uint64_t found_nonce_ = 0;
   struct SeedSay {
@@ -295,7 +295,7 @@
     Instant at = 0;
   };
   std::map<std::string, SeedSay> seed_says_;
-  std::vector<Mate> founded_mates_;
+  std::vector<Replica> founding_replicas_;
 };
 
 } // namespace wharf
--- a/packages/harbour/registry.cpp
+++ b/packages/control/registry.cpp
@@ -1,4 +1,4 @@
-#include "harbour/registry.hpp"
+#include "control/registry.hpp"
 
 #include <algorithm>
 
@@ -210,7 +210,7 @@
   return {};
 }
 
-std::string Registry::picture() const {
+std::string Registry::snapshot() const {
   State state{secret_,        manifest_,        version_,    {},        {},
               roster_,        runners_,         claims_,     released_, clock_ms_,
               claim_keep_ms_, unknown_keep_ms_, next_runner_};
@@ -221,9 +221,9 @@
   return pack(state);
 }
 
-bool Registry::load(std::string_view picture) {
+bool Registry::load(std::string_view snapshot) {
   State state;
-  if (!picture.empty() && !unpack(picture, state)) return false;
+  if (!snapshot.empty() && !unpack(snapshot, state)) return false;
   secret_ = state.secret;
   manifest_ = state.manifest;
   version_ = state.version;
@@ -243,6 +243,6 @@
   return true;
 }
 
-std::string Registry::fingerprint() const { return digest_hex(picture()); }
+std::string Registry::fingerprint() const { return digest_hex(snapshot()); }
 
 } // namespace wharf
--- a/packages/harbour/registry.hpp
+++ b/packages/control/registry.hpp
@@ -85,13 +85,13 @@
   std::size_t answer_bytes() const;
 };
 
-/// The replicated state: the same commands in the same order give the same state on every mate.
+/// The replicated state: the same commands in the same order give the same state on every replica.
 class Registry {
 public:
   Applied apply(const Command &command);
-  std::string picture() const;
-  bool load(std::string_view picture);
-  /// A digest of the whole state, for comparing mates.
+  std::string snapshot() const;
+  bool load(std::string_view snapshot);
+  /// A digest of the whole state, for comparing replicas.
   std::string fingerprint() const;
 
   const std::string &secret() const { return secret_; }
--- a/packages/drydock/deeds.hpp
+++ b/packages/drydock/deeds.hpp
@@ -6,8 +6,8 @@
 namespace wharf {
 
 /// Deeds that scenarios are made of.
-inline int any_harbour(World &world) {
-  return static_cast<int>(world.dice().below(static_cast<std::uint64_t>(world.harbour_count())));
+inline int any_control(World &world) {
+  return static_cast<int>(world.dice().below(static_cast<std::uint64_t>(world.control_count())));
 }
 inline int any_pilot(World &world) {
   return static_cast<int>(world.dice().below(static_cast<std::uint64_t>(world.shape().pilots)));
@@ -30,11 +30,11 @@
   world.at(world.now() + away, [&world, which] { world.start_pilot(which); });
 }
 
-/// Kills a harbour now and starts it again after a while, perhaps with an empty disk.
-inline void bounce_harbour(World &world, int which, Span away, bool has_lost_disk = false) {
+/// Kills a control now and starts it again after a while, perhaps with an empty disk.
+inline void bounce_control(World &world, int which, Span away, bool has_lost_disk = false) {
   if (which < 0) return;
-  world.kill_harbour(which);
-  world.at(world.now() + away, [&world, which, has_lost_disk] { world.start_harbour(which, has_lost_disk); });
+  world.kill_control(which);
+  world.at(world.now() + away, [&world, which, has_lost_disk] { world.start_control(which, has_lost_disk); });
 }
 
 } // namespace wharf
--- a/packages/drydock/perils.cpp
+++ b/packages/drydock/perils.cpp
@@ -4,46 +4,46 @@
 namespace wharf {
 
 namespace {
-void replace_harbours(World &world, Instant from, Instant) {
+void replace_controls(World &world, Instant from, Instant) {
   for (int round = 0; round < 2; ++round)
     world.at(from + round * seconds(9), [&world, round] {
       if (!world.may_lose_disk()) return;
-      const int which = round == 0 && world.leader() >= 0 ? world.leader() : world.harbour_count() - 1;
-      world.retire_harbour(which);
+      const int which = round == 0 && world.leader() >= 0 ? world.leader() : world.control_count() - 1;
+      world.retire_control(which);
       world.at(world.now() + any_span(world, milliseconds(300), seconds(3)),
-               [&world] { world.add_harbour(); });
+               [&world] { world.add_control(); });
     });
 }
 
 void swap_seeds(World &world, Instant from, Instant until) {
   for (int round = 0; round < 3; ++round)
     world.at(from + round * seconds(5), [&world, round] {
-      world.retire_harbour(round);
+      world.retire_control(round);
       auto seeds = world.seeds();
-      seeds[static_cast<std::size_t>(round)] = world.harbour_name(world.harbour_count());
+      seeds[static_cast<std::size_t>(round)] = world.control_name(world.control_count());
       world.set_seeds(std::move(seeds));
-      world.add_harbour();
+      world.add_control();
     });
   world.at(until - seconds(2), [&world] {
     bounce_pilot(world, 0, milliseconds(200));
-    world.add_harbour();
+    world.add_control();
   });
 }
 
 void struck_mate_returns(World &world, Instant from, Instant until) {
   world.at(from, [&world, until] {
-    const int which = any_harbour(world);
-    world.kill_harbour(which);
-    world.at(until - seconds(1), [&world, which] { world.start_harbour(which); });
+    const int which = any_control(world);
+    world.kill_control(which);
+    world.at(until - seconds(1), [&world, which] { world.start_control(which); });
   });
 }
 
 void founding_cut(World &world, Instant, Instant) {
-  const std::string name = world.harbour_name(static_cast<int>(world.dice().below(3)));
+  const std::string name = world.control_name(static_cast<int>(world.dice().below(3)));
   world.cut_off(name, true);
   world.at(any_span(world, seconds(2), seconds(5)), [&world, name] { world.cut_off(name, false); });
   if (world.dice().chance(0.5))
-    world.at(milliseconds(500), [&world] { bounce_harbour(world, 0, milliseconds(300)); });
+    world.at(milliseconds(500), [&world] { bounce_control(world, 0, milliseconds(300)); });
 }
 
 void lose_after_ack(World &world, Instant from, Instant until) {
@@ -51,16 +51,16 @@
     world.at(moment, [&world] {
       if (!world.may_lose_disk()) return;
       world.on_next_taken([&world] {
-        bounce_harbour(world, world.leader(), any_span(world, milliseconds(100), seconds(2)), true);
+        bounce_control(world, world.leader(), any_span(world, milliseconds(100), seconds(2)), true);
       });
-      world.write(false, "", any_harbour(world));
+      world.write(false, "", any_control(world));
     });
 }
 
 void no_room_for_pictures(World &world, Instant from, Instant until) {
   often(world, from, until, seconds(5), [&world] {
-    const int which = any_harbour(world);
-    world.set_disk(which, DiskMood::no_room_for_picture);
+    const int which = any_control(world);
+    world.set_disk(which, DiskMood::no_room_for_snapshot);
     world.at(world.now() + any_span(world, seconds(2), seconds(6)),
              [&world, which] { world.set_disk(which, DiskMood::well); });
   });
@@ -70,7 +70,7 @@
   often(world, from, until, seconds(4), [&world] {
     world.jump_wall_clock(world.dice().chance(0.5) ? seconds(3600) : -seconds(3600));
     if (world.dice().chance(0.5))
-      bounce_harbour(world, any_harbour(world), any_span(world, milliseconds(200), seconds(3)));
+      bounce_control(world, any_control(world), any_span(world, milliseconds(200), seconds(3)));
     else
       bounce_pilot(world, any_pilot(world), any_span(world, milliseconds(200), seconds(2)));
   });
@@ -92,9 +92,9 @@
 
 void one_way_cuts(World &world, Instant from, Instant until) {
   often(world, from, until, seconds(3), [&world] {
-    const std::string left = world.dice().chance(0.5) ? world.harbour_name(any_harbour(world))
+    const std::string left = world.dice().chance(0.5) ? world.control_name(any_control(world))
                                                       : world.pilot_name(any_pilot(world));
-    const std::string right = world.dice().chance(0.5) ? world.harbour_name(any_harbour(world))
+    const std::string right = world.dice().chance(0.5) ? world.control_name(any_control(world))
                                                        : world.pilot_name(any_pilot(world));
     world.set_cut(left, right, true, false);
     world.at(world.now() + any_span(world, seconds(1), seconds(7)),
@@ -114,7 +114,7 @@
 int replica_pilot(World &world, const std::string &tenant) {
   const int leads = world.leader();
   if (leads < 0) return -1;
-  const auto ranked = rank_nodes(world.harbour(leads)->registry().roster().pilots, tenant, purser_salt);
+  const auto ranked = rank_nodes(world.control(leads)->registry().roster().pilots, tenant, purser_salt);
   for (int at = 0; at < world.shape().pilots && ranked.size() > 1; ++at)
     if (world.is_pilot_up(at) && world.pilot_id(at) == ranked[1]) return at;
   return -1;
@@ -159,7 +159,7 @@
     const int kind = static_cast<int>(world.dice().below(2));
     bounce_pilot(world, world.owner_pilot(world.service_name(kind, 0), stevedore_salt),
                  any_span(world, milliseconds(300), seconds(3)));
-    bounce_harbour(world, world.leader(), any_span(world, milliseconds(300), seconds(3)));
+    bounce_control(world, world.leader(), any_span(world, milliseconds(300), seconds(3)));
   });
 }
 
@@ -180,8 +180,8 @@
 
 void manifest_moves(World &world, Instant from, Instant until) {
   often(world, from, until, milliseconds(1200), [&world] {
-    world.write(world.dice().chance(0.3), "", any_harbour(world));
-    if (world.dice().chance(0.3)) world.repeat_last_write(any_harbour(world));
+    world.write(world.dice().chance(0.3), "", any_control(world));
+    if (world.dice().chance(0.3)) world.repeat_last_write(any_control(world));
   });
   often(world, from, until, milliseconds(30), [&world] { world.call(1, 3, "", 0); });
   often(world, from, until, seconds(3), [&world] { world.set_runner_mood("roam", {0, 0, 0, 0.2, 0, 0}); });
@@ -193,7 +193,7 @@
   for (int at = 0; at < 4; ++at) {
     const bool is_patch = at == 3;
     world.at(milliseconds(3200) + any_span(world, 0, milliseconds(400)),
-             [&world, is_patch] { world.write(is_patch, is_patch ? "" : "v0", any_harbour(world)); });
+             [&world, is_patch] { world.write(is_patch, is_patch ? "" : "v0", any_control(world)); });
   }
 }
 
@@ -204,24 +204,24 @@
     for (Instant later = moment + milliseconds(500); later < moment + seconds(7); later += milliseconds(500))
       world.at(later, [&world, at] { world.start_pilot(at); });
   }
-  for (int at = 0; at < world.shape().harbours; ++at) {
-    world.at(from + seconds(4) * at, [&world, at] { world.leave_harbour(at); });
-    world.at(from + seconds(4) * at + milliseconds(1500), [&world, at] { world.start_harbour(at); });
+  for (int at = 0; at < world.shape().controls; ++at) {
+    world.at(from + seconds(4) * at, [&world, at] { world.leave_control(at); });
+    world.at(from + seconds(4) * at + milliseconds(1500), [&world, at] { world.start_control(at); });
   }
   often(world, from, from + seconds(18), milliseconds(700),
-        [&world] { world.write(world.dice().chance(0.3), "", any_harbour(world)); });
+        [&world] { world.write(world.dice().chance(0.3), "", any_control(world)); });
 }
 
 void closing_fault(World &world, Instant, Instant) {
   const bool is_everything = world.dice().chance(0.5);
-  world.at(seconds(62), [&world] { world.write(false, "", any_harbour(world)); });
+  world.at(seconds(62), [&world] { world.write(false, "", any_control(world)); });
   world.at(seconds(63), [&world, is_everything] {
-    for (int at = 0; at < world.harbour_count(); ++at)
-      if (is_everything || world.dice().chance(0.6)) world.kill_harbour(at);
+    for (int at = 0; at < world.control_count(); ++at)
+      if (is_everything || world.dice().chance(0.6)) world.kill_control(at);
     if (is_everything)
       for (int at = 0; at < world.shape().pilots; ++at) world.kill_pilot(at);
     else
-      world.cut_off(world.harbour_name(any_harbour(world)), true);
+      world.cut_off(world.control_name(any_control(world)), true);
   });
   world.at(seconds(66), [&world] { world.heal(); });
 }
@@ -229,11 +229,11 @@
 void fault_in_recovery(World &world, Instant from, Instant until) {
   for (Instant moment = from; moment + seconds(8) < until; moment += seconds(8)) {
     world.at(moment, [&world] {
-      for (int at = 0; at < world.harbour_count(); ++at) bounce_harbour(world, at, milliseconds(500));
+      for (int at = 0; at < world.control_count(); ++at) bounce_control(world, at, milliseconds(500));
       for (int at = 0; at < world.shape().pilots; ++at) bounce_pilot(world, at, milliseconds(500));
     });
     world.at(moment + any_span(world, seconds(1), seconds(4)), [&world] {
-      bounce_harbour(world, world.leader(), milliseconds(700));
+      bounce_control(world, world.leader(), milliseconds(700));
       bounce_pilot(world, any_pilot(world), milliseconds(700));
     });
   }
@@ -241,12 +241,12 @@
 
 void restless_voters(World &world, Instant from, Instant until) {
   often(world, from, until, milliseconds(500), [&world] {
-    bounce_harbour(world, any_harbour(world), any_span(world, milliseconds(10), milliseconds(80)));
+    bounce_control(world, any_control(world), any_span(world, milliseconds(10), milliseconds(80)));
   });
   often(world, from, until, seconds(2), [&world] {
     const int which = world.leader();
     if (which < 0) return;
-    const std::string name = world.harbour_name(which);
+    const std::string name = world.control_name(which);
     world.cut_off(name, true);
     world.at(world.now() + milliseconds(1200), [&world, name] { world.cut_off(name, false); });
   });
@@ -264,14 +264,14 @@
     std::string tag;
     const int leads = world.leader();
     if (leads >= 0 && world.dice().chance(0.5))
-      tag = "v" + std::to_string(world.harbour(leads)->registry().version());
+      tag = "v" + std::to_string(world.control(leads)->registry().version());
     if (leads >= 0 && world.dice().chance(0.15)) {
-      bounce_harbour(world, leads, seconds(1));
+      bounce_control(world, leads, seconds(1));
       return;
     }
     if (leads < 0 || world.now() - world.led_since(leads) < seconds(8)) return;
-    world.write_starving(tag, any_harbour(world));
-    if (world.dice().chance(0.5)) world.write(false, tag, any_harbour(world));
+    world.write_starving(tag, any_control(world));
+    if (world.dice().chance(0.5)) world.write(false, tag, any_control(world));
   });
 }
 
@@ -297,14 +297,14 @@
 
 const std::vector<Scenario> &peril_scenarios() {
   static const std::vector<Scenario> list = {
-      {"replace-harbours", "a control machine is replaced by an empty one elsewhere, twice", replace_harbours,
+      {"replace-controls", "a control machine is replaced by an empty one elsewhere, twice", replace_controls,
        60},
       {"swap-seeds", "all seeds are swapped one by one, then fresh processes know only the new", swap_seeds,
        120},
-      {"struck-mate-returns", "a mate taken out of the group comes back", struck_mate_returns, 60},
+      {"struck-replica-returns", "a replica taken out of the group comes back", struck_mate_returns, 60},
       {"founding-cut", "a seed is cut off or dies while the group is founded", founding_cut, 60},
       {"lose-after-ack", "the leader's disk is lost right after an acknowledgement", lose_after_ack, 60},
-      {"no-room-for-pictures", "disks have no room for a picture, then have", no_room_for_pictures, 60},
+      {"no-room-for-snapshots", "disks have no room for a snapshot, then have", no_room_for_pictures, 60},
       {"clocks-jump", "wall clocks jump an hour either way while processes restart", clocks_jump},
       {"zone-cut", "a zone is cut off with its workers", zone_cut},
       {"zone-lost", "a zone is lost with its machines and workers", zone_lost},
--- a/packages/drydock/scenarios.cpp
+++ b/packages/drydock/scenarios.cpp
@@ -16,9 +16,9 @@
   often(world, from, until, seconds(6), [&world] {
     const int which = world.leader();
     if (which < 0) return;
-    world.kill_harbour(which);
+    world.kill_control(which);
     world.at(world.now() + any_span(world, seconds(1), seconds(5)),
-             [&world, which] { world.start_harbour(which); });
+             [&world, which] { world.start_control(which); });
   });
 }
 
@@ -33,8 +33,8 @@
 
 void kill_many(World &world, Instant from, Instant until) {
   world.at(from + any_span(world, 0, seconds(3)), [&world] {
-    for (int at = 0; at < world.harbour_count(); ++at)
-      if (world.dice().chance(0.6)) world.kill_harbour(at);
+    for (int at = 0; at < world.control_count(); ++at)
+      if (world.dice().chance(0.6)) world.kill_control(at);
     for (int at = 0; at < world.shape().pilots; ++at)
       if (world.dice().chance(0.6)) world.kill_pilot(at);
   });
@@ -43,15 +43,15 @@
 
 void kill_all(World &world, Instant from, Instant) {
   world.at(from + any_span(world, 0, seconds(3)), [&world] {
-    for (int at = 0; at < world.harbour_count(); ++at) world.kill_harbour(at);
+    for (int at = 0; at < world.control_count(); ++at) world.kill_control(at);
     for (int at = 0; at < world.shape().pilots; ++at) world.kill_pilot(at);
   });
 }
 
 void freeze_any(World &world, Instant from, Instant until) {
   often(world, from, until, seconds(3), [&world] {
-    const bool is_harbour = world.dice().chance(0.5);
-    world.freeze(is_harbour, is_harbour ? any_harbour(world) : any_pilot(world),
+    const bool is_control_node = world.dice().chance(0.5);
+    world.freeze(is_control_node, is_control_node ? any_control(world) : any_pilot(world),
                  any_span(world, milliseconds(300), seconds(6)));
   });
 }
@@ -60,17 +60,17 @@
   for (Instant moment = from; moment + seconds(9) < until; moment += seconds(9)) {
     world.at(moment, [&world] {
       if (!world.may_lose_disk()) return;
-      const int which = world.dice().chance(0.5) && world.leader() >= 0 ? world.leader() : any_harbour(world);
-      world.kill_harbour(which);
+      const int which = world.dice().chance(0.5) && world.leader() >= 0 ? world.leader() : any_control(world);
+      world.kill_control(which);
       world.at(world.now() + any_span(world, milliseconds(300), seconds(3)),
-               [&world, which] { world.start_harbour(which, true); });
+               [&world, which] { world.start_control(which, true); });
     });
   }
 }
 
 void disk_trouble(World &world, Instant from, Instant until) {
   often(world, from, until, seconds(5), [&world] {
-    const int which = world.dice().chance(0.5) && world.leader() >= 0 ? world.leader() : any_harbour(world);
+    const int which = world.dice().chance(0.5) && world.leader() >= 0 ? world.leader() : any_control(world);
     const double roll = world.dice().unit();
     world.set_disk(which, roll < 0.4 ? DiskMood::slow : roll < 0.7 ? DiskMood::stalled : DiskMood::full);
     world.at(world.now() + any_span(world, seconds(1), seconds(5)),
@@ -82,10 +82,10 @@
   often(world, from, until, seconds(7), [&world] {
     const int which = world.leader();
     if (which < 0) return;
-    const std::string name = world.harbour_name(which);
+    const std::string name = world.control_name(which);
     const bool both_ways = world.dice().chance(0.5), from_mates_only = world.dice().chance(0.5);
-    for (int at = 0; at < world.harbour_count(); ++at)
-      if (at != which) world.set_cut(name, world.harbour_name(at), true, both_ways);
+    for (int at = 0; at < world.control_count(); ++at)
+      if (at != which) world.set_cut(name, world.control_name(at), true, both_ways);
     if (!from_mates_only)
       for (int at = 0; at < world.shape().pilots; ++at)
         world.set_cut(name, world.pilot_name(at), true, both_ways);
@@ -99,7 +99,7 @@
     const std::uint64_t sides = world.dice().next();
     const auto set = [&world, sides](bool is_cut) {
       std::vector<std::string> names;
-      for (int at = 0; at < world.harbour_count(); ++at) names.push_back(world.harbour_name(at));
+      for (int at = 0; at < world.control_count(); ++at) names.push_back(world.control_name(at));
       for (int at = 0; at < world.shape().pilots; ++at) names.push_back(world.pilot_name(at));
       for (std::size_t left = 0; left < names.size(); ++left)
         for (std::size_t right = left + 1; right < names.size(); ++right)
@@ -113,7 +113,7 @@
 
 void cut_one(World &world, Instant from, Instant until) {
   often(world, from, until, seconds(6), [&world] {
-    const std::string name = world.dice().chance(0.3) ? world.harbour_name(any_harbour(world))
+    const std::string name = world.dice().chance(0.3) ? world.control_name(any_control(world))
                                                       : world.pilot_name(any_pilot(world));
     world.cut_off(name, true);
     world.at(world.now() + any_span(world, seconds(1), seconds(6)),
@@ -158,8 +158,8 @@
     const bool is_bound = world.dice().chance(0.5);
     std::string tag;
     if (is_bound && world.leader() >= 0)
-      tag = "v" + std::to_string(world.harbour(world.leader())->registry().version());
-    for (int at = 0; at < 2; ++at) world.write(world.dice().chance(0.4), tag, any_harbour(world));
+      tag = "v" + std::to_string(world.control(world.leader())->registry().version());
+    for (int at = 0; at < 2; ++at) world.write(world.dice().chance(0.4), tag, any_control(world));
   });
   kill_leader(world, from, until);
 }
@@ -200,9 +200,9 @@
     world.at(moment, [&world, at] { world.leave_pilot(at); });
     world.at(moment + seconds(5), [&world, at] { world.start_pilot(at); });
   }
-  for (int at = 0; at < world.harbour_count(); ++at) {
-    world.at(from + seconds(4) * at, [&world, at] { world.kill_harbour(at); });
-    world.at(from + seconds(4) * at + seconds(1), [&world, at] { world.start_harbour(at); });
+  for (int at = 0; at < world.control_count(); ++at) {
+    world.at(from + seconds(4) * at, [&world, at] { world.kill_control(at); });
+    world.at(from + seconds(4) * at + seconds(1), [&world, at] { world.start_control(at); });
   }
   (void)until;
 }
@@ -233,8 +233,8 @@
         {"freeze", "processes stop and wake believing old permits", freeze_any},
         {"lose-disk", "a harbourd comes back with an empty disk", lose_disk, 30},
         {"disk-trouble", "disks slow, stall and fill up", disk_trouble, 30},
-        {"isolate-leader", "the leader is cut off, from mates or from all, one way or both", isolate_leader,
-         60},
+        {"isolate-leader", "the leader is cut off, from replicas or from all, one way or both",
+         isolate_leader, 60},
         {"split-even", "the machines are split in two at random", split_even},
         {"cut-one", "single machines are cut off", cut_one},
         {"bad-weather", "messages lost, doubled, late and out of order", bad_weather, 30},
@@ -269,13 +269,13 @@
   const auto first_write = [&world] {
     const bool is_taken = std::any_of(world.writes().begin(), world.writes().end(),
                                       [](const WriteRecord &write) { return write.outcome == "taken"; });
-    if (!is_taken) world.write(false, "", any_harbour(world));
+    if (!is_taken) world.write(false, "", any_control(world));
   };
   for (Instant moment = seconds(6); moment < seconds(9); moment += milliseconds(1500))
     world.at(moment, first_write);
   world.start_callers(seconds(10), calls_until);
   for (Instant moment = seconds(12); moment < seconds(60); moment += milliseconds(3700))
-    world.at(moment, [&world] { world.write(world.dice().chance(0.3), "", any_harbour(world)); });
+    world.at(moment, [&world] { world.write(world.dice().chance(0.3), "", any_control(world)); });
   for (Instant moment = seconds(12); moment < seconds(60); moment += milliseconds(90))
     world.at(moment, [&world] {
       std::string key = "never-held-key";
@@ -298,7 +298,7 @@
   world.heal();
   for (Instant moment = seconds(66); moment < ends - seconds(1); moment += milliseconds(700))
     world.at(moment, [&world] {
-      if (!world.has_read_back()) world.read_back(any_harbour(world));
+      if (!world.has_read_back()) world.read_back(any_control(world));
     });
   world.run_until(ends);
   return {world.judge(faults_until + seconds(1)), world.fingerprint(), *story, world.calls(), world.visits()};
--- a/packages/drydock/world.cpp
+++ b/packages/drydock/world.cpp
@@ -10,29 +10,29 @@
 namespace wharf {
 
 namespace {
-constexpr Span harbour_tick = milliseconds(10);
+constexpr Span control_tick = milliseconds(10);
 constexpr Span pilot_tick = milliseconds(5);
 using Json = nlohmann::json;
 } // namespace
 
-void SimDisk::commit(const Save &save) {
+void SimDisk::commit(const WriteBatch &save) {
   if (save.hard) durable.hard = *save.hard;
-  if (save.picture) {
-    durable.picture = *save.picture;
+  if (save.snapshot) {
+    durable.snapshot = *save.snapshot;
     durable.entries.clear();
   }
   if (save.cut_from != 0)
     std::erase_if(durable.entries, [&](const Entry &entry) { return entry.index >= save.cut_from; });
   for (const Entry &entry : save.append) {
     std::erase_if(durable.entries, [&](const Entry &older) { return older.index >= entry.index; });
-    if (entry.index > durable.picture.index) durable.entries.push_back(entry);
+    if (entry.index > durable.snapshot.index) durable.entries.push_back(entry);
   }
 }
 
 WorldShape shape_named(const std::string &name) {
   WorldShape shape;
   if (name != "udruga" && name != "masa-verde") return shape;
-  shape.harbours = name == "udruga" ? 4 : 3;
+  shape.controls = name == "udruga" ? 4 : 3;
   shape.pilots = name == "udruga" ? 7 : 9;
   shape.zones = name == "udruga" ? 4 : 3;
   shape.workers = 12;
@@ -51,12 +51,12 @@
   for (int at = 0; at < shape_.workers; ++at)
     workers_.push_back({"w" + std::to_string(at), std::string(1, static_cast<char>('a' + at % shape_.zones)),
                         shape_.worker_memory_mb, false});
-  watched_.resize(static_cast<std::size_t>(shape_.harbours));
-  harbours_.resize(static_cast<std::size_t>(shape_.harbours));
-  for (int at = 0; at < std::min(3, shape_.harbours); ++at) seeds_.push_back(harbour_name(at));
+  watched_.resize(static_cast<std::size_t>(shape_.controls));
+  controls_.resize(static_cast<std::size_t>(shape_.controls));
+  for (int at = 0; at < std::min(3, shape_.controls); ++at) seeds_.push_back(control_name(at));
   pilots_.resize(static_cast<std::size_t>(shape_.pilots));
   platform_tokens_ = shape_.pace;
-  for (int at = 0; at < shape_.harbours; ++at) start_harbour(at);
+  for (int at = 0; at < shape_.controls; ++at) start_control(at);
   for (int at = 0; at < shape_.pilots; ++at) start_pilot(at);
   platform_tick();
 }
@@ -110,8 +110,8 @@
     deed();
 }
 
-void World::start_harbour(int which, bool has_lost_disk) {
-  HarbourNode &node = harbours_[static_cast<std::size_t>(which)];
+void World::start_control(int which, bool has_lost_disk) {
+  SimulatedControl &node = controls_[static_cast<std::size_t>(which)];
   if (node.is_up || node.is_retired) return;
   if (has_lost_disk) node.disk = SimDisk{};
   if (node.disk.identity == 0) node.disk.identity = dice_.next() | 1;
@@ -120,46 +120,47 @@
   ++node.incarnation;
   node.offset = seconds(1 + static_cast<std::int64_t>(dice_.below(100000)));
   node.rate = 1.0 + (dice_.unit() - 0.5) * 2 * shape_.clock_spread;
-  node.saves.clear();
+  node.batches.clear();
   node.promised.clear();
   node.is_writing = false;
   node.asks.clear();
   node.held.clear();
   Member self;
   self.id = node.disk.identity;
-  self.address = harbour_name(which);
-  self.http = harbour_name(which);
+  self.address = control_name(which);
+  self.http = control_name(which);
   self.zone = std::string(1, static_cast<char>('a' + which % shape_.zones));
-  self.role = static_cast<std::uint8_t>(Role::harbour);
+  self.role = static_cast<std::uint8_t>(Role::control);
   self.beat = static_cast<std::uint64_t>((now_ + wall_offset_) / 1'000'000);
-  HarbourOptions options;
+  ControlOptions options;
   options.platform_pace = shape_.pace;
   options.compact_entries = 400;
   if (defect_ == Defect::early_acknowledge) options.fresh = 0;
   options.by_worth = options.must_spread = !shape_.is_plain;
   options.must_try = defect_ != Defect::untried;
-  node.core = std::make_unique<Harbour>(self, seeds_, options, dice_.next(), node.disk.durable, local(node));
+  node.core =
+      std::make_unique<ControlNode>(self, seeds_, options, dice_.next(), node.disk.durable, local(node));
   watched_[static_cast<std::size_t>(which)] = 0;
-  at(now_ + static_cast<Span>(dice_.below(static_cast<std::uint64_t>(harbour_tick))),
-     [this, which, incarnation = node.incarnation] { tick_harbour(which, incarnation); });
+  at(now_ + static_cast<Span>(dice_.below(static_cast<std::uint64_t>(control_tick))),
+     [this, which, incarnation = node.incarnation] { tick_control(which, incarnation); });
 }
 
 bool World::may_lose_disk() const {
   const int leads = leader();
   if (leads < 0) return false;
-  for (int at = 0; at < harbour_count(); ++at)
-    if (harbours_[static_cast<std::size_t>(at)].is_retired)
+  for (int at = 0; at < control_count(); ++at)
+    if (controls_[static_cast<std::size_t>(at)].is_retired)
       continue;
-    else if (!is_harbour_up(at) || harbours_[static_cast<std::size_t>(at)].disk.mood != DiskMood::well)
+    else if (!is_control_up(at) || controls_[static_cast<std::size_t>(at)].disk.mood != DiskMood::well)
       return false;
-  const Convoy &convoy = harbour(leads)->convoy();
-  for (const Mate &mate : convoy.mates())
-    if (mate.is_voter && convoy.match_of(mate.id) + 50 < convoy.last_index()) return false;
+  const RaftNode &raft = control(leads)->raft();
+  for (const Replica &replica : raft.replicas())
+    if (replica.is_voter && raft.match_of(replica.id) + 50 < raft.last_index()) return false;
   return true;
 }
 
-void World::kill_harbour(int which) {
-  HarbourNode &node = harbours_[static_cast<std::size_t>(which)];
+void World::kill_control(int which) {
+  SimulatedControl &node = controls_[static_cast<std::size_t>(which)];
   if (!node.is_up) return;
   node.is_up = false;
   ++node.incarnation;
@@ -169,34 +170,34 @@
   for (const auto &[ticket, then] : asks) then({ticket, 0, 0, {}, {}});
 }
 
-int World::add_harbour() {
-  harbours_.emplace_back();
+int World::add_control() {
+  controls_.emplace_back();
   watched_.push_back(0);
-  start_harbour(harbour_count() - 1);
-  return harbour_count() - 1;
+  start_control(control_count() - 1);
+  return control_count() - 1;
 }
 
-void World::retire_harbour(int which) {
-  kill_harbour(which);
-  harbours_[static_cast<std::size_t>(which)].is_retired = true;
+void World::retire_control(int which) {
+  kill_control(which);
+  controls_[static_cast<std::size_t>(which)].is_retired = true;
 }
 
-void World::leave_harbour(int which) {
-  HarbourNode &node = harbours_[static_cast<std::size_t>(which)];
+void World::leave_control(int which) {
+  SimulatedControl &node = controls_[static_cast<std::size_t>(which)];
   if (!node.is_up || node.is_leaving || node.is_frozen) return;
   node.is_leaving = true;
-  HarbourOutput out;
+  ControlOutput out;
   node.core->set_leaving(local(node), out);
   flush(which, node, out);
   at(now_ + milliseconds(600), [this, which, incarnation = node.incarnation] {
-    if (harbours_[static_cast<std::size_t>(which)].incarnation == incarnation) kill_harbour(which);
+    if (controls_[static_cast<std::size_t>(which)].incarnation == incarnation) kill_control(which);
   });
 }
 
 void World::set_zone_cut(int zone, bool is_cut) {
   std::vector<std::pair<std::string, bool>> machines;
-  for (int at = 0; at < harbour_count(); ++at)
-    machines.emplace_back(harbour_name(at), at % shape_.zones == zone);
+  for (int at = 0; at < control_count(); ++at)
+    machines.emplace_back(control_name(at), at % shape_.zones == zone);
   for (int at = 0; at < shape_.pilots; ++at) machines.emplace_back(pilot_name(at), at % shape_.zones == zone);
   for (int at = 0; at < shape_.workers; ++at)
     machines.emplace_back("w" + std::to_string(at), at % shape_.zones == zone);
@@ -206,8 +207,8 @@
 }
 
 void World::kill_zone(int zone) {
-  for (int at = 0; at < harbour_count(); ++at)
-    if (at % shape_.zones == zone) kill_harbour(at);
+  for (int at = 0; at < control_count(); ++at)
+    if (at % shape_.zones == zone) kill_control(at);
   for (int at = 0; at < shape_.pilots; ++at)
     if (at % shape_.zones == zone) kill_pilot(at);
   for (int at = 0; at < shape_.workers; ++at)
@@ -258,14 +259,14 @@
   node.core->set_leaving();
 }
 
-void World::freeze(bool is_harbour, int which, Span span) {
-  Process &process = is_harbour ? static_cast<Process &>(harbours_[static_cast<std::size_t>(which)])
-                                : pilots_[static_cast<std::size_t>(which)];
+void World::freeze(bool is_control_node, int which, Span span) {
+  Process &process = is_control_node ? static_cast<Process &>(controls_[static_cast<std::size_t>(which)])
+                                     : pilots_[static_cast<std::size_t>(which)];
   if (!process.is_up || process.is_frozen) return;
   process.is_frozen = true;
-  at(now_ + span, [this, is_harbour, which, incarnation = process.incarnation] {
-    Process &thawed = is_harbour ? static_cast<Process &>(harbours_[static_cast<std::size_t>(which)])
-                                 : pilots_[static_cast<std::size_t>(which)];
+  at(now_ + span, [this, is_control_node, which, incarnation = process.incarnation] {
+    Process &thawed = is_control_node ? static_cast<Process &>(controls_[static_cast<std::size_t>(which)])
+                                      : pilots_[static_cast<std::size_t>(which)];
     if (thawed.incarnation != incarnation) return;
     thawed.is_frozen = false;
     auto held = std::move(thawed.held);
@@ -274,34 +275,34 @@
   });
 }
 
-bool World::is_harbour_up(int which) const { return harbours_[static_cast<std::size_t>(which)].is_up; }
+bool World::is_control_up(int which) const { return controls_[static_cast<std::size_t>(which)].is_up; }
 bool World::is_pilot_up(int which) const { return pilots_[static_cast<std::size_t>(which)].is_up; }
-const Harbour *World::harbour(int which) const {
-  return harbours_[static_cast<std::size_t>(which)].core.get();
+const ControlNode *World::control(int which) const {
+  return controls_[static_cast<std::size_t>(which)].core.get();
 }
 const Pilot *World::pilot(int which) const { return pilots_[static_cast<std::size_t>(which)].core.get(); }
 
 int World::leader() const {
   int found = -1;
   std::uint64_t term = 0;
-  for (int at = 0; at < harbour_count(); ++at) {
-    const Harbour *core = harbour(at);
-    if (core == nullptr || !core->is_leading() || core->convoy().term() < term) continue;
-    term = core->convoy().term();
+  for (int at = 0; at < control_count(); ++at) {
+    const ControlNode *core = control(at);
+    if (core == nullptr || !core->is_leading() || core->raft().term() < term) continue;
+    term = core->raft().term();
     found = at;
   }
   return found;
 }
 
 Instant World::led_since(int which) const {
-  const HarbourNode &node = harbours_[static_cast<std::size_t>(which)];
-  return now_ - (local(node) - node.core->convoy().led_since());
+  const SimulatedControl &node = controls_[static_cast<std::size_t>(which)];
+  return now_ - (local(node) - node.core->raft().led_since());
 }
 
 int World::owner_pilot(const std::string &name, std::uint64_t salt) const {
   const int leads = leader();
   if (leads < 0) return -1;
-  const auto ranked = rank_nodes(harbour(leads)->registry().roster().pilots, name, salt);
+  const auto ranked = rank_nodes(control(leads)->registry().roster().pilots, name, salt);
   for (int at = 0; at < shape_.pilots; ++at)
     if (!ranked.empty() && is_pilot_up(at) && pilots_[static_cast<std::size_t>(at)].self.id == ranked[0])
       return at;
@@ -320,8 +321,8 @@
 }
 
 void World::cut_off(const std::string &machine, bool is_cut) {
-  for (int at = 0; at < harbour_count(); ++at)
-    if (harbour_name(at) != machine) set_cut(machine, harbour_name(at), is_cut);
+  for (int at = 0; at < control_count(); ++at)
+    if (control_name(at) != machine) set_cut(machine, control_name(at), is_cut);
   for (int at = 0; at < shape_.pilots; ++at)
     if (pilot_name(at) != machine) set_cut(machine, pilot_name(at), is_cut);
 }
@@ -332,17 +333,17 @@
   moods_.clear();
   platform_mood_ = PlatformMood::well;
   restore_workers();
-  for (int at = 0; at < harbour_count(); ++at) {
+  for (int at = 0; at < control_count(); ++at) {
     set_disk(at, DiskMood::well);
-    start_harbour(at);
+    start_control(at);
   }
   for (int at = 0; at < shape_.pilots; ++at) start_pilot(at);
 }
 
-void World::set_disk(int harbour, DiskMood mood) {
-  HarbourNode &node = harbours_[static_cast<std::size_t>(harbour)];
+void World::set_disk(int control, DiskMood mood) {
+  SimulatedControl &node = controls_[static_cast<std::size_t>(control)];
   node.disk.mood = mood;
-  if (mood != DiskMood::stalled && node.is_up && !node.is_writing) write_next(harbour);
+  if (mood != DiskMood::stalled && node.is_up && !node.is_writing) write_next(control);
 }
 
 void World::drain_worker(int which, bool is_draining) {
@@ -384,12 +385,12 @@
 void World::deliver(const std::string &to, const Envelope &envelope) {
   const auto which = static_cast<std::size_t>(std::stoi(to.substr(1)));
   if (to[0] == 'h') {
-    HarbourNode &node = harbours_[which];
+    SimulatedControl &node = controls_[which];
     if (!node.is_up) return;
     defer(node, [this, which, envelope, incarnation = node.incarnation] {
-      HarbourNode &target = harbours_[which];
+      SimulatedControl &target = controls_[which];
       if (target.incarnation != incarnation) return;
-      HarbourOutput out;
+      ControlOutput out;
       target.core->receive(envelope, local(target), out);
       flush(static_cast<int>(which), target, out);
     });
@@ -406,15 +407,15 @@
   });
 }
 
-void World::tick_harbour(int which, std::uint64_t incarnation) {
-  HarbourNode &node = harbours_[static_cast<std::size_t>(which)];
+void World::tick_control(int which, std::uint64_t incarnation) {
+  SimulatedControl &node = controls_[static_cast<std::size_t>(which)];
   if (!node.is_up || node.incarnation != incarnation) return;
   if (!node.is_frozen) {
-    HarbourOutput out;
+    ControlOutput out;
     node.core->tick(local(node), out);
     flush(which, node, out);
   }
-  at(now_ + harbour_tick, [this, which, incarnation] { tick_harbour(which, incarnation); });
+  at(now_ + control_tick, [this, which, incarnation] { tick_control(which, incarnation); });
 }
 
 void World::tick_pilot(int which, std::uint64_t incarnation) {
@@ -438,21 +439,21 @@
 }
 
 void World::watch_raft(int which) {
-  const Harbour *core = harbour(which);
-  const Convoy &convoy = core->convoy();
-  if (convoy.group() == 0) return;
-  if (groups_.insert(convoy.group()).second && groups_.size() > 1)
-    raft_faults_.push_back("two-groups: " + harbour_name(which));
-  if (convoy.is_leader()) {
+  const ControlNode *core = control(which);
+  const RaftNode &raft = core->raft();
+  if (raft.group() == 0) return;
+  if (groups_.insert(raft.group()).second && groups_.size() > 1)
+    raft_faults_.push_back("two-groups: " + control_name(which));
+  if (raft.is_leader()) {
     const auto [found, is_new] =
-        leader_of_term_.emplace(convoy.term(), harbours_[static_cast<std::size_t>(which)].disk.identity);
-    if (!is_new && found->second != harbours_[static_cast<std::size_t>(which)].disk.identity)
-      raft_faults_.push_back("two-leaders: term " + std::to_string(convoy.term()));
+        leader_of_term_.emplace(raft.term(), controls_[static_cast<std::size_t>(which)].disk.identity);
+    if (!is_new && found->second != controls_[static_cast<std::size_t>(which)].disk.identity)
+      raft_faults_.push_back("two-leaders: term " + std::to_string(raft.term()));
   }
   std::uint64_t &watched = watched_[static_cast<std::size_t>(which)];
-  watched = std::max(watched, convoy.first_index() - 1);
-  while (watched < convoy.commit()) {
-    const Entry &entry = convoy.log()[++watched - convoy.first_index()];
+  watched = std::max(watched, raft.first_index() - 1);
+  while (watched < raft.commit()) {
+    const Entry &entry = raft.log()[++watched - raft.first_index()];
     const std::string text = std::to_string(entry.term) + "/" + entry.body;
     const auto [found, is_new] = committed_.emplace(entry.index, text);
     if (!is_new && found->second != text)
@@ -460,13 +461,13 @@
   }
 }
 
-void World::flush(int which, HarbourNode &node, HarbourOutput &out) {
+void World::flush(int which, SimulatedControl &node, ControlOutput &out) {
   watch_raft(which);
   for (Posted &posted : out.mail) {
     const std::string to = posted.to == 0 ? posted.address : node.core->rollcall().address_of(posted.to);
-    send(harbour_name(which), to, {node.disk.identity, harbour_name(which), std::move(posted.signal)});
+    send(control_name(which), to, {node.disk.identity, control_name(which), std::move(posted.signal)});
   }
-  for (Save &save : out.saves) node.saves.push_back(std::move(save));
+  for (WriteBatch &save : out.batches) node.batches.push_back(std::move(save));
   if (!node.is_writing) write_next(which);
   for (const OperatorSay &say : out.answers) {
     const auto found = node.asks.find(say.ticket);
@@ -504,51 +505,51 @@
 }
 
 void World::write_next(int which) {
-  HarbourNode &node = harbours_[static_cast<std::size_t>(which)];
-  if (node.saves.empty() || node.is_writing || !node.is_up) return;
+  SimulatedControl &node = controls_[static_cast<std::size_t>(which)];
+  if (node.batches.empty() || node.is_writing || !node.is_up) return;
   if (node.disk.mood == DiskMood::stalled) return;
   node.is_writing = true;
   const Span span = node.disk.mood == DiskMood::slow
                         ? milliseconds(60) + static_cast<Span>(dice_.below(milliseconds(240)))
                         : microseconds(300) + static_cast<Span>(dice_.below(milliseconds(3)));
   at(now_ + span, [this, which, incarnation = node.incarnation] {
-    HarbourNode &writer = harbours_[static_cast<std::size_t>(which)];
+    SimulatedControl &writer = controls_[static_cast<std::size_t>(which)];
     if (writer.incarnation != incarnation) return;
     defer(writer, [this, which, incarnation] {
-      HarbourNode &target = harbours_[static_cast<std::size_t>(which)];
+      SimulatedControl &target = controls_[static_cast<std::size_t>(which)];
       if (target.incarnation != incarnation) return;
       target.is_writing = false;
-      HarbourOutput out;
-      const bool has_picture = std::any_of(target.saves.begin(), target.saves.end(),
-                                           [](const Save &save) { return save.picture.has_value(); });
+      ControlOutput out;
+      const bool has_snapshot = std::any_of(target.batches.begin(), target.batches.end(),
+                                            [](const WriteBatch &save) { return save.snapshot.has_value(); });
       if (target.disk.mood == DiskMood::full ||
-          (target.disk.mood == DiskMood::no_room_for_picture && has_picture)) {
-        target.saves.clear();
+          (target.disk.mood == DiskMood::no_room_for_snapshot && has_snapshot)) {
+        target.batches.clear();
         target.core->disk_failed(local(target), out);
         flush(which, target, out);
         at(now_ + seconds(1), [this, which, incarnation] {
-          HarbourNode &again = harbours_[static_cast<std::size_t>(which)];
+          SimulatedControl &again = controls_[static_cast<std::size_t>(which)];
           if (again.incarnation != incarnation) return;
-          kill_harbour(which);
-          start_harbour(which);
+          kill_control(which);
+          start_control(which);
         });
         return;
       }
-      if (target.saves.empty()) return;
+      if (target.batches.empty()) return;
       std::uint64_t ticket = 0;
-      while (!target.saves.empty()) {
-        if (defect_ == Defect::forgotten_vote && target.saves.front().hard)
-          target.saves.front().hard->vote = 0;
+      while (!target.batches.empty()) {
+        if (defect_ == Defect::forgotten_vote && target.batches.front().hard)
+          target.batches.front().hard->vote = 0;
         if (defect_ == Defect::lying_disk)
-          target.promised.emplace_back(now_, target.saves.front());
+          target.promised.emplace_back(now_, target.batches.front());
         else
-          target.disk.commit(target.saves.front());
+          target.disk.commit(target.batches.front());
         while (!target.promised.empty() && target.promised.front().first < now_ - milliseconds(800)) {
           target.disk.commit(target.promised.front().second);
           target.promised.pop_front();
         }
-        ticket = target.saves.front().ticket;
-        target.saves.pop_front();
+        ticket = target.batches.front().ticket;
+        target.batches.pop_front();
       }
       target.core->saved(ticket, local(target), out);
       flush(which, target, out);
@@ -585,7 +586,7 @@
 }
 
 void World::operate(int which, OperatorAsk ask, int hops, std::function<void(const OperatorSay &)> then) {
-  HarbourNode &node = harbours_[static_cast<std::size_t>(which)];
+  SimulatedControl &node = controls_[static_cast<std::size_t>(which)];
   if (!node.is_up) {
     then({0, -1, 0, {}, {}});
     return;
@@ -599,7 +600,7 @@
       then(say);
   };
   at(now_ + seconds(10), [this, which, ticket] {
-    auto &asks = harbours_[static_cast<std::size_t>(which)].asks;
+    auto &asks = controls_[static_cast<std::size_t>(which)].asks;
     const auto found = asks.find(ticket);
     if (found == asks.end()) return;
     const auto late = std::move(found->second);
@@ -607,25 +608,25 @@
     late({ticket, 0, 0, {}, {}});
   });
   defer(node, [this, which, ask, incarnation = node.incarnation] {
-    HarbourNode &target = harbours_[static_cast<std::size_t>(which)];
+    SimulatedControl &target = controls_[static_cast<std::size_t>(which)];
     if (target.incarnation != incarnation) return;
-    HarbourOutput out;
+    ControlOutput out;
     target.core->operate(ask, local(target), out);
     flush(which, target, out);
   });
 }
 
-void World::write(bool is_patch, const std::string &if_match, int harbour) {
+void World::write(bool is_patch, const std::string &if_match, int control) {
   const int number = static_cast<int>(writes_.size());
   if (is_patch) {
-    write_bytes(true, Json{{"tenants", {{"marker", {{"base", number + 1}}}}}}.dump(), if_match, harbour);
+    write_bytes(true, Json{{"tenants", {{"marker", {{"base", number + 1}}}}}}.dump(), if_match, control);
     return;
   }
   ++key_number_;
-  write_bytes(false, manifest_text(number, key_number_), if_match, harbour);
+  write_bytes(false, manifest_text(number, key_number_), if_match, control);
 }
 
-void World::write_bytes(bool is_patch, std::string bytes, const std::string &if_match, int harbour) {
+void World::write_bytes(bool is_patch, std::string bytes, const std::string &if_match, int control) {
   const auto number = writes_.size();
   WriteRecord record;
   record.number = static_cast<int>(number);
@@ -635,21 +636,21 @@
   record.write_id = "w" + std::to_string(number);
   record.sent = now_;
   writes_.push_back(record);
-  send_write(number, harbour);
+  send_write(number, control);
 }
 
-void World::repeat_last_write(int harbour) {
-  if (!writes_.empty()) send_write(writes_.size() - 1, harbour);
+void World::repeat_last_write(int control) {
+  if (!writes_.empty()) send_write(writes_.size() - 1, control);
 }
 
-void World::send_write(std::size_t number, int harbour) {
+void World::send_write(std::size_t number, int control) {
   const WriteRecord &record = writes_[number];
   OperatorAsk ask;
   ask.verb = record.is_patch ? OperatorVerb::patch_manifest : OperatorVerb::put_manifest;
   ask.body = record.bytes;
   ask.if_match = record.if_match;
   ask.write_id = record.write_id;
-  operate(harbour, ask, 2, [this, number](const OperatorSay &say) {
+  operate(control, ask, 2, [this, number](const OperatorSay &say) {
     WriteRecord &answered = writes_[number];
     const bool may_hold = answered.outcome == "unknown";
     if (answered.outcome == "taken") return;
@@ -668,23 +669,23 @@
   });
 }
 
-void World::write_starving(const std::string &if_match, int harbour) {
+void World::write_starving(const std::string &if_match, int control) {
   const int number = static_cast<int>(writes_.size());
   Json root = Json::parse(manifest_text(number, ++key_number_));
   const std::string narrow = service_name(0, 0);
   root["services"][narrow]["slots"] = root["services"][narrow]["most"] = 1;
   for (int at = 0; at < shape_.hot; ++at)
     root["rules"][service_name(0, at)] = "* /" + service_name(0, at) + "/** to " + narrow;
-  write_bytes(false, root.dump(1), if_match, harbour);
+  write_bytes(false, root.dump(1), if_match, control);
   writes_.back().is_starving = true;
 }
 
-void World::read_back(int harbour) {
+void World::read_back(int control) {
   OperatorAsk ask;
   ask.verb = OperatorVerb::get_manifest;
   if (defect_ == Defect::stale_read) {
-    for (int at = 0; at < harbour_count(); ++at) {
-      const Harbour *core = this->harbour(at);
+    for (int at = 0; at < control_count(); ++at) {
+      const ControlNode *core = this->control(at);
       if (core == nullptr || (last_read_status_ == 200 && core->registry().version() >= last_read_version_))
         continue;
       last_read_status_ = 200;
@@ -693,7 +694,7 @@
     }
     return;
   }
-  operate(harbour, ask, 2, [this](const OperatorSay &say) {
+  operate(control, ask, 2, [this](const OperatorSay &say) {
     last_read_status_ = say.status;
     if (say.status != 200) return;
     last_read_ = defect_ == Defect::tidied_bytes ? Json::parse(say.body).dump() : say.body;
@@ -703,22 +704,22 @@
 
 std::string World::describe() const {
   std::string text;
-  for (int at = 0; at < harbour_count(); ++at) {
-    const Harbour *core = harbour(at);
-    text += std::to_string(now_ / 1'000'000) + " " + harbour_name(at);
+  for (int at = 0; at < control_count(); ++at) {
+    const ControlNode *core = control(at);
+    text += std::to_string(now_ / 1'000'000) + " " + control_name(at);
     if (core == nullptr) {
       text += " down\n";
       continue;
     }
-    const Convoy &convoy = core->convoy();
-    text += " id " + std::to_string(harbours_[static_cast<std::size_t>(at)].disk.identity % 10000) +
-            " group " + std::to_string(convoy.group() % 10000) + " rank " +
-            std::to_string(static_cast<int>(convoy.rank())) + " term " + std::to_string(convoy.term()) +
-            " last " + std::to_string(convoy.last_index()) + " commit " + std::to_string(convoy.commit()) +
-            " leader " + std::to_string(convoy.leader() % 10000) + " disk " +
-            std::to_string(convoy.is_disk_well(local(harbours_[static_cast<std::size_t>(at)]))) + " mates";
-    for (const Mate &mate : convoy.mates())
-      text += " " + std::to_string(mate.id % 10000) + (mate.is_voter ? "v" : "l");
+    const RaftNode &raft = core->raft();
+    text += " id " + std::to_string(controls_[static_cast<std::size_t>(at)].disk.identity % 10000) +
+            " group " + std::to_string(raft.group() % 10000) + " rank " +
+            std::to_string(static_cast<int>(raft.role())) + " term " + std::to_string(raft.term()) +
+            " last " + std::to_string(raft.last_index()) + " commit " + std::to_string(raft.commit()) +
+            " leader " + std::to_string(raft.leader() % 10000) + " disk " +
+            std::to_string(raft.is_disk_well(local(controls_[static_cast<std::size_t>(at)]))) + " replicas";
+    for (const Replica &replica : raft.replicas())
+      text += " " + std::to_string(replica.id % 10000) + (replica.is_voter ? "v" : "l");
     text += "\n";
   }
   return text;
--- a/packages/drydock/world.hpp
+++ b/packages/drydock/world.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "harbour/harbour.hpp"
+#include "control/control_node.hpp"
 #include "pilot/pilot.hpp"
 #include "surveyor/surveyor.hpp"
 
@@ -15,7 +15,7 @@
 
 /// What kind of deployment a simulated run has.
 struct WorldShape {
-  int harbours = 4, pilots = 4, zones = 4, workers = 6;
+  int controls = 4, pilots = 4, zones = 4, workers = 6;
   int hot = 2, once = 2, rare = 6, tenants = 3;
   std::uint32_t worker_memory_mb = 4096;
   double rate = 60;
@@ -37,7 +37,7 @@
   Span least = microseconds(200), most = milliseconds(2);
 };
 
-enum class DiskMood : std::uint8_t { well, slow, stalled, full, no_room_for_picture };
+enum class DiskMood : std::uint8_t { well, slow, stalled, full, no_room_for_snapshot };
 
 /// How the platform misbehaves.
 enum class PlatformMood : std::uint8_t { well, away, refusing, late, forgetting, listing_stopped };
@@ -47,7 +47,7 @@
   NodeId identity = 0;
   Recovered durable;
   DiskMood mood = DiskMood::well;
-  void commit(const Save &save);
+  void commit(const WriteBatch &save);
 };
 
 /// How runners of a service misbehave, as shares of their visits.
@@ -123,36 +123,36 @@
   /// A caller, any of those waiting at a pilot, hangs up.
   void hang_up(int pilot);
   /// Sends the newest write again, as an operator whose answer was lost would.
-  void repeat_last_write(int harbour);
+  void repeat_last_write(int control);
   bool has_read_back() const { return last_read_status_ == 200; }
-  void write(bool is_patch, const std::string &if_match, int harbour);
-  void write_bytes(bool is_patch, std::string bytes, const std::string &if_match, int harbour);
+  void write(bool is_patch, const std::string &if_match, int control);
+  void write_bytes(bool is_patch, std::string bytes, const std::string &if_match, int control);
   /// A whole manifest that leads all busy rules to one runner of one slot.
-  void write_starving(const std::string &if_match, int harbour);
-  void read_back(int harbour);
+  void write_starving(const std::string &if_match, int control);
+  void read_back(int control);
 
-  void kill_harbour(int which);
+  void kill_control(int which);
   /// An empty control machine at a new address; its number.
-  int add_harbour();
+  int add_control();
   /// Takes a control machine away for good.
-  void retire_harbour(int which);
+  void retire_control(int which);
   /// Ends a control process as an operator would.
-  void leave_harbour(int which);
-  int harbour_count() const { return static_cast<int>(harbours_.size()); }
+  void leave_control(int which);
+  int control_count() const { return static_cast<int>(controls_.size()); }
   void set_seeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
   const std::vector<std::string> &seeds() const { return seeds_; }
   /// Sets every machine's wall clock forward or back.
   void jump_wall_clock(Span span) { wall_offset_ += span; }
   /// True when the group stands whole, so that one more disk may be lost.
   bool may_lose_disk() const;
-  void start_harbour(int which, bool has_lost_disk = false);
+  void start_control(int which, bool has_lost_disk = false);
   void kill_pilot(int which);
   void start_pilot(int which);
-  void freeze(bool is_harbour, int which, Span span);
+  void freeze(bool is_control_node, int which, Span span);
   void set_cut(const std::string &left, const std::string &right, bool is_cut, bool both_ways = true);
   void cut_off(const std::string &machine, bool is_cut);
   void heal();
-  void set_disk(int harbour, DiskMood mood);
+  void set_disk(int control, DiskMood mood);
   void set_weather(const Weather &weather) { weather_ = weather; }
   void set_runner_mood(const std::string &service, const RunnerMood &mood) { moods_[service] = mood; }
   void drain_worker(int which, bool is_draining);
@@ -164,14 +164,14 @@
   void leave_pilot(int which);
 
   int leader() const;
-  /// When a leading harbour came to lead, by this world's time.
+  /// When a leading control came to lead, by this world's time.
   Instant led_since(int which) const;
   int owner_pilot(const std::string &name, std::uint64_t salt) const;
-  bool is_harbour_up(int which) const;
+  bool is_control_up(int which) const;
   bool is_pilot_up(int which) const;
-  std::string harbour_name(int which) const { return "h" + std::to_string(which); }
+  std::string control_name(int which) const { return "h" + std::to_string(which); }
   std::string pilot_name(int which) const { return "p" + std::to_string(which); }
-  const Harbour *harbour(int which) const;
+  const ControlNode *control(int which) const;
   const Pilot *pilot(int which) const;
   NodeId pilot_id(int which) const { return pilots_[static_cast<std::size_t>(which)].self.id; }
   std::string service_name(int kind, int index) const;
@@ -188,7 +188,7 @@
   /// Proper errands that may be refused before the run counts as bad.
   void set_refusals_most(std::uint64_t most) { refusals_most_ = most; }
   std::uint64_t events() const { return events_; }
-  /// The control group as its mates see it, for finding a cause.
+  /// The control group as its replicas see it, for finding a cause.
   std::string describe() const;
   /// A digest of everything recorded, to compare two runs of one seed.
   std::string fingerprint() const;
@@ -201,12 +201,12 @@
     Instant offset = 0;
     std::vector<std::function<void()>> held;
   };
-  struct HarbourNode : Process {
-    std::unique_ptr<Harbour> core;
+  struct SimulatedControl : Process {
+    std::unique_ptr<ControlNode> core;
     SimDisk disk;
-    std::deque<Save> saves;
+    std::deque<WriteBatch> batches;
     /// What a lying disk says it has and does not have yet.
-    std::deque<std::pair<Instant, Save>> promised;
+    std::deque<std::pair<Instant, WriteBatch>> promised;
     bool is_writing = false;
     std::map<std::uint64_t, std::function<void(const OperatorSay &)>> asks;
   };
@@ -241,9 +241,9 @@
     return process.offset + static_cast<Instant>(static_cast<double>(now_) * process.rate);
   }
   void defer(Process &process, std::function<void()> deed);
-  void tick_harbour(int which, std::uint64_t incarnation);
+  void tick_control(int which, std::uint64_t incarnation);
   void tick_pilot(int which, std::uint64_t incarnation);
-  void flush(int which, HarbourNode &node, HarbourOutput &out);
+  void flush(int which, SimulatedControl &node, ControlOutput &out);
   void flush(int which, PilotNode &node, PilotOutput &out);
   void send(const std::string &from, const std::string &to, Envelope envelope);
   void deliver(const std::string &to, const Envelope &envelope);
@@ -253,7 +253,7 @@
   void settle_call(const std::string &id, const Reply *reply);
   void list_platform();
   void platform_tick();
-  void send_write(std::size_t number, int harbour);
+  void send_write(std::size_t number, int control);
   void operate(int which, OperatorAsk ask, int hops, std::function<void(const OperatorSay &)> then);
   bool is_cut(const std::string &from, const std::string &to) const { return cuts_.contains({from, to}); }
   void watch_raft(int which);
@@ -268,7 +268,7 @@
   Instant now_ = 0;
   std::uint64_t order_ = 0, events_ = 0;
   std::priority_queue<Event> queue_;
-  std::deque<HarbourNode> harbours_;
+  std::deque<SimulatedControl> controls_;
   std::vector<std::string> seeds_;
   Span wall_offset_ = seconds(1'000'000);
   std::vector<PilotNode> pilots_;
@@ -278,7 +278,7 @@
   std::vector<WorkerSeen> workers_;
   std::set<std::string> dead_workers_;
   std::map<std::string, SimRunner> runners_;
-  std::deque<std::pair<Instant, PlatformPicture>> listings_;
+  std::deque<std::pair<Instant, PlatformView>> listings_;
   PlatformMood platform_mood_ = PlatformMood::well;
   std::vector<TryRecord> tries_;
   std::function<void()> on_taken_;
--- a/packages/drydock/yard.cpp
+++ b/packages/drydock/yard.cpp
@@ -127,26 +127,26 @@
     if (runner.is_dead_listed) runner.is_gone = true;
     ++item;
   }
-  PlatformPicture picture;
+  PlatformView snapshot;
   for (const WorkerSeen &worker : workers_)
     if (!dead_workers_.contains(worker.id)) {
-      picture.workers.push_back(worker);
-      if (defect_ == Defect::leaving_unseen) picture.workers.back().is_draining = false;
+      snapshot.workers.push_back(worker);
+      if (defect_ == Defect::leaving_unseen) snapshot.workers.back().is_draining = false;
     }
   for (const auto &[id, runner] : runners_) {
     if (platform_mood_ == PlatformMood::forgetting && stable_hash(id.data(), id.size()) % 5 == 0) continue;
     const RunnerPhase phase = runner.is_stopping && defect_ != Defect::leaving_unseen ? RunnerPhase::stopping
                               : runner.is_ready                                       ? RunnerPhase::ready
                                                                                       : RunnerPhase::booting;
-    picture.runners.push_back({id, runner.record.service, runner.record.worker,
-                               runner.is_ready ? runner.address : std::string(), phase});
+    snapshot.runners.push_back({id, runner.record.service, runner.record.worker,
+                                runner.is_ready ? runner.address : std::string(), phase});
   }
   if (now_ > seconds(12) && now_ % seconds(2) == 0)
     for (int zone = 0; zone < shape_.zones; ++zone) {
       ++zones_looked_at_;
       left_bare_ += static_cast<std::uint64_t>(left_bare(zone));
     }
-  listings_.emplace_back(now_, std::move(picture));
+  listings_.emplace_back(now_, std::move(snapshot));
   const Span late = platform_mood_ == PlatformMood::late ? seconds(3) : shape_.list_late;
   while (listings_.size() > 1 && listings_[1].first <= now_ - late) listings_.pop_front();
   list_platform();
@@ -155,10 +155,10 @@
 
 void World::list_platform() {
   if (platform_mood_ == PlatformMood::away) return;
-  for (std::size_t which = 0; which < harbours_.size(); ++which) {
-    HarbourNode &node = harbours_[which];
+  for (std::size_t which = 0; which < controls_.size(); ++which) {
+    SimulatedControl &node = controls_[which];
     if (!node.is_up || node.is_frozen || !node.core->is_leading() || now_ % milliseconds(200) != 0) continue;
-    HarbourOutput out;
+    ControlOutput out;
     node.core->platform_seen(listings_.front().second, local(node), out);
     flush(static_cast<int>(which), node, out);
   }
--- a/packages/helm/harbour_helm.cpp
+++ b/packages/helm/control_runtime.cpp
@@ -1,4 +1,4 @@
-#include "helm/harbour_helm.hpp"
+#include "helm/control_runtime.hpp"
 
 #include <algorithm>
 #include <random>
@@ -9,13 +9,13 @@
 namespace wharf {
 
 namespace {
-Member make_harbour_member(const ProcessOptions &options, NodeId id) {
+Member make_control_member(const ProcessOptions &options, NodeId id) {
   Member self;
   self.id = id;
   self.address = options.address;
   self.http = options.http;
   self.zone = options.zone;
-  self.role = static_cast<std::uint8_t>(Role::harbour);
+  self.role = static_cast<std::uint8_t>(Role::control);
   self.beat = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
                                              std::chrono::system_clock::now().time_since_epoch())
                                              .count());
@@ -31,57 +31,57 @@
 }
 } // namespace
 
-HarbourHelm::HarbourHelm(const ProcessOptions &options, HarbourHelmOptions helm, NodeId id,
-                         std::unique_ptr<Shelf> shelf, const Recovered &recovered, OperatorsWire &operators,
-                         PlatformWire &platform)
+ControlRuntime::ControlRuntime(const ProcessOptions &options, ControlRuntimeOptions helm, NodeId id,
+                               std::unique_ptr<LogStorage> storage, const Recovered &recovered,
+                               OperatorsWire &operators, PlatformWire &platform)
     : options_(options), helm_(helm), operators_(operators), platform_(platform),
-      self_(make_harbour_member(options, id)), seeds_(options.seed_list()),
+      self_(make_control_member(options, id)), seeds_(options.seed_list()),
       cables_(loop_, options.listen.empty() ? options.address : options.listen,
-              [this](Envelope &&envelope) { harbour_->receive(envelope, tide_.now(), out_); }),
+              [this](Envelope &&envelope) { control_->receive(envelope, tide_.now(), out_); }),
       calls_(loop_, HttpCallOptions{}), door_(loop_, options.http, *this, door_options()) {
   build(recovered);
-  disk_ = std::make_unique<DiskDuty>(std::move(shelf), [this](DiskWord &&word) {
-    loop_.post([this, kept = std::make_shared<DiskWord>(std::move(word))] { disk_said(std::move(*kept)); });
+  disk_ = std::make_unique<DiskWorker>(std::move(storage), [this](DiskEvent &&word) {
+    loop_.post([this, kept = std::make_shared<DiskEvent>(std::move(word))] { disk_said(std::move(*kept)); });
   });
   log_line("up, id " + std::to_string(self_.id) + ", operators at " + options_.http);
 }
 
-HarbourHelm::~HarbourHelm() = default;
+ControlRuntime::~ControlRuntime() = default;
 
-HarbourHelmOptions harbour_helm_options(const ProcessOptions &options) {
-  HarbourHelmOptions made;
-  made.harbour.platform_pace = static_cast<double>(options.pace);
-  made.harbour.may_found = options.may_found != 0;
-  made.harbour.duty = helm_duty;
-  made.harbour.rollcall.told_each = helm_told_each;
-  made.harbour.pilot_silence = milliseconds(900);
-  made.harbour.enrol_gather = milliseconds(150);
-  made.harbour.must_wait_roster = false;
-  made.harbour.clock_every = seconds(1);
+ControlRuntimeOptions control_runtime_options(const ProcessOptions &options) {
+  ControlRuntimeOptions made;
+  made.control.platform_pace = static_cast<double>(options.pace);
+  made.control.may_found = options.may_found != 0;
+  made.control.duty = helm_duty;
+  made.control.rollcall.told_each = helm_told_each;
+  made.control.pilot_silence = milliseconds(900);
+  made.control.enrol_gather = milliseconds(150);
+  made.control.must_wait_roster = false;
+  made.control.clock_every = seconds(1);
   return made;
 }
 
-void HarbourHelm::build(const Recovered &recovered) {
+void ControlRuntime::build(const Recovered &recovered) {
   std::random_device source;
   Member self = self_;
-  if (harbour_) self.beat = harbour_->rollcall().self().beat + 1;
-  harbour_ = std::make_unique<Harbour>(self, seeds_, helm_.harbour,
-                                       (static_cast<std::uint64_t>(source()) << 32) | source(), recovered,
-                                       tide_.now());
+  if (control_) self.beat = control_->rollcall().self().beat + 1;
+  control_ = std::make_unique<ControlNode>(self, seeds_, helm_.control,
+                                           (static_cast<std::uint64_t>(source()) << 32) | source(), recovered,
+                                           tide_.now());
 }
 
-void HarbourHelm::set_seeds(std::vector<std::string> seeds) {
+void ControlRuntime::set_seeds(std::vector<std::string> seeds) {
   seeds_ = seeds;
-  harbour_->rollcall().set_seeds(std::move(seeds));
+  control_->rollcall().set_seeds(std::move(seeds));
 }
 
-void HarbourHelm::disk_said(DiskWord &&word) {
+void ControlRuntime::disk_said(DiskEvent &&word) {
   const Instant now = tide_.now();
   if (const auto *done = std::get_if<DiskDone>(&word)) {
-    harbour_->saved(done->ticket, now, out_);
+    control_->saved(done->ticket, now, out_);
   } else if (const auto *refused = std::get_if<DiskRefused>(&word)) {
     log_warning(refused->what);
-    harbour_->disk_failed(now, out_);
+    control_->disk_failed(now, out_);
   } else if (const auto *opened = std::get_if<DiskOpened>(&word)) {
     carry_out();
     out_ = {};
@@ -90,7 +90,7 @@
   }
 }
 
-void HarbourHelm::asked(LinkId link, HttpMessage &&request) {
+void ControlRuntime::asked(LinkId link, HttpMessage &&request) {
   auto begun = operators_.begin(request);
   if (auto *response = std::get_if<HttpMessage>(&begun)) {
     door_.answer(link, *response, true);
@@ -101,17 +101,17 @@
   ask_group(ticket, std::get<OperatorAsk>(std::move(begun)));
 }
 
-void HarbourHelm::left(LinkId link) {
+void ControlRuntime::left(LinkId link) {
   std::erase_if(talks_, [link](const auto &item) { return item.second.link == link; });
 }
 
-void HarbourHelm::ask_group(std::uint64_t ticket, OperatorAsk ask) {
+void ControlRuntime::ask_group(std::uint64_t ticket, OperatorAsk ask) {
   ask.ticket = ticket;
   talks_[ticket].asked = ask;
-  harbour_->operate(std::move(ask), tide_.now(), out_);
+  control_->operate(std::move(ask), tide_.now(), out_);
 }
 
-void HarbourHelm::answered(const OperatorSay &say) {
+void ControlRuntime::answered(const OperatorSay &say) {
   const auto found = talks_.find(say.ticket);
   if (found == talks_.end()) return;
   auto next = operators_.go_on(found->second.request, found->second.asked, say);
@@ -127,7 +127,7 @@
   talks_.erase(found);
 }
 
-void HarbourHelm::tend_talks(Instant now) {
+void ControlRuntime::maintain_talks(Instant now) {
   std::vector<std::uint64_t> late;
   for (const auto &[ticket, talk] : talks_)
     if (now >= talk.until) late.push_back(ticket);
@@ -137,7 +137,7 @@
   }
 }
 
-HttpCall HarbourHelm::platform_call(HttpMessage request) {
+HttpCall ControlRuntime::platform_call(HttpMessage request) {
   ++platform_calls_;
   HttpCall call;
   call.address = options_.platform;
@@ -148,8 +148,8 @@
   return call;
 }
 
-void HarbourHelm::tend_lists(Instant now) {
-  if (options_.platform.empty() || !harbour_->is_leading() || now < listing_until_) return;
+void ControlRuntime::maintain_lists(Instant now) {
+  if (options_.platform.empty() || !control_->is_leading() || now < listing_until_) return;
   if (now >= workers_at_) {
     workers_at_ = now + helm_.list_workers;
     HttpCall call = platform_call(platform_.ask_workers());
@@ -170,51 +170,51 @@
   if (!has_workers_ || now < runners_at_) return;
   runners_at_ = now + helm_.list_runners;
   listing_until_ = now + helm_.call_within;
-  list_runners({}, std::make_shared<PlatformPicture>());
+  list_runners({}, std::make_shared<PlatformView>());
 }
 
-void HarbourHelm::list_runners(const std::string &page, std::shared_ptr<PlatformPicture> picture) {
+void ControlRuntime::list_runners(const std::string &page, std::shared_ptr<PlatformView> snapshot) {
   HttpCall call = platform_call(platform_.ask_runners(page));
-  call.done = [this, picture](CallAnswer &&answer) {
+  call.done = [this, snapshot](CallAnswer &&answer) {
     std::string next;
     const bool is_read =
-        answer.fate == CallFate::answered && platform_.read_runners(answer.response, picture->runners, next);
+        answer.fate == CallFate::answered && platform_.read_runners(answer.response, snapshot->runners, next);
     if (!is_read) {
       ++platform_away_;
       listing_until_ = 0;
       return;
     }
-    if (!next.empty() && picture->runners.size() < 1'000'000) {
-      list_runners(next, picture);
+    if (!next.empty() && snapshot->runners.size() < 1'000'000) {
+      list_runners(next, snapshot);
       return;
     }
     listing_until_ = 0;
-    picture->workers = workers_;
-    harbour_->platform_seen(std::move(*picture), tide_.now(), out_);
+    snapshot->workers = workers_;
+    control_->platform_seen(std::move(*snapshot), tide_.now(), out_);
   };
   calls_.call(std::move(call));
 }
 
-void HarbourHelm::give_order(PlatformOrder order) {
-  HttpCall call = platform_call(platform_.order(order, harbour_->convoy().term()));
+void ControlRuntime::give_order(PlatformOrder order) {
+  HttpCall call = platform_call(platform_.order(order, control_->raft().term()));
   call.done = [this, order](CallAnswer &&answer) {
     const HttpMessage *response = answer.fate == CallFate::answered ? &answer.response : nullptr;
-    harbour_->platform_said(platform_.read_order(order, response), tide_.now(), out_);
+    control_->platform_said(platform_.read_order(order, response), tide_.now(), out_);
   };
   calls_.call(std::move(call));
 }
 
-void HarbourHelm::carry_out() {
+void ControlRuntime::carry_out() {
   for (int round = 0; round < 16; ++round) {
-    if (out_.mail.empty() && out_.saves.empty() && out_.answers.empty() && out_.orders.empty() &&
+    if (out_.mail.empty() && out_.batches.empty() && out_.answers.empty() && out_.orders.empty() &&
         out_.lines.empty())
       break;
-    HarbourOutput taken;
+    ControlOutput taken;
     std::swap(taken, out_);
-    for (Save &save : taken.saves) disk_->give(std::move(save));
+    for (WriteBatch &save : taken.batches) disk_->give(std::move(save));
     for (Posted &posted : taken.mail) {
       const std::string address =
-          posted.to == 0 ? posted.address : harbour_->rollcall().address_of(posted.to);
+          posted.to == 0 ? posted.address : control_->rollcall().address_of(posted.to);
       if (!address.empty()) cables_.send(address, frame({self_.id, self_.address, std::move(posted.signal)}));
     }
     for (PlatformOrder &order : taken.orders) give_order(std::move(order));
@@ -224,11 +224,11 @@
   cables_.flush();
 }
 
-void HarbourHelm::tell_counters(Instant now) {
+void ControlRuntime::tell_counters(Instant now) {
   if (now < count_at_) return;
   count_at_ = now + helm_.count_every;
   std::string line = "counters";
-  for (const auto &[name, value] : harbour_->gauges(now)) line += " " + name + "=" + std::to_string(value);
+  for (const auto &[name, value] : control_->gauges(now)) line += " " + name + "=" + std::to_string(value);
   line += " platform_calls=" + std::to_string(platform_calls_) +
           " platform_away=" + std::to_string(platform_away_) +
           " disk_writes=" + std::to_string(disk_->writes()) +
@@ -236,17 +236,17 @@
   log_line(line);
 }
 
-int HarbourHelm::run() {
+int ControlRuntime::run() {
   Instant tick_at = 0;
   while (leaving_at_ == 0 || tide_.now() - leaving_at_ < helm_.leave_most) {
     loop_.turn(std::clamp<Span>(tick_at - tide_.now(), 0, helm_.tick));
     const Instant now = tide_.now();
     if (now >= tick_at) {
-      harbour_->tick(now, out_);
+      control_->tick(now, out_);
       calls_.tick(now);
       door_.tick(now);
-      tend_talks(now);
-      tend_lists(now);
+      maintain_talks(now);
+      maintain_lists(now);
       tell_counters(now);
       if (watch_) watch_();
       tick_at = now + helm_.tick;
@@ -254,7 +254,7 @@
         leaving_at_ = now;
         log_line("draining");
         door_.drain();
-        harbour_->set_leaving(now, out_);
+        control_->set_leaving(now, out_);
       }
     }
     carry_out();
--- a/packages/helm/harbour_helm.hpp
+++ b/packages/helm/control_runtime.hpp
@@ -8,12 +8,12 @@
 #include "anchorage/http_door.hpp"
 #include "bosun/options.hpp"
 #include "helm/wires.hpp"
-#include "hold/disk_duty.hpp"
+#include "storage/disk_worker.hpp"
 
 namespace wharf {
 
-struct HarbourHelmOptions {
-  HarbourOptions harbour;
+struct ControlRuntimeOptions {
+  ControlOptions control;
   Span tick = milliseconds(20);
   /// How often the platform's lists are read by the leader.
   Span list_runners = milliseconds(300), list_workers = seconds(1);
@@ -22,11 +22,12 @@
 };
 
 /// A control process of two duties: one event loop for all links and decisions, one for the disk.
-class HarbourHelm final : public HttpDoorSink {
+class ControlRuntime final : public HttpDoorSink {
 public:
-  HarbourHelm(const ProcessOptions &options, HarbourHelmOptions helm, NodeId id, std::unique_ptr<Shelf> shelf,
-              const Recovered &recovered, OperatorsWire &operators, PlatformWire &platform);
-  ~HarbourHelm() override;
+  ControlRuntime(const ProcessOptions &options, ControlRuntimeOptions helm, NodeId id,
+                 std::unique_ptr<LogStorage> storage, const Recovered &recovered, OperatorsWire &operators,
+                 PlatformWire &platform);
+  ~ControlRuntime() override;
   int run();
   void set_seeds(std::vector<std::string> seeds);
   void set_watch(std::function<void()> watch) { watch_ = std::move(watch); }
@@ -42,26 +43,26 @@
     Instant until = 0;
   };
   void build(const Recovered &recovered);
-  void disk_said(DiskWord &&word);
+  void disk_said(DiskEvent &&word);
   void carry_out();
   void ask_group(std::uint64_t ticket, OperatorAsk ask);
   void answered(const OperatorSay &say);
-  void tend_talks(Instant now);
-  void tend_lists(Instant now);
-  void list_runners(const std::string &page, std::shared_ptr<PlatformPicture> picture);
+  void maintain_talks(Instant now);
+  void maintain_lists(Instant now);
+  void list_runners(const std::string &page, std::shared_ptr<PlatformView> snapshot);
   void give_order(PlatformOrder order);
   HttpCall platform_call(HttpMessage request);
   void tell_counters(Instant now);
 
   ProcessOptions options_;
-  HarbourHelmOptions helm_;
+  ControlRuntimeOptions helm_;
   OperatorsWire &operators_;
   PlatformWire &platform_;
   SteadyTide tide_;
   Member self_;
   std::vector<std::string> seeds_;
-  std::unique_ptr<Harbour> harbour_;
-  HarbourOutput out_;
+  std::unique_ptr<ControlNode> control_;
+  ControlOutput out_;
   Loop loop_;
   Cables cables_;
   HttpCalls calls_;
@@ -73,9 +74,9 @@
   std::uint64_t platform_calls_ = 0, platform_away_ = 0;
   bool has_workers_ = false;
   std::function<void()> watch_;
-  std::unique_ptr<DiskDuty> disk_;
+  std::unique_ptr<DiskWorker> disk_;
 };
 
-HarbourHelmOptions harbour_helm_options(const ProcessOptions &options);
+ControlRuntimeOptions control_runtime_options(const ProcessOptions &options);
 
 } // namespace wharf
--- a/packages/helm/wires.hpp
+++ b/packages/helm/wires.hpp
@@ -4,7 +4,7 @@
 #include <variant>
 
 #include "anchorage/http.hpp"
-#include "harbour/harbour.hpp"
+#include "control/control_node.hpp"
 #include "pilot/pilot.hpp"
 
 namespace wharf {
--- a/packages/moorings/moorings.cpp
+++ b/packages/moorings/moorings.cpp
@@ -18,7 +18,7 @@
   int descriptor = -1;
   Berthing state = Berthing::parked;
   std::string bytes;
-  Instant parked_at = 0, arriving_since = 0, waiting_since = 0;
+  Instant parked_at = 0, incoming_snapshot_since = 0, waiting_since = 0;
   std::size_t served = 0;
   std::function<void()> on_gone;
   bool is_gone = false;
@@ -223,7 +223,7 @@
 }
 
 void Moorings::hand_over(const LinkPtr &link, Instant now) {
-  link->arriving_since = 0;
+  link->incoming_snapshot_since = 0;
   if (jobs_.size() >= options_.waiting_most) {
     turn_away(link, 503, "door-full", now);
     return;
@@ -244,7 +244,7 @@
       return;
     }
     if (link->state == Berthing::lingering) continue;
-    if (link->arriving_since == 0) link->arriving_since = now;
+    if (link->incoming_snapshot_since == 0) link->incoming_snapshot_since = now;
     link->bytes.append(buffer, static_cast<std::size_t>(count));
     bytes_ += static_cast<std::size_t>(count);
     if (bytes_ > options_.bytes_most) {
@@ -263,7 +263,8 @@
     close_link(link);
   else if (is_idle && (now - link->parked_at > options_.idle || is_draining_))
     close_link(link);
-  else if (link->state == Berthing::parked && !is_idle && now - link->arriving_since > options_.arrive_within)
+  else if (link->state == Berthing::parked && !is_idle &&
+           now - link->incoming_snapshot_since > options_.arrive_within)
     turn_away(link, 408, "too-slow", now);
   else if (link->state == Berthing::parked && is_draining_ && now > drain_until_)
     close_link(link);
@@ -355,7 +356,7 @@
     if (!may_stay)
       close_link(link);
     else if (!link->bytes.empty()) {
-      link->arriving_since = link->parked_at;
+      link->incoming_snapshot_since = link->parked_at;
       if (arrival_of(link->bytes, options_) == Arrival::whole) hand_over(link, link->parked_at);
     }
     wake();
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -259,7 +259,7 @@
     return;
   }
   for (const Member &member : rollcall_.living(now))
-    if (member.role == static_cast<std::uint8_t>(Role::harbour)) out.mail.push_back({member.id, {}, pulse});
+    if (member.role == static_cast<std::uint8_t>(Role::control)) out.mail.push_back({member.id, {}, pulse});
 }
 
 void Pilot::handle(NodeId from, const Orders &orders, Instant now, PilotOutput &out) {
@@ -385,7 +385,7 @@
     finish(id, Fate::stale, seconds(1), now, out);
   else
     go_on(id, now, out);
-  tend_till(tenant, now, out);
+  maintain_till(tenant, now, out);
   loop_back(now, out);
 }
 
@@ -930,7 +930,7 @@
   serve_line(tenant, now, out);
 }
 
-void Pilot::tend_till(std::uint32_t tenant, Instant now, PilotOutput &out) {
+void Pilot::maintain_till(std::uint32_t tenant, Instant now, PilotOutput &out) {
   Till &till = tills_[tenant];
   if (till.rate_at == 0) till.rate_at = now;
   if (now - till.rate_at >= milliseconds(200)) {
@@ -1021,7 +1021,7 @@
   std::erase_if(heard_, [now](const auto &item) { return now - item.second > seconds(60); });
   rollcall_.tick(now, out.mail);
   for (const Member &member : rollcall_.living(now))
-    if (member.group != 0 && member.role == static_cast<std::uint8_t>(Role::harbour))
+    if (member.group != 0 && member.role == static_cast<std::uint8_t>(Role::control))
       rollcall_.set_group(member.group);
   const bool has_news = stevedore_.wants_mark() != told_wants_ && now - pulsed_at_ >= options_.pulse_least;
   if (now >= pulse_at_ || has_news) send_pulse(now, out);
@@ -1031,7 +1031,7 @@
   for (const auto &[tenant, till] : tills_) tenants.push_back(tenant);
   for (std::uint32_t tenant : tenants) {
     if (!tills_[tenant].line.empty()) serve_line(tenant, now, out);
-    tend_till(tenant, now, out);
+    maintain_till(tenant, now, out);
   }
   std::vector<std::string> ids;
   for (const auto &[id, errand] : afloat_) ids.push_back(id);
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -241,7 +241,7 @@
   std::optional<Fate> recheck(const Afloat &errand, Instant now) const;
   void ask_permit(std::uint32_t tenant, Instant now, PilotOutput &out);
   void serve_line(std::uint32_t tenant, Instant now, PilotOutput &out);
-  void tend_till(std::uint32_t tenant, Instant now, PilotOutput &out);
+  void maintain_till(std::uint32_t tenant, Instant now, PilotOutput &out);
   /// True when all nodes together, sending as much as this one, would stay below the tenant's base.
   bool is_modest(const Till &till, const Tenant &tenant) const;
   bool spend_fallback(Till &till, Instant now);
--- a/packages/quay/quay.cpp
+++ b/packages/quay/quay.cpp
@@ -26,25 +26,25 @@
 
 Quay::Quay(std::string address) { split_address(address, ip_, port_); }
 
-std::optional<PlatformPicture> Quay::list() {
+std::optional<PlatformView> Quay::list() {
   httplib::Client client(ip_, port_);
   set_patience(client);
   const auto workers = client.Get("/v1/workers");
   if (!workers || workers->status != 200) return std::nullopt;
   const auto runners = client.Get("/v1/runners");
   if (!runners || runners->status != 200) return std::nullopt;
-  PlatformPicture picture;
+  PlatformView snapshot;
   try {
     for (const Json &item : Json::parse(workers->body))
-      picture.workers.push_back(
+      snapshot.workers.push_back(
           {item.at("worker"), item.at("zone"), item.at("memory_mb"), item.at("draining")});
     for (const Json &item : Json::parse(runners->body))
-      picture.runners.push_back({item.at("runner"), item.value("service", ""), item.at("worker"),
-                                 item.value("address", ""), phase_of(item.at("state"))});
+      snapshot.runners.push_back({item.at("runner"), item.value("service", ""), item.at("worker"),
+                                  item.value("address", ""), phase_of(item.at("state"))});
   } catch (const std::exception &) {
     return std::nullopt;
   }
-  return picture;
+  return snapshot;
 }
 
 bool Quay::order(const PlatformOrder &order) {
--- a/packages/quay/quay.hpp
+++ b/packages/quay/quay.hpp
@@ -2,7 +2,7 @@
 #include <optional>
 #include <string>
 
-#include "harbour/harbour.hpp"
+#include "control/control_node.hpp"
 
 namespace wharf {
 
@@ -11,7 +11,7 @@
 public:
   virtual ~Platform() = default;
   /// What the platform lists now; nothing when it cannot be asked.
-  virtual std::optional<PlatformPicture> list() = 0;
+  virtual std::optional<PlatformView> list() = 0;
   /// Passes one order on; false when the platform did not take it.
   virtual bool order(const PlatformOrder &order) = 0;
 };
@@ -20,7 +20,7 @@
 class Quay final : public Platform {
 public:
   explicit Quay(std::string address);
-  std::optional<PlatformPicture> list() override;
+  std::optional<PlatformView> list() override;
   bool order(const PlatformOrder &order) override;
 
 private:
--- /dev/null
+++ b/packages/raft/raft.hpp
@@ -0,0 +1,172 @@
+#pragma once
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "signals/signals.hpp"
+
+namespace wharf {
+
+/// The part of a replica's state that must be on disk before it speaks.
+struct HardState {
+  std::uint64_t group = 0, term = 0;
+  NodeId vote = 0;
+  WHARF_CARRY(group, term, vote)
+  bool operator==(const HardState &) const = default;
+};
+
+/// A state snapshot with what the log needs to go on from it.
+struct Snapshot {
+  std::uint64_t index = 0, term = 0;
+  std::vector<Replica> replicas;
+  std::string body;
+  WHARF_CARRY(index, term, replicas, body)
+};
+
+/// What a data folder held when it was opened.
+struct Recovered {
+  HardState hard;
+  Snapshot snapshot;
+  std::vector<Entry> entries;
+};
+
+/// One batch for the disk; done when all of it is synced.
+struct WriteBatch {
+  std::uint64_t ticket = 0;
+  std::optional<HardState> hard;
+  std::uint64_t cut_from = 0;
+  std::vector<Entry> append;
+  std::optional<Snapshot> snapshot;
+};
+
+/// What a step of the Raft machine wants done.
+struct RaftOutput {
+  Outbox mail;
+  std::vector<WriteBatch> batches;
+  std::optional<Snapshot> load;
+  std::vector<Entry> committed;
+  bool has_role_changed = false;
+};
+
+enum class RaftRole : std::uint8_t { follower, pre_candidate, candidate, leader };
+
+struct RaftOptions {
+  Span election_least = milliseconds(500);
+  Span election_most = milliseconds(1000);
+  /// How much sooner than usual the first election after a start may come, as no leader is expected then.
+  Span first_sooner = milliseconds(350);
+  Span heartbeat = milliseconds(75);
+  Span disk_patience = milliseconds(1500);
+  std::size_t batch_entries = 256;
+  std::size_t batch_bytes = 1u << 20;
+  std::size_t snapshot_chunk_bytes = 1u << 20;
+  Span snapshot_retry = milliseconds(500);
+};
+
+/// One replica of our Raft group, as a pure state machine: input and time in; mail and batches out.
+class RaftNode {
+public:
+  RaftNode(NodeId self, RaftOptions options, std::uint64_t seed, const Recovered &recovered, Instant now);
+
+  void step(NodeId from, const Signal &signal, Instant now, RaftOutput &out);
+  void tick(Instant now, RaftOutput &out);
+  /// Puts a command in the log; its index, or nothing when this replica does not lead.
+  std::optional<std::uint64_t> propose(std::string body, Instant now, RaftOutput &out);
+  /// Puts a new set of replicas in the log; nothing when one is under way.
+  std::optional<std::uint64_t> propose_replicas(std::vector<Replica> replicas, Instant now, RaftOutput &out);
+  /// The batch with this ticket is synced.
+  void saved(std::uint64_t ticket, Instant now, RaftOutput &out);
+  /// The disk refused a batch: this replica neither leads nor votes until it is opened again.
+  void disk_failed(Instant now, RaftOutput &out);
+  /// Replaces the log up to `index` by a snapshot of the state there.
+  void compact(std::uint64_t index, std::string body, RaftOutput &out);
+  /// Founds or joins a group for the first time.
+  void found(std::uint64_t group, std::vector<Replica> replicas, Instant now, RaftOutput &out);
+  /// Gives up the lead, when this replica has it.
+  void step_down(Instant now, RaftOutput &out);
+
+  RaftRole role() const { return role_; }
+  bool is_leader() const { return role_ == RaftRole::leader; }
+  /// True once this leader's own term has a committed entry.
+  bool is_settled() const;
+  NodeId leader() const { return leader_; }
+  std::uint64_t term() const { return hard_.term; }
+  std::uint64_t group() const { return hard_.group; }
+  std::uint64_t commit() const { return commit_; }
+  std::uint64_t last_index() const { return base_.index + log_.size(); }
+  std::uint64_t first_index() const { return base_.index + 1; }
+  std::uint64_t term_at(std::uint64_t index) const;
+  const std::vector<Replica> &replicas() const { return replicas_; }
+  /// Everything a majority answered was sent at or after this moment; the lead was held then.
+  Instant confirmed_at(Instant now) const;
+  Instant led_since() const { return led_since_; }
+  /// How far a replica's log is known to match.
+  std::uint64_t match_of(NodeId id) const;
+  /// When the replica last answered this leader.
+  Instant heard_from(NodeId id) const;
+  bool is_disk_well(Instant now) const;
+  const std::deque<Entry> &log() const { return log_; }
+
+private:
+  struct Progress {
+    std::uint64_t next = 1, match = 0;
+    Instant acked = 0, heard = 0, snapshot_sent_at = 0, stepped_back = 0;
+    std::uint64_t snapshot_index = 0, snapshot_received = 0;
+  };
+  struct Waiting {
+    std::uint64_t ticket = 0, last_index = 0, last_term = 0;
+    bool has_entries = false;
+    Instant since = 0;
+    HardState hard;
+    Outbox mail;
+  };
+
+  void handle(NodeId from, const RequestVoteRequest &ask, Instant now, RaftOutput &out);
+  void handle(NodeId from, const RequestVoteResponse &say, Instant now, RaftOutput &out);
+  void handle(NodeId from, const AppendEntriesRequest &ask, Instant now, RaftOutput &out);
+  void handle(NodeId from, const AppendEntriesResponse &say, Instant now, RaftOutput &out);
+  void handle(NodeId from, const InstallSnapshotRequest &ask, Instant now, RaftOutput &out);
+  void handle(NodeId from, const InstallSnapshotResponse &say, Instant now, RaftOutput &out);
+
+  void follow(std::uint64_t term, NodeId leader, Instant now, RaftOutput &out);
+  void campaign(bool is_pre_vote, Instant now, RaftOutput &out);
+  void count_votes(Instant now, RaftOutput &out);
+  void lead(Instant now, RaftOutput &out);
+  void append(std::uint8_t kind, std::string body, RaftOutput &out);
+  void send_append(NodeId to, Instant now, RaftOutput &out);
+  void broadcast(Instant now, RaftOutput &out);
+  void advance_commit(Instant now, RaftOutput &out);
+  void deliver(RaftOutput &out);
+  void refresh_replicas();
+  void cut_log(std::uint64_t from);
+  void set_election(Instant now);
+  bool is_voter(NodeId id) const;
+  std::size_t majority() const;
+  WriteBatch &save(RaftOutput &out);
+  void finish(Instant now, RaftOutput &out);
+
+  NodeId self_;
+  RaftOptions options_;
+  Dice dice_;
+  HardState hard_;
+  Snapshot base_, incoming_snapshot_;
+  std::deque<Entry> log_;
+  std::vector<Replica> replicas_;
+  std::uint64_t replicas_index_ = 0;
+  std::uint64_t commit_ = 0, delivered_ = 0, synced_ = 0, verified_ = 0;
+  RaftRole role_ = RaftRole::follower;
+  NodeId leader_ = 0;
+  Instant election_at_ = 0, heard_leader_ = 0, heartbeat_at_ = 0, led_since_ = 0, last_sent_at_ = 0;
+  std::set<NodeId> votes_;
+  std::map<NodeId, Progress> progress_;
+  std::deque<Waiting> waiting_;
+  std::uint64_t next_ticket_ = 1;
+  bool is_disk_dead_ = false;
+  std::optional<WriteBatch> building_;
+  Outbox after_;
+};
+
+} // namespace wharf
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -23,7 +23,7 @@
   (void)(archive & ... & parts);
 }
 
-enum class Role : std::uint8_t { harbour = 1, pilot = 2 };
+enum class Role : std::uint8_t { control = 1, pilot = 2 };
 
 /// One process as the others know it.
 struct Member {
@@ -66,22 +66,22 @@
 };
 
 /// One member of the Raft group.
-struct Mate {
+struct Replica {
   NodeId id = 0;
   bool is_voter = false;
   std::string zone;
   WHARF_CARRY(id, is_voter, zone)
-  bool operator==(const Mate &) const = default;
+  bool operator==(const Replica &) const = default;
 };
 
 /// The founder's order: the group's number and its first voters.
 struct FoundOrder {
   std::uint64_t group = 0;
-  std::vector<Mate> mates;
-  WHARF_CARRY(group, mates)
+  std::vector<Replica> replicas;
+  WHARF_CARRY(group, replicas)
 };
 
-enum class EntryKind : std::uint8_t { blank = 0, command = 1, mates = 2 };
+enum class EntryKind : std::uint8_t { blank = 0, command = 1, replicas = 2 };
 
 /// One entry of the replicated log.
 struct Entry {
@@ -91,39 +91,39 @@
   WHARF_CARRY(index, term, kind, body)
 };
 
-struct VoteAsk {
+struct RequestVoteRequest {
   std::uint64_t group = 0, term = 0, last_index = 0, last_term = 0;
-  bool is_trial = false;
-  WHARF_CARRY(group, term, last_index, last_term, is_trial)
+  bool is_pre_vote = false;
+  WHARF_CARRY(group, term, last_index, last_term, is_pre_vote)
 };
-struct VoteSay {
+struct RequestVoteResponse {
   std::uint64_t group = 0, term = 0;
-  bool is_granted = false, is_trial = false;
-  WHARF_CARRY(group, term, is_granted, is_trial)
+  bool is_granted = false, is_pre_vote = false;
+  WHARF_CARRY(group, term, is_granted, is_pre_vote)
 };
-struct AppendAsk {
+struct AppendEntriesRequest {
   std::uint64_t group = 0, term = 0, prev_index = 0, prev_term = 0, commit = 0;
   Instant sent_at = 0;
   std::vector<Entry> entries;
   WHARF_CARRY(group, term, prev_index, prev_term, commit, sent_at, entries)
 };
-struct AppendSay {
+struct AppendEntriesResponse {
   std::uint64_t group = 0, term = 0, match = 0;
   bool is_taken = false;
   Instant sent_at = 0;
   WHARF_CARRY(group, term, match, is_taken, sent_at)
 };
-/// A part of a picture of the state, for a mate too far behind for entries.
-struct PictureAsk {
+/// A part of a snapshot of the state, for a replica too far behind for entries.
+struct InstallSnapshotRequest {
   std::uint64_t group = 0, term = 0, index = 0, last_term = 0;
   Instant sent_at = 0;
-  std::vector<Mate> mates;
+  std::vector<Replica> replicas;
   std::string body;
   std::uint64_t offset = 0, total = 0;
-  WHARF_CARRY(group, term, index, last_term, sent_at, mates, body, offset, total)
+  WHARF_CARRY(group, term, index, last_term, sent_at, replicas, body, offset, total)
 };
-/// How much of a picture a mate holds in one piece.
-struct PictureSay {
+/// How much of a snapshot a replica holds in one piece.
+struct InstallSnapshotResponse {
   std::uint64_t group = 0, term = 0, index = 0, held = 0;
   Instant sent_at = 0;
   WHARF_CARRY(group, term, index, held, sent_at)
@@ -392,10 +392,11 @@
 };
 
 /// Everything our processes say to each other.
-using Signal = std::variant<Muster, FoundAsk, FoundSay, FoundOrder, VoteAsk, VoteSay, AppendAsk, AppendSay,
-                            PictureAsk, Pulse, Orders, NotLeader, ClaimAsk, ClaimSay, CloseAsk, CloseSay,
-                            PermitAsk, PermitSay, LedgerCopy, LedgerAck, SlotAsk, SlotSay, SlotFree,
-                            SlotFreed, InventoryAsk, InventorySay, PictureSay, PassOn>;
+using Signal = std::variant<Muster, FoundAsk, FoundSay, FoundOrder, RequestVoteRequest, RequestVoteResponse,
+                            AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, Pulse,
+                            Orders, NotLeader, ClaimAsk, ClaimSay, CloseAsk, CloseSay, PermitAsk, PermitSay,
+                            LedgerCopy, LedgerAck, SlotAsk, SlotSay, SlotFree, SlotFreed, InventoryAsk,
+                            InventorySay, InstallSnapshotResponse, PassOn>;
 
 /// A signal with its sender.
 struct Envelope {
--- a/packages/hold/disk_duty.cpp
+++ b/packages/storage/disk_worker.cpp
@@ -1,4 +1,4 @@
-#include "hold/disk_duty.hpp"
+#include "storage/disk_worker.hpp"
 
 #include <algorithm>
 #include <optional>
@@ -6,23 +6,23 @@
 
 namespace wharf {
 
-DiskDuty::DiskDuty(std::unique_ptr<Shelf> shelf, std::function<void(DiskWord &&)> say)
-    : shelf_(std::move(shelf)), say_(std::move(say)), duty_("disk", [this] { run(); }) {}
+DiskWorker::DiskWorker(std::unique_ptr<LogStorage> storage, std::function<void(DiskEvent &&)> say)
+    : storage_(std::move(storage)), say_(std::move(say)), duty_("disk", [this] { run(); }) {}
 
-DiskDuty::~DiskDuty() {
+DiskWorker::~DiskWorker() {
   is_stopping_ = true;
   ring_.close();
   duty_.join();
 }
 
-void DiskDuty::run() {
-  std::deque<Save> jobs;
+void DiskWorker::run() {
+  std::deque<WriteBatch> jobs;
   bool is_broken = false;
   while (ring_.drain(jobs, seconds(5)) || !jobs.empty()) {
-    std::optional<Save> group;
-    for (Save &save : jobs) {
+    std::optional<WriteBatch> group;
+    for (WriteBatch &save : jobs) {
       if (is_broken) break;
-      const bool is_joinable = group && !group->picture && !save.picture && save.cut_from == 0;
+      const bool is_joinable = group && !group->snapshot && !save.snapshot && save.cut_from == 0;
       if (is_joinable) {
         group->ticket = save.ticket;
         if (save.hard) group->hard = save.hard;
@@ -36,10 +36,10 @@
     jobs.clear();
     while (is_broken && !is_stopping_) {
       std::this_thread::sleep_for(std::chrono::milliseconds(500));
-      auto opened = shelf_->open();
+      auto opened = storage_->open();
       auto *recovered = std::get_if<Recovered>(&opened);
       if (recovered == nullptr) continue;
-      std::deque<Save> stale;
+      std::deque<WriteBatch> stale;
       ring_.drain(stale, 0);
       is_broken = false;
       say_(DiskOpened{std::move(*recovered)});
@@ -48,12 +48,12 @@
   }
 }
 
-bool DiskDuty::write(const Save &save) {
+bool DiskWorker::write(const WriteBatch &save) {
   const Instant started = tide_.now();
-  auto written = shelf_->write(save);
+  auto written = storage_->write(save);
   microseconds_ += static_cast<std::uint64_t>((tide_.now() - started) / 1000);
   ++writes_;
-  if (const auto *error = std::get_if<HoldError>(&written)) {
+  if (const auto *error = std::get_if<StorageError>(&written)) {
     say_(DiskRefused{error->what});
     return false;
   }
--- a/packages/hold/disk_duty.hpp
+++ b/packages/storage/disk_worker.hpp
@@ -6,7 +6,7 @@
 
 #include "capstan/duty.hpp"
 #include "capstan/ring.hpp"
-#include "hold/shelf.hpp"
+#include "storage/log_storage.hpp"
 
 namespace wharf {
 
@@ -20,27 +20,27 @@
 struct DiskOpened {
   Recovered recovered;
 };
-using DiskWord = std::variant<DiskDone, DiskRefused, DiskOpened>;
+using DiskEvent = std::variant<DiskDone, DiskRefused, DiskOpened>;
 
-/// Writes batches to a shelf on a duty of its own, several in one sync where they wait together. After a
+/// Writes batches to a storage on a duty of its own, several in one sync where they wait together. After a
 /// refused write nothing goes to disk until the folder has been opened anew.
-class DiskDuty {
+class DiskWorker {
 public:
   /// `say` is called on the disk's own thread.
-  DiskDuty(std::unique_ptr<Shelf> shelf, std::function<void(DiskWord &&)> say);
+  DiskWorker(std::unique_ptr<LogStorage> storage, std::function<void(DiskEvent &&)> say);
   /// Writes what is waiting and ends.
-  ~DiskDuty();
-  void give(Save save) { ring_.offer(std::move(save)); }
+  ~DiskWorker();
+  void give(WriteBatch save) { ring_.offer(std::move(save)); }
   std::uint64_t writes() const { return writes_; }
   std::uint64_t microseconds() const { return microseconds_; }
 
 private:
   void run();
-  bool write(const Save &save);
-  std::unique_ptr<Shelf> shelf_;
-  std::function<void(DiskWord &&)> say_;
+  bool write(const WriteBatch &save);
+  std::unique_ptr<LogStorage> storage_;
+  std::function<void(DiskEvent &&)> say_;
   SteadyTide tide_;
-  Ring<Save> ring_{65536};
+  Ring<WriteBatch> ring_{65536};
   std::atomic<bool> is_stopping_{false};
   std::atomic<std::uint64_t> writes_{0}, microseconds_{0};
   Duty duty_;
--- a/packages/hold/shelf.cpp
+++ b/packages/storage/log_storage.cpp
@@ -1,4 +1,4 @@
-#include "hold/shelf.hpp"
+#include "storage/log_storage.hpp"
 
 #include <algorithm>
 #include <cerrno>
@@ -57,10 +57,10 @@
   return true;
 }
 
-HoldError trouble(const std::string &what) { return {what + ": " + std::strerror(errno)}; }
+StorageError trouble(const std::string &what) { return {what + ": " + std::strerror(errno)}; }
 
 /// Names what is wrong with a file that does not begin with our mark.
-HoldError wrong_mark(const std::string &path, std::string_view bytes, std::string_view mark) {
+StorageError wrong_mark(const std::string &path, std::string_view bytes, std::string_view mark) {
   const std::size_t kind = mark.size() - 2;
   if (bytes.size() < mark.size() || bytes.substr(0, kind) != mark.substr(0, kind))
     return {path + ": not a wharfjunction file"};
@@ -98,7 +98,7 @@
 }
 
 void take_entry(Recovered &recovered, Entry entry) {
-  if (entry.index <= recovered.picture.index) return;
+  if (entry.index <= recovered.snapshot.index) return;
   std::erase_if(recovered.entries, [&entry](const Entry &older) { return older.index >= entry.index; });
   recovered.entries.push_back(std::move(entry));
 }
@@ -107,9 +107,9 @@
   std::erase_if(recovered.entries, [cut_from](const Entry &entry) { return entry.index >= cut_from; });
 }
 
-/// True when a later batch begins after a damaged place, so that the place was synced once. A batch begins with a
-/// record of its own (in segments of builds before that, any record counts); what else is whole there may belong to
-/// the batch that was torn.
+/// True when a later batch begins after a damaged place, so that the place was synced once. A batch begins
+/// with a record of its own (in segments of builds before that, any record counts); what else is whole there
+/// may belong to the batch that was torn.
 bool finds_batch_after(std::string_view bytes, std::size_t at, bool marks_batches) {
   for (std::size_t next = at + 1; next + 8 < bytes.size(); ++next)
     if (const auto payload = record_at(bytes, next); payload && (!marks_batches || payload->front() == 'S'))
@@ -118,31 +118,31 @@
 }
 } // namespace
 
-RoughShelf::RoughShelf(std::unique_ptr<Shelf> inner, std::string mood_file)
+FaultyStorage::FaultyStorage(std::unique_ptr<LogStorage> inner, std::string mood_file)
     : inner_(std::move(inner)), mood_file_(std::move(mood_file)) {}
 
-std::string RoughShelf::mood() const {
+std::string FaultyStorage::mood() const {
   std::ifstream file(mood_file_);
   std::string word;
   file >> word;
   return word;
 }
 
-std::variant<std::monostate, HoldError> RoughShelf::write(const Save &save) {
+std::variant<std::monostate, StorageError> FaultyStorage::write(const WriteBatch &save) {
   const std::string first = mood();
-  if (first == "full") return HoldError{"the disk is full, as " + mood_file_ + " says"};
+  if (first == "full") return StorageError{"the disk is full, as " + mood_file_ + " says"};
   if (first == "slow") std::this_thread::sleep_for(std::chrono::milliseconds(150));
   while (mood() == "stalled") std::this_thread::sleep_for(std::chrono::milliseconds(20));
   return inner_->write(save);
 }
 
-DiskShelf::DiskShelf(std::string folder) : folder_(std::move(folder)) {}
+DiskStorage::DiskStorage(std::string folder) : folder_(std::move(folder)) {}
 
-DiskShelf::~DiskShelf() {
+DiskStorage::~DiskStorage() {
   if (segment_ >= 0) close(segment_);
 }
 
-bool DiskShelf::sync_folder() {
+bool DiskStorage::sync_folder() {
   const int descriptor = ::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   if (descriptor < 0) return false;
   const bool is_synced = fsync(descriptor) == 0;
@@ -150,8 +150,8 @@
   return is_synced;
 }
 
-std::variant<std::monostate, HoldError> DiskShelf::write_file(const std::string &name,
-                                                              std::string_view bytes) {
+std::variant<std::monostate, StorageError> DiskStorage::write_file(const std::string &name,
+                                                                   std::string_view bytes) {
   const std::string path = folder_ + "/" + name, fresh = path + ".new";
   const int descriptor = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
   if (descriptor < 0) return trouble("cannot open " + fresh);
@@ -164,44 +164,45 @@
 }
 
 namespace {
-std::variant<std::string, HoldError> read_file(const std::string &path) {
+std::variant<std::string, StorageError> read_file(const std::string &path) {
   const auto bytes = slurp(path);
-  if (!bytes) return HoldError{"cannot read " + path};
+  if (!bytes) return StorageError{"cannot read " + path};
   if (!bytes->starts_with(file_mark)) return wrong_mark(path, *bytes, file_mark);
   const auto payload = record_at(*bytes, file_mark.size());
-  if (!payload) return HoldError{path + ": damaged (checksum)"};
+  if (!payload) return StorageError{path + ": damaged (checksum)"};
   return std::string(payload->substr(1));
 }
 } // namespace
 
-std::variant<NodeId, HoldError> DiskShelf::identity() {
+std::variant<NodeId, StorageError> DiskStorage::identity() {
   std::error_code fault;
   fs::create_directories(folder_, fault);
-  if (fault) return HoldError{"cannot make " + folder_ + ": " + fault.message()};
+  if (fault) return StorageError{"cannot make " + folder_ + ": " + fault.message()};
   const std::string path = folder_ + "/identity";
   if (fs::exists(path)) {
     auto read = read_file(path);
-    if (auto *error = std::get_if<HoldError>(&read)) return *error;
+    if (auto *error = std::get_if<StorageError>(&read)) return *error;
     NodeId id = 0;
-    if (!unpack(std::get<std::string>(read), id) || id == 0) return HoldError{path + ": holds no identity"};
+    if (!unpack(std::get<std::string>(read), id) || id == 0)
+      return StorageError{path + ": holds no identity"};
     return id;
   }
   std::random_device source;
   const NodeId id = ((static_cast<NodeId>(source()) << 32) | source()) | 1;
   auto written = write_file("identity", pack(id));
-  if (auto *error = std::get_if<HoldError>(&written)) return *error;
+  if (auto *error = std::get_if<StorageError>(&written)) return *error;
   return id;
 }
 
-std::variant<Recovered, HoldError> DiskShelf::open() {
+std::variant<Recovered, StorageError> DiskStorage::open() {
   if (segment_ >= 0) close(segment_);
   segment_ = -1;
   std::error_code fault;
   fs::create_directories(folder_, fault);
-  if (fault) return HoldError{"cannot make " + folder_ + ": " + fault.message()};
+  if (fault) return StorageError{"cannot make " + folder_ + ": " + fault.message()};
   std::size_t torn = 0;
   auto read = read_all(folder_, torn);
-  if (auto *error = std::get_if<HoldError>(&read)) return *error;
+  if (auto *error = std::get_if<StorageError>(&read)) return *error;
   const auto segments = numbers(folder_, "seg-");
   if (torn > 0) {
     const std::string path = folder_ + "/seg-" + std::to_string(segments.back());
@@ -215,21 +216,21 @@
   segment_number_ = segments.empty() ? 0 : segments.back();
   hard_ = std::get<Recovered>(read).hard;
   auto started = start_segment();
-  if (auto *error = std::get_if<HoldError>(&started)) return *error;
+  if (auto *error = std::get_if<StorageError>(&started)) return *error;
   return read;
 }
 
-std::variant<DiskShelf::Findings, HoldError> DiskShelf::verify(const std::string &folder) {
+std::variant<DiskStorage::Findings, StorageError> DiskStorage::verify(const std::string &folder) {
   Findings findings;
-  if (!fs::is_directory(folder)) return HoldError{folder + ": not a folder"};
+  if (!fs::is_directory(folder)) return StorageError{folder + ": not a folder"};
   if (!fs::exists(folder + "/identity"))
-    return HoldError{folder + ": holds no identity, so no data of a harbourd"};
+    return StorageError{folder + ": holds no identity, so no data of a harbourd"};
   auto identity = read_file(folder + "/identity");
-  if (auto *error = std::get_if<HoldError>(&identity)) return *error;
+  if (auto *error = std::get_if<StorageError>(&identity)) return *error;
   if (!unpack(std::get<std::string>(identity), findings.identity) || findings.identity == 0)
-    return HoldError{folder + "/identity: holds no identity"};
+    return StorageError{folder + "/identity: holds no identity"};
   auto read = read_all(folder, findings.torn_bytes);
-  if (auto *error = std::get_if<HoldError>(&read)) return *error;
+  if (auto *error = std::get_if<StorageError>(&read)) return *error;
   findings.recovered = std::get<Recovered>(std::move(read));
   findings.segments = numbers(folder, "seg-").size();
   for (const auto &item : fs::directory_iterator(folder))
@@ -237,22 +238,23 @@
   return findings;
 }
 
-std::variant<Recovered, HoldError> DiskShelf::read_all(const std::string &folder, std::size_t &torn) {
+std::variant<Recovered, StorageError> DiskStorage::read_all(const std::string &folder, std::size_t &torn) {
   torn = 0;
   Recovered recovered;
-  const auto pictures = numbers(folder, "pic-");
-  if (!pictures.empty()) {
-    const std::string path = folder + "/pic-" + std::to_string(pictures.back());
+  const auto snapshots = numbers(folder, "pic-");
+  if (!snapshots.empty()) {
+    const std::string path = folder + "/pic-" + std::to_string(snapshots.back());
     auto read = read_file(path);
-    if (auto *error = std::get_if<HoldError>(&read)) return *error;
-    if (!unpack(std::get<std::string>(read), recovered.picture)) return HoldError{path + ": cannot be read"};
+    if (auto *error = std::get_if<StorageError>(&read)) return *error;
+    if (!unpack(std::get<std::string>(read), recovered.snapshot))
+      return StorageError{path + ": cannot be read"};
   }
   const auto segments = numbers(folder, "seg-");
   for (std::size_t which = 0; which < segments.size(); ++which) {
     const std::string path = folder + "/seg-" + std::to_string(segments[which]);
     const bool is_last = which + 1 == segments.size();
     const auto bytes = slurp(path);
-    if (!bytes) return HoldError{"cannot read " + path};
+    if (!bytes) return StorageError{"cannot read " + path};
     if (bytes->empty()) continue;
     const bool is_blank = bytes->find_first_not_of('\0') == std::string::npos;
     if (is_last && (is_blank || bytes->size() < segment_mark.size())) {
@@ -266,19 +268,19 @@
       const auto payload = record_at(*bytes, at);
       if (!payload) {
         if (!is_last || finds_batch_after(*bytes, at, marks_batches))
-          return HoldError{path + ": damaged record at byte " + std::to_string(at)};
+          return StorageError{path + ": damaged record at byte " + std::to_string(at)};
         torn = bytes->size() - at;
         break;
       }
       at += 8 + payload->size();
       const std::string_view body = payload->substr(1);
       if (payload->front() == 'H') {
-        if (!unpack(body, recovered.hard)) return HoldError{path + ": damaged hard state"};
+        if (!unpack(body, recovered.hard)) return StorageError{path + ": damaged hard state"};
         continue;
       }
       if (payload->front() == 'C') {
         std::uint64_t cut_from = 0;
-        if (!unpack(body, cut_from)) return HoldError{path + ": damaged cut"};
+        if (!unpack(body, cut_from)) return StorageError{path + ": damaged cut"};
         cut_entries(recovered, cut_from);
         continue;
       }
@@ -287,18 +289,18 @@
         continue;
       }
       Entry entry;
-      if (payload->front() != 'E' || !unpack(body, entry)) return HoldError{path + ": damaged entry"};
+      if (payload->front() != 'E' || !unpack(body, entry)) return StorageError{path + ": damaged entry"};
       take_entry(recovered, std::move(entry));
     }
   }
-  std::uint64_t expected = recovered.picture.index + 1;
+  std::uint64_t expected = recovered.snapshot.index + 1;
   for (const Entry &entry : recovered.entries)
     if (entry.index != expected++)
-      return HoldError{folder + ": entry " + std::to_string(expected - 1) + " is missing"};
+      return StorageError{folder + ": entry " + std::to_string(expected - 1) + " is missing"};
   return recovered;
 }
 
-std::variant<std::monostate, HoldError> DiskShelf::start_segment() {
+std::variant<std::monostate, StorageError> DiskStorage::start_segment() {
   if (segment_ >= 0) close(segment_);
   const std::string path = folder_ + "/seg-" + std::to_string(++segment_number_);
   segment_ = ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
@@ -310,15 +312,15 @@
   return std::monostate{};
 }
 
-std::variant<std::monostate, HoldError> DiskShelf::write(const Save &save) {
+std::variant<std::monostate, StorageError> DiskStorage::write(const WriteBatch &save) {
   if (save.hard) hard_ = *save.hard;
-  if (save.picture) {
-    auto written = write_file("pic-" + std::to_string(save.picture->index), pack(*save.picture));
-    if (std::holds_alternative<HoldError>(written)) return written;
+  if (save.snapshot) {
+    auto written = write_file("pic-" + std::to_string(save.snapshot->index), pack(*save.snapshot));
+    if (std::holds_alternative<StorageError>(written)) return written;
   }
-  if (segment_ < 0 || save.picture || segment_size_ > segment_limit) {
+  if (segment_ < 0 || save.snapshot || segment_size_ > segment_limit) {
     auto started = start_segment();
-    if (std::holds_alternative<HoldError>(started)) return started;
+    if (std::holds_alternative<StorageError>(started)) return started;
   }
   if (save.hard || save.cut_from != 0 || !save.append.empty()) {
     std::string bytes = record('S', {});
@@ -329,11 +331,11 @@
       return trouble("cannot write the log in " + folder_);
     segment_size_ += bytes.size();
   }
-  if (save.picture) {
+  if (save.snapshot) {
     for (std::uint64_t number : numbers(folder_, "seg-"))
       if (number < segment_number_) unlink((folder_ + "/seg-" + std::to_string(number)).c_str());
     for (std::uint64_t number : numbers(folder_, "pic-"))
-      if (number < save.picture->index) unlink((folder_ + "/pic-" + std::to_string(number)).c_str());
+      if (number < save.snapshot->index) unlink((folder_ + "/pic-" + std::to_string(number)).c_str());
   }
   return std::monostate{};
 }
--- a/programs/drydock/main.cpp
+++ b/programs/drydock/main.cpp
@@ -35,7 +35,7 @@
       if (must_tell) {
         for (const auto &[name, number] : result.audit.counts)
           std::cout << "  " << name << " " << number << "\n";
-        if (trace == "mates") std::cout << result.story;
+        if (trace == "replicas") std::cout << result.story;
         if (!trace.empty()) {
           for (const VisitRecord &visit : result.visits)
             if (visit.runner == trace || visit.errand == trace || visit.service == trace)
@@ -78,7 +78,7 @@
   flags.mark("plain", sweep.shape.is_plain, "First come, first served, and the first worker that fits");
   flags.text("deployment", deployment, "small, udruga or masa-verde");
   flags.text("trace", sweep.trace,
-             "Errand, runner, service, tenant or reason whose records are printed; 'mates' for the group");
+             "Errand, runner, service, tenant or reason whose records are printed; 'replicas' for the group");
   const auto read_flags = flags.read(count, words);
   if (const auto *end = std::get_if<EndNow>(&read_flags)) return end->say();
   const bool is_plain = sweep.shape.is_plain;
--- a/programs/fleet/main.cpp
+++ b/programs/fleet/main.cpp
@@ -31,7 +31,7 @@
 };
 
 struct Shape {
-  int harbours = 4, pilots = 7, zones = 4, workers = 12, memory_mb = 6144;
+  int controls = 4, pilots = 7, zones = 4, workers = 12, memory_mb = 6144;
 };
 
 /// One process of the deployment, started here and ended here.
@@ -75,7 +75,7 @@
     for (Process &process : processes_) start(process);
     const int outcome = drive();
     if (options_.must_stay && outcome == 0) {
-      std::cout << "operators at " << harbour_https() << ", callers at " << pilot_https() << ", token "
+      std::cout << "operators at " << control_https() << ", callers at " << pilot_https() << ", token "
                 << token_ << "; Ctrl-C ends it\n"
                 << std::flush;
       while (stops_caught() == 0) usleep(100'000);
@@ -103,11 +103,11 @@
                   "--memory-mb",
                   std::to_string(shape_.memory_mb)};
     std::string seeds;
-    for (int at = 0; at < shape_.harbours; ++at) {
+    for (int at = 0; at < shape_.controls; ++at) {
       Process process{"harbourd-" + std::to_string(at + 1), "", place_here(), 0, {}, {}};
       process.listen = place_here();
       process.address = narrows_.open(process.listen);
-      if (at < (shape_.harbours >= 3 ? 3 : 1)) seeds += (seeds.empty() ? "" : ",") + process.address;
+      if (at < (shape_.controls >= 3 ? 3 : 1)) seeds += (seeds.empty() ? "" : ",") + process.address;
       processes_.push_back(process);
     }
     for (int at = 0; at < shape_.pilots; ++at) {
@@ -118,9 +118,9 @@
     }
     int number = 0;
     for (Process &process : processes_) {
-      const bool is_harbour = process.name.starts_with("harbourd");
+      const bool is_control_node = process.name.starts_with("harbourd");
       const std::string zone(1, static_cast<char>('a' + number++ % shape_.zones));
-      process.words = {is_harbour ? "harbourd" : "pilotd",
+      process.words = {is_control_node ? "harbourd" : "pilotd",
                        "--address",
                        process.address,
                        "--listen",
@@ -131,7 +131,7 @@
                        zone,
                        "--seeds",
                        seeds};
-      if (!is_harbour) continue;
+      if (!is_control_node) continue;
       for (const std::string &word :
            {std::string("--data"), options_.folder + "/" + process.name, std::string("--platform"),
             yard.address, std::string("--operator-token"), token_, std::string("--disk-trial"),
@@ -207,11 +207,11 @@
       if (process.name.starts_with(kind)) list += (list.empty() ? "" : ",") + process.http;
     return list;
   }
-  std::string harbour_https() const { return https_of("harbourd"); }
+  std::string control_https() const { return https_of("harbourd"); }
   std::string pilot_https() const { return https_of("pilotd"); }
 
   std::vector<std::string> control(std::vector<std::string> rest) const {
-    std::vector<std::string> words{"wharfctl", "--at", harbour_https(), "--token", token_};
+    std::vector<std::string> words{"wharfctl", "--at", control_https(), "--token", token_};
     words.insert(words.end(), rest.begin(), rest.end());
     return words;
   }
--- a/programs/harbourd/main.cpp
+++ b/programs/harbourd/main.cpp
@@ -7,27 +7,27 @@
 #include "bridge/bridge.hpp"
 #include "capstan/ring.hpp"
 #include "hawser/hawser.hpp"
-#include "hold/disk_duty.hpp"
 #include "moorings/moorings.hpp"
 #include "quay/quay.hpp"
+#include "storage/disk_worker.hpp"
 
 namespace {
 using namespace wharf;
 
-using HarbourEvent = std::variant<Envelope, OperatorAsk, PlatformPicture, DiskWord>;
+using ControlEvent = std::variant<Envelope, OperatorAsk, PlatformView, DiskEvent>;
 using SayWaiter = Waiter<OperatorSay>;
 
-/// The daemon round one harbour: duties for links, disk, platform, operators' door and core.
-class HarbourDaemon final : public HarbourDesk {
+/// The daemon round one control: duties for links, disk, platform, operators' door and core.
+class ControlDaemon final : public ControlDesk {
 public:
-  HarbourDaemon(const ProcessOptions &options, NodeId id, std::unique_ptr<Shelf> shelf,
+  ControlDaemon(const ProcessOptions &options, NodeId id, std::unique_ptr<LogStorage> storage,
                 const Recovered &recovered)
       : options_(options), self_(make_self(options, id)), ring_(16384), order_ring_(4096),
         bridge_(*this, options.operator_token), server_(mooring_options(options)),
         hawser_(options.listen.empty() ? options.address : options.listen,
                 [this](Envelope &&envelope) { take(std::move(envelope)); }) {
     build(recovered);
-    disk_ = std::make_unique<DiskDuty>(std::move(shelf), [this](DiskWord &&word) {
+    disk_ = std::make_unique<DiskWorker>(std::move(storage), [this](DiskEvent &&word) {
       while (!ring_.offer(word) && !is_stopping_) std::this_thread::yield();
     });
   }
@@ -108,7 +108,7 @@
     self.address = options.address;
     self.http = options.http;
     self.zone = options.zone;
-    self.role = static_cast<std::uint8_t>(Role::harbour);
+    self.role = static_cast<std::uint8_t>(Role::control);
     self.beat = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
                                                std::chrono::system_clock::now().time_since_epoch())
                                                .count());
@@ -116,14 +116,14 @@
   }
 
   void build(const Recovered &recovered) {
-    HarbourOptions harbour_options;
-    harbour_options.platform_pace = static_cast<double>(options_.pace);
+    ControlOptions control_options;
+    control_options.platform_pace = static_cast<double>(options_.pace);
     std::random_device source;
     Member self = self_;
-    if (harbour_) self.beat = harbour_->rollcall().self().beat + 1;
-    harbour_ = std::make_unique<Harbour>(self, options_.seed_list(), harbour_options,
-                                         (static_cast<std::uint64_t>(source()) << 32) | source(), recovered,
-                                         tide_.now());
+    if (control_) self.beat = control_->rollcall().self().beat + 1;
+    control_ = std::make_unique<ControlNode>(self, options_.seed_list(), control_options,
+                                             (static_cast<std::uint64_t>(source()) << 32) | source(),
+                                             recovered, tide_.now());
   }
 
   void take(Envelope &&envelope) {
@@ -131,43 +131,43 @@
   }
 
   void run_core() {
-    std::deque<HarbourEvent> events;
+    std::deque<ControlEvent> events;
     Instant tick_at = 0;
     while (!is_stopping_) {
       ring_.drain(events, milliseconds(5));
-      HarbourOutput out;
-      for (HarbourEvent &event : events) {
+      ControlOutput out;
+      for (ControlEvent &event : events) {
         const Instant now = tide_.now();
         if (auto *envelope = std::get_if<Envelope>(&event))
-          harbour_->receive(*envelope, now, out);
+          control_->receive(*envelope, now, out);
         else if (auto *operator_ask = std::get_if<OperatorAsk>(&event))
-          harbour_->operate(std::move(*operator_ask), now, out);
-        else if (auto *picture = std::get_if<PlatformPicture>(&event))
-          harbour_->platform_seen(std::move(*picture), now, out);
-        else if (auto *word = std::get_if<DiskWord>(&event))
+          control_->operate(std::move(*operator_ask), now, out);
+        else if (auto *snapshot = std::get_if<PlatformView>(&event))
+          control_->platform_seen(std::move(*snapshot), now, out);
+        else if (auto *word = std::get_if<DiskEvent>(&event))
           disk_said(*word, now, out);
       }
       const Instant now = tide_.now();
       if (is_leaving_ && !has_left_) {
         has_left_ = true;
-        harbour_->set_leaving(now, out);
+        control_->set_leaving(now, out);
       }
       if (now >= tick_at) {
-        harbour_->tick(now, out);
+        control_->tick(now, out);
         tick_at = now + milliseconds(5);
       }
       carry_out(out);
-      is_leading_ = harbour_->is_leading();
+      is_leading_ = control_->is_leading();
       if (now >= publish_at_) publish(now);
     }
   }
 
-  void disk_said(DiskWord &word, Instant now, HarbourOutput &out) {
+  void disk_said(DiskEvent &word, Instant now, ControlOutput &out) {
     if (const auto *done = std::get_if<DiskDone>(&word)) {
-      harbour_->saved(done->ticket, now, out);
+      control_->saved(done->ticket, now, out);
     } else if (const auto *refused = std::get_if<DiskRefused>(&word)) {
       log_warning(refused->what);
-      harbour_->disk_failed(now, out);
+      control_->disk_failed(now, out);
     } else if (const auto *opened = std::get_if<DiskOpened>(&word)) {
       carry_out(out);
       out = {};
@@ -176,11 +176,11 @@
     }
   }
 
-  void carry_out(HarbourOutput &out) {
-    for (Save &save : out.saves) disk_->give(std::move(save));
+  void carry_out(ControlOutput &out) {
+    for (WriteBatch &save : out.batches) disk_->give(std::move(save));
     for (Posted &posted : out.mail) {
       const std::string address =
-          posted.to == 0 ? posted.address : harbour_->rollcall().address_of(posted.to);
+          posted.to == 0 ? posted.address : control_->rollcall().address_of(posted.to);
       if (!address.empty()) hawser_.send(address, frame({self_.id, self_.address, std::move(posted.signal)}));
     }
     for (PlatformOrder &order : out.orders) order_ring_.offer(std::move(order));
@@ -196,8 +196,8 @@
     Quay quay(options_.platform);
     while (!is_stopping_) {
       if (is_leading_) {
-        if (auto picture = quay.list())
-          ring_.offer(std::move(*picture));
+        if (auto snapshot = quay.list())
+          ring_.offer(std::move(*snapshot));
         else
           ++platform_away_;
       }
@@ -219,7 +219,7 @@
   void publish(Instant now) {
     publish_at_ = now + milliseconds(100);
     nlohmann::json root;
-    for (const auto &[name, value] : harbour_->gauges(now)) root[name] = value;
+    for (const auto &[name, value] : control_->gauges(now)) root[name] = value;
     root["frames_dropped"] = hawser_.dropped();
     root["ring_full"] = ring_full_.load();
     root["disk_writes"] = disk_->writes();
@@ -234,8 +234,8 @@
   ProcessOptions options_;
   SteadyTide tide_;
   Member self_;
-  std::unique_ptr<Harbour> harbour_;
-  Ring<HarbourEvent> ring_;
+  std::unique_ptr<ControlNode> control_;
+  Ring<ControlEvent> ring_;
   Ring<PlatformOrder> order_ring_;
   Bridge bridge_;
   Moorings server_;
@@ -248,23 +248,23 @@
   std::atomic<bool> is_stopping_{false}, is_leaving_{false}, is_leading_{false};
   std::atomic<std::uint64_t> ring_full_{0}, platform_away_{0}, orders_sent_{0}, orders_refused_{0};
   Hawser hawser_;
-  std::unique_ptr<DiskDuty> disk_;
+  std::unique_ptr<DiskWorker> disk_;
 };
 } // namespace
 
 namespace {
 /// Reads a data folder and says what it holds; changes nothing.
 int verify_folder(const std::string &folder) {
-  auto verified = DiskShelf::verify(folder);
-  if (const auto *error = std::get_if<HoldError>(&verified)) {
+  auto verified = DiskStorage::verify(folder);
+  if (const auto *error = std::get_if<StorageError>(&verified)) {
     std::cerr << "harbourd: " << error->what << "\n";
     return 1;
   }
-  const auto &findings = std::get<DiskShelf::Findings>(verified);
+  const auto &findings = std::get<DiskStorage::Findings>(verified);
   const Recovered &recovered = findings.recovered;
   Registry registry;
-  if (!registry.load(recovered.picture.body)) {
-    std::cerr << "harbourd: " << folder << ": the picture's state cannot be read\n";
+  if (!registry.load(recovered.snapshot.body)) {
+    std::cerr << "harbourd: " << folder << ": the snapshot's state cannot be read\n";
     return 1;
   }
   std::size_t commands = 0;
@@ -278,9 +278,9 @@
     ++commands;
   }
   std::cout << folder << ": sound\n  identity " << findings.identity << ", group " << recovered.hard.group
-            << ", term " << recovered.hard.term << "\n  picture at entry " << recovered.picture.index << " ("
-            << recovered.picture.body.size() << " bytes: manifest " << registry.version() << ", claims "
-            << registry.claims().size() << ", runners " << registry.runners().size() << ")\n  "
+            << ", term " << recovered.hard.term << "\n  snapshot at entry " << recovered.snapshot.index
+            << " (" << recovered.snapshot.body.size() << " bytes: manifest " << registry.version()
+            << ", claims " << registry.claims().size() << ", runners " << registry.runners().size() << ")\n  "
             << recovered.entries.size() << " entries after it, " << commands << " of them commands, in "
             << findings.segments << " segments; " << findings.bytes << " bytes in all\n";
   if (findings.torn_bytes > 0)
@@ -297,18 +297,19 @@
   const ProcessOptions options = std::get<Launch>(read).options;
   start_log("harbourd", options.log_level);
   catch_stops();
-  auto shelf = std::make_unique<DiskShelf>(options.data);
-  auto identity = shelf->identity();
-  auto opened = shelf->open();
-  for (const auto *error : {std::get_if<HoldError>(&identity), std::get_if<HoldError>(&opened)}) {
+  auto storage = std::make_unique<DiskStorage>(options.data);
+  auto identity = storage->identity();
+  auto opened = storage->open();
+  for (const auto *error : {std::get_if<StorageError>(&identity), std::get_if<StorageError>(&opened)}) {
     if (error == nullptr) continue;
     std::cerr << "harbourd: " << error->what << "\n";
     return 1;
   }
   try {
-    std::unique_ptr<Shelf> used = std::move(shelf);
-    if (!options.disk_trial.empty()) used = std::make_unique<RoughShelf>(std::move(used), options.disk_trial);
-    HarbourDaemon daemon(options, std::get<NodeId>(identity), std::move(used), std::get<Recovered>(opened));
+    std::unique_ptr<LogStorage> used = std::move(storage);
+    if (!options.disk_trial.empty())
+      used = std::make_unique<FaultyStorage>(std::move(used), options.disk_trial);
+    ControlDaemon daemon(options, std::get<NodeId>(identity), std::move(used), std::get<Recovered>(opened));
     return daemon.run();
   } catch (const std::exception &error) {
     std::cerr << "harbourd: " << error.what() << "\n";
--- a/programs/hollow/main.cpp
+++ b/programs/hollow/main.cpp
@@ -8,7 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "bosun/flags.hpp"
-#include "harbour/harbour.hpp"
+#include "control/control_node.hpp"
 #include "pilot/pilot.hpp"
 #include "signals/pack.hpp"
 
@@ -107,39 +107,39 @@
 
 /// A leader alone with its disk, for measuring.
 struct Leader {
-  std::unique_ptr<Harbour> harbour;
+  std::unique_ptr<ControlNode> control;
   Instant now = seconds(10);
   Cost cost;
   bool must_count = false;
 
   Leader() {
-    Member self = member(7, Role::harbour);
-    harbour = std::make_unique<Harbour>(self, std::vector<std::string>{self.address}, HarbourOptions{}, 3,
-                                        Recovered{}, now);
+    Member self = member(7, Role::control);
+    control = std::make_unique<ControlNode>(self, std::vector<std::string>{self.address}, ControlOptions{}, 3,
+                                            Recovered{}, now);
     for (int at = 0; at < 300; ++at) tick(milliseconds(20));
   }
-  void take(HarbourOutput &out) {
+  void take(ControlOutput &out) {
     if (must_count) count_mail(out.mail, cost);
-    while (!out.saves.empty()) {
-      HarbourOutput next;
-      for (const Save &save : out.saves) harbour->saved(save.ticket, now, next);
+    while (!out.batches.empty()) {
+      ControlOutput next;
+      for (const WriteBatch &save : out.batches) control->saved(save.ticket, now, next);
       out = std::move(next);
       if (must_count) count_mail(out.mail, cost);
     }
   }
   void tick(Span span) {
     now += span;
-    HarbourOutput out;
-    harbour->tick(now, out);
+    ControlOutput out;
+    control->tick(now, out);
     take(out);
   }
   void pulse(NodeId id) {
     Pulse pulse;
     pulse.sent_at = now;
-    pulse.version = harbour->registry().version();
-    pulse.epoch = harbour->registry().roster().epoch;
-    HarbourOutput out;
-    harbour->receive({id, "10.0.0.2:7480", pulse}, now, out);
+    pulse.version = control->registry().version();
+    pulse.epoch = control->registry().roster().epoch;
+    ControlOutput out;
+    control->receive({id, "10.0.0.2:7480", pulse}, now, out);
     take(out);
   }
 };
@@ -168,20 +168,20 @@
 Cost run_listing(std::size_t runners) {
   Leader leader;
   const double before = heap_now();
-  PlatformPicture picture;
+  PlatformView snapshot;
   for (std::size_t at = 0; at < runners / 50 + 1; ++at)
-    picture.workers.push_back(
+    snapshot.workers.push_back(
         {"w" + std::to_string(at), "zone-" + std::to_string(at % 12), 64 * 1024, false});
-  HarbourOutput first;
+  ControlOutput first;
   const std::string manifest = manifest_of(std::max<std::size_t>(1, runners / 3), 1);
-  leader.harbour->operate({1, OperatorVerb::put_manifest, manifest, {}, "w"}, leader.now, first);
+  leader.control->operate({1, OperatorVerb::put_manifest, manifest, {}, "w"}, leader.now, first);
   leader.take(first);
   for (std::size_t at = 0; at < runners; ++at)
-    picture.runners.push_back({"i-" + std::to_string(at), "f" + std::to_string(at % (runners / 3 + 1)),
-                               "w" + std::to_string(at / 50), "10.0.0.9:80", RunnerPhase::ready});
+    snapshot.runners.push_back({"i-" + std::to_string(at), "f" + std::to_string(at % (runners / 3 + 1)),
+                                "w" + std::to_string(at / 50), "10.0.0.9:80", RunnerPhase::ready});
   const double started = cpu_now_us();
-  HarbourOutput out;
-  leader.harbour->platform_seen(std::move(picture), leader.now, out);
+  ControlOutput out;
+  leader.control->platform_seen(std::move(snapshot), leader.now, out);
   leader.take(out);
   Cost cost;
   cost.cpu_us = cpu_now_us() - started;
@@ -189,7 +189,7 @@
   return cost;
 }
 
-/// The registry with so many runners: its picture's bytes, and the time of packing it.
+/// The registry with so many runners: its snapshot's bytes, and the time of packing it.
 Cost run_registry(std::size_t runners) {
   const double before = heap_now();
   Registry registry;
@@ -208,7 +208,7 @@
   Cost cost;
   cost.state = heap_now() - before;
   const double started = cpu_now_us();
-  cost.bytes = static_cast<double>(registry.picture().size());
+  cost.bytes = static_cast<double>(registry.snapshot().size());
   cost.cpu_us = cpu_now_us() - started;
   return cost;
 }
--- a/programs/logbook/main.cpp
+++ b/programs/logbook/main.cpp
@@ -56,14 +56,14 @@
 }
 
 /// Plans a request against the manifest in force without sending it.
-int tell_would(const std::vector<std::string> &harbours, const std::string &token, const std::string &what,
+int tell_would(const std::vector<std::string> &controls, const std::string &token, const std::string &what,
                const std::string &key, const std::string &once_key) {
   const auto space = what.find(' ');
   if (space == std::string::npos) {
     std::cerr << "logbook: --would takes \"METHOD TARGET\"\n";
     return 2;
   }
-  for (const std::string &place : harbours) {
+  for (const std::string &place : controls) {
     const Heard heard = ask(place, "/v1/manifest", token);
     if (heard.status == 401) {
       std::cerr << "logbook: the operators' token is missing or wrong\n";
@@ -100,11 +100,11 @@
 } // namespace
 
 int main(int count, char **words) {
-  std::string pilots, harbours, token, would, key, once_key;
+  std::string pilots, controls, token, would, key, once_key;
   bool is_json = false;
   Flags flags("logbook", "[ERRAND]");
   flags.text("pilots", pilots, "Pilots' HTTP addresses, separated by commas");
-  flags.text("at", harbours, "Operators' addresses of harbourd, for --would");
+  flags.text("at", controls, "Operators' addresses of harbourd, for --would");
   flags.text("token", token, "The operators' token, for --would");
   flags.text("would", would, "What would happen to a request: \"METHOD TARGET\"");
   flags.text("key", key, "The caller's key, for --would");
@@ -113,7 +113,7 @@
   const auto read_flags = flags.read(count, words);
   if (const auto *end = std::get_if<EndNow>(&read_flags)) return end->say();
   const auto &rest = std::get<std::vector<std::string>>(read_flags);
-  if (!would.empty()) return tell_would(split_commas(harbours), token, would, key, once_key);
+  if (!would.empty()) return tell_would(split_commas(controls), token, would, key, once_key);
   if (rest.size() != 1 || pilots.empty()) {
     std::cerr << "logbook: --pilots and one errand, or --would, are needed; see --help\n";
     return 2;
--- a/programs/wharfctl/main.cpp
+++ b/programs/wharfctl/main.cpp
@@ -105,11 +105,11 @@
             << root.value("settled_version", 0) << "), roster " << root.value("roster_epoch", 0)
             << " (settled " << root.value("settled_epoch", 0) << "), term " << root.value("term", 0) << "\n";
   if (root.contains("why_not_held")) std::cout << "  " << root.value("why_not_held", "") << "\n";
-  for (const Json &mate : root.value("mates", Json::array()))
-    std::cout << "  harbourd " << mate.value("address", "") << " zone " << mate.value("zone", "")
-              << (mate.value("is_voter", false) ? " voter" : " learner")
-              << (mate.value("is_leader", false) ? " leads" : "")
-              << (mate.value("is_living", false) ? "" : " SILENT") << "\n";
+  for (const Json &replica : root.value("replicas", Json::array()))
+    std::cout << "  harbourd " << replica.value("address", "") << " zone " << replica.value("zone", "")
+              << (replica.value("is_voter", false) ? " voter" : " learner")
+              << (replica.value("is_leader", false) ? " leads" : "")
+              << (replica.value("is_living", false) ? "" : " SILENT") << "\n";
   for (const Json &pilot : root.value("pilots", Json::array()))
     std::cout << "  pilotd " << pilot.value("http", "") << " zone " << pilot.value("zone", "") << " manifest "
               << pilot.value("version", 0) << (pilot.value("is_fresh", false) ? "" : " NOT FRESH")
--- a/tests/harbour_test.cpp
+++ b/tests/control_test.cpp
@@ -1,4 +1,4 @@
-#include "harbour_rig.hpp"
+#include "control_rig.hpp"
 #include "rig.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -7,19 +7,19 @@
 
 namespace {
 /// A control group of one that is listed one worker and written to.
-struct Alone : LoneHarbour {
+struct Alone : LoneControlNode {
   std::uint64_t ticket = 0;
 
-  Alone() { CHECK(harbour->is_leading()); }
+  Alone() { CHECK(control->is_leading()); }
   void list(std::uint32_t memory_mb) {
-    HarbourOutput out;
-    harbour->platform_seen({{{"w0", "a", memory_mb, false}}, {}}, now, out);
+    ControlOutput out;
+    control->platform_seen({{{"w0", "a", memory_mb, false}}, {}}, now, out);
     take(out);
   }
   OperatorSay write(OperatorVerb verb, const std::string &body, const std::string &if_match = {}) {
-    HarbourOutput out;
+    ControlOutput out;
     const std::size_t before = answers.size();
-    harbour->operate({++ticket, verb, body, if_match, "w" + std::to_string(ticket)}, now, out);
+    control->operate({++ticket, verb, body, if_match, "w" + std::to_string(ticket)}, now, out);
     take(out);
     pass(milliseconds(200));
     CHECK(answers.size() > before);
@@ -33,9 +33,9 @@
 };
 } // namespace
 
-TEST_GROUP(Harbour){};
+TEST_GROUP(ControlNode){};
 
-TEST(Harbour, of_writers_on_no_manifest_one_wins_in_every_order) {
+TEST(ControlNode, of_writers_on_no_manifest_one_wins_in_every_order) {
   every_order(3, [](const std::vector<std::size_t> &order) {
     Alone alone;
     int taken = 0, lost = 0;
@@ -51,31 +51,31 @@
   });
 }
 
-TEST(Harbour, a_change_that_overfills_the_workers_gets_422_and_changes_nothing) {
+TEST(ControlNode, a_change_that_overfills_the_workers_gets_422_and_changes_nothing) {
   Alone alone;
   alone.list(1024);
   LONGS_EQUAL(200, alone.write(OperatorVerb::put_manifest, Alone::manifest(1, 512)).status);
   const OperatorSay refused = alone.write(OperatorVerb::put_manifest, Alone::manifest(3, 512));
   LONGS_EQUAL(422, refused.status);
   STRCMP_CONTAINS("memory_mb", refused.body.c_str());
-  LONGS_EQUAL(1, alone.harbour->registry().version());
+  LONGS_EQUAL(1, alone.control->registry().version());
   LONGS_EQUAL(422, alone.write(OperatorVerb::try_manifest, Alone::manifest(3, 512)).status);
   const OperatorSay tried = alone.write(OperatorVerb::try_manifest, Alone::manifest(2, 512));
   LONGS_EQUAL(200, tried.status);
   STRCMP_CONTAINS("would-be-taken", tried.body.c_str());
-  LONGS_EQUAL(1, alone.harbour->registry().version());
+  LONGS_EQUAL(1, alone.control->registry().version());
 }
 
-TEST(Harbour, the_status_says_why_a_service_has_not_settled) {
+TEST(ControlNode, the_status_says_why_a_service_has_not_settled) {
   Alone alone;
   LONGS_EQUAL(200, alone.write(OperatorVerb::put_manifest, Alone::manifest(1, 512)).status);
-  STRCMP_CONTAINS("the platform is away", alone.harbour->status_json(alone.now).c_str());
+  STRCMP_CONTAINS("the platform is away", alone.control->status_json(alone.now).c_str());
   alone.list(256);
   alone.pass(milliseconds(300));
-  STRCMP_CONTAINS("no worker has 512 MB left", alone.harbour->status_json(alone.now).c_str());
+  STRCMP_CONTAINS("no worker has 512 MB left", alone.control->status_json(alone.now).c_str());
   alone.list(1024);
   alone.pass(milliseconds(300));
-  STRCMP_CONTAINS("runners are booting", alone.harbour->status_json(alone.now).c_str());
+  STRCMP_CONTAINS("runners are booting", alone.control->status_json(alone.now).c_str());
   LONGS_EQUAL(1, alone.orders.size());
   CHECK(alone.orders[0].is_start);
 }
--- a/tests/fuzz_test.cpp
+++ b/tests/fuzz_test.cpp
@@ -3,8 +3,8 @@
 #include <fstream>
 
 #include "charter/charter.hpp"
-#include "hold/shelf.hpp"
 #include "signals/pack.hpp"
+#include "storage/log_storage.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -99,12 +99,12 @@
   const std::string path = folder + "/seg-1";
   std::string sound;
   {
-    DiskShelf shelf(folder);
-    shelf.open();
-    Save save;
+    DiskStorage storage(folder);
+    storage.open();
+    WriteBatch save;
     for (std::uint64_t index = 1; index <= 6; ++index)
       save.append.push_back({index, 1, 1, "entry body " + std::to_string(index)});
-    shelf.write(save);
+    storage.write(save);
     std::ifstream file(path, std::ios::binary);
     sound.assign(std::istreambuf_iterator<char>(file), {});
   }
@@ -113,8 +113,8 @@
     std::filesystem::remove_all(folder);
     std::filesystem::create_directories(folder);
     std::ofstream(path, std::ios::binary) << spoil(sound, dice);
-    DiskShelf shelf(folder);
-    auto opened = shelf.open();
+    DiskStorage storage(folder);
+    auto opened = storage.open();
     const auto *recovered = std::get_if<Recovered>(&opened);
     if (recovered == nullptr) continue;
     for (std::size_t at = 0; at < recovered->entries.size(); ++at) {
