--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -1,4 +1,4 @@
-#include "convoy/convoy.hpp"
+#include "raft/raft.hpp"
 #include "rig.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -117,51 +117,51 @@
   every_order(4, [](const std::vector<std::size_t> &order) {
     Recovered disk;
     disk.hard = {5, 1, 1};
-    disk.picture.mates = {{1, true, "a"}, {2, true, "b"}, {3, true, "c"}};
+    disk.snapshot.replicas = {{1, true, "a"}, {2, true, "b"}, {3, true, "c"}};
     Instant now = seconds(10);
-    Convoy leader(1, ConvoyOptions{}, 1, disk, now);
-    std::deque<Save> saves;
-    const auto take = [&](ConvoyOutput &out) {
-      for (Save &save : out.saves) saves.push_back(std::move(save));
+    RaftNode leader(1, RaftOptions{}, 1, disk, now);
+    std::deque<WriteBatch> batches;
+    const auto take = [&](RaftOutput &out) {
+      for (WriteBatch &save : out.batches) batches.push_back(std::move(save));
     };
     const auto sync = [&] {
-      while (!saves.empty()) {
-        ConvoyOutput out;
-        const std::uint64_t ticket = saves.front().ticket;
-        saves.pop_front();
+      while (!batches.empty()) {
+        RaftOutput out;
+        const std::uint64_t ticket = batches.front().ticket;
+        batches.pop_front();
         leader.saved(ticket, now, out);
         take(out);
       }
     };
     const auto step = [&](NodeId from, const Signal &signal) {
-      ConvoyOutput out;
+      RaftOutput out;
       leader.step(from, signal, now, out);
       take(out);
     };
     now += seconds(2);
-    ConvoyOutput tick;
+    RaftOutput tick;
     leader.tick(now, tick);
     take(tick);
-    step(2, VoteSay{5, leader.term() + 1, true, true});
+    step(2, RequestVoteResponse{5, leader.term() + 1, true, true});
     sync();
-    step(2, VoteSay{5, leader.term(), true, false});
+    step(2, RequestVoteResponse{5, leader.term(), true, false});
     CHECK(leader.is_leader());
     sync();
-    step(2, AppendSay{5, leader.term(), leader.last_index(), true, now});
+    step(2, AppendEntriesResponse{5, leader.term(), leader.last_index(), true, now});
     CHECK(leader.is_settled());
-    ConvoyOutput change;
-    const auto index =
-        leader.propose_mates({{1, true, "a"}, {2, true, "b"}, {3, true, "c"}, {4, true, "d"}}, now, change);
+    RaftOutput change;
+    const auto index = leader.propose_replicas(
+        {{1, true, "a"}, {2, true, "b"}, {3, true, "c"}, {4, true, "d"}}, now, change);
     CHECK(index.has_value());
     take(change);
-    ConvoyOutput second;
-    CHECK(!leader.propose_mates({{1, true, "a"}}, now, second).has_value());
+    RaftOutput second;
+    CHECK(!leader.propose_replicas({{1, true, "a"}}, now, second).has_value());
     std::size_t have = 0;
     for (std::size_t at : order) {
       if (at == 0)
         sync();
       else
-        step(at + 1, AppendSay{5, leader.term(), *index, true, now});
+        step(at + 1, AppendEntriesResponse{5, leader.term(), *index, true, now});
       ++have;
       CHECK_EQUAL(have >= 3, leader.commit() >= *index);
     }
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -1,6 +1,6 @@
 #include <cmath>
 
-#include "harbour_rig.hpp"
+#include "control_rig.hpp"
 #include "rig.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -313,24 +313,24 @@
 }
 
 namespace {
-struct Yarded : LoneHarbour {
+struct Yarded : LoneControlNode {
   void list(std::vector<RunnerSeen> runners) {
-    HarbourOutput out;
-    harbour->platform_seen({{{"w0", "a", 4096, false}, {"w1", "b", 4096, false}}, std::move(runners)}, now,
+    ControlOutput out;
+    control->platform_seen({{{"w0", "a", 4096, false}, {"w1", "b", 4096, false}}, std::move(runners)}, now,
                            out);
     take(out);
     pass(milliseconds(200));
   }
   int write(const std::string &body, const std::string &base) {
-    HarbourOutput out;
-    harbour->operate({1, OperatorVerb::put_manifest, body, base, body}, now, out);
+    ControlOutput out;
+    control->operate({1, OperatorVerb::put_manifest, body, base, body}, now, out);
     take(out);
     pass(milliseconds(300));
     return answers.back().status;
   }
   void say(const PlatformOrder &order, OrderEnd end, const std::string &handle = {}) {
-    HarbourOutput out;
-    harbour->platform_said({order.runner.id, order.runner.worker, order.is_start, end, handle, "10.0.0.9:1"},
+    ControlOutput out;
+    control->platform_said({order.runner.id, order.runner.worker, order.is_start, end, handle, "10.0.0.9:1"},
                            now, out);
     take(out);
     pass(milliseconds(200));
@@ -340,8 +340,8 @@
            R"(, "services": {"s": {"image": "i", "memory_mb": 100, "least": 1}}})";
   }
   const RunnerRecord &only_runner() const {
-    LONGS_EQUAL(1, harbour->registry().runners().size());
-    return harbour->registry().runners().begin()->second;
+    LONGS_EQUAL(1, control->registry().runners().size());
+    return control->registry().runners().begin()->second;
   }
 };
 } // namespace
@@ -349,12 +349,12 @@
 TEST(Recovery, operators_number_versions_themselves_and_only_upwards) {
   Yarded yard;
   LONGS_EQUAL(200, yard.write(Yarded::manifest(5), "0"));
-  LONGS_EQUAL(5, yard.harbour->registry().version());
+  LONGS_EQUAL(5, yard.control->registry().version());
   LONGS_EQUAL(422, yard.write(R"({"number": 5})", "5"));
   LONGS_EQUAL(412, yard.write(Yarded::manifest(9), "4"));
   LONGS_EQUAL(200, yard.write(Yarded::manifest(9), "5"));
   LONGS_EQUAL(200, yard.write(Yarded::manifest(9), "5"));
-  LONGS_EQUAL(9, yard.harbour->registry().version());
+  LONGS_EQUAL(9, yard.control->registry().version());
   Registry registry;
   PutManifest behind;
   behind.bytes = "{}";
@@ -465,16 +465,16 @@
 TEST(Recovery, pilots_that_come_one_after_another_make_one_roster) {
   Yarded yard;
   yard.pass(seconds(3));
-  const Epoch before = yard.harbour->registry().roster().epoch;
+  const Epoch before = yard.control->registry().roster().epoch;
   for (NodeId id = 100; id < 105; ++id) {
-    HarbourOutput out;
+    ControlOutput out;
     Pulse pulse;
     pulse.sent_at = yard.now;
-    yard.harbour->receive({id, "p" + std::to_string(id), pulse}, yard.now, out);
+    yard.control->receive({id, "p" + std::to_string(id), pulse}, yard.now, out);
     yard.take(out);
     yard.pass(milliseconds(120));
   }
   yard.pass(milliseconds(400));
-  LONGS_EQUAL(5, yard.harbour->registry().roster().pilots.size());
-  LONGS_EQUAL(before + 1, yard.harbour->registry().roster().epoch);
+  LONGS_EQUAL(5, yard.control->registry().roster().pilots.size());
+  LONGS_EQUAL(before + 1, yard.control->registry().roster().epoch);
 }
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -1,6 +1,6 @@
 #include <set>
 
-#include "harbour/registry.hpp"
+#include "control/registry.hpp"
 #include "rig.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -86,7 +86,7 @@
   LONGS_EQUAL(0, registry.claims().size());
 }
 
-TEST(Registry, a_picture_is_the_whole_state) {
+TEST(Registry, a_snapshot_is_the_whole_state) {
   Registry registry;
   registry.apply(PutSecret{"s"});
   registry.apply(PutManifest{"{}", "w", 0, false});
@@ -94,7 +94,7 @@
   registry.apply(PutRoster{{1, 2, 3}, {"a", "b", "c"}});
   registry.apply(PutClaim{"t/k", "e1", "d"});
   Registry other;
-  CHECK(other.load(registry.picture()));
+  CHECK(other.load(registry.snapshot()));
   STRCMP_EQUAL(registry.fingerprint().c_str(), other.fingerprint().c_str());
   other.apply(PutClaim{"t/j", "e2", "d"});
   CHECK(registry.fingerprint() != other.fingerprint());
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -20,14 +20,14 @@
     world.run_until(moment);
     const int leads = world.leader();
     CHECK(leads >= 0);
-    const Harbour &leader = *world.harbour(leads);
+    const ControlNode &leader = *world.control(leads);
     const std::size_t claims = leader.registry().claims().size();
     CHECK(claims > 1000);
     CHECK(claims < 8 * 0.25 * 905 * 1.15 + 50);
     if (claims_at_half == 0) claims_at_half = claims;
     CHECK(claims < claims_at_half * 1.2);
-    CHECK(leader.convoy().log().size() <= 900);
-    CHECK(leader.registry().picture().size() < 2'000'000);
+    CHECK(leader.raft().log().size() <= 900);
+    CHECK(leader.registry().snapshot().size() < 2'000'000);
     for (int at = 0; at < shape.pilots; ++at) {
       const auto gauges = world.pilot(at)->gauges(0);
       CHECK(gauges.at("afloat") < 50);
@@ -37,7 +37,7 @@
   }
 }
 
-TEST(State, a_picture_of_the_largest_usual_state_is_measured) {
+TEST(State, a_snapshot_of_the_largest_usual_state_is_measured) {
   Registry registry;
   registry.apply(PutManifest{"{}", "w", 0, false});
   for (int at = 0; at < 63'000; ++at) {
@@ -55,15 +55,15 @@
     registry.apply(close);
   }
   const auto begun = std::chrono::steady_clock::now();
-  const std::string picture = registry.picture();
+  const std::string snapshot = registry.snapshot();
   const auto packed = std::chrono::steady_clock::now();
   Registry other;
-  CHECK(other.load(picture));
+  CHECK(other.load(snapshot));
   const auto loaded = std::chrono::steady_clock::now();
   LONGS_EQUAL(63'000, other.claims().size());
   const auto ms = [](auto span) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
   };
-  std::cout << "picture of 63000 claims: " << picture.size() << " bytes, packed in " << ms(packed - begun)
+  std::cout << "snapshot of 63000 claims: " << snapshot.size() << " bytes, packed in " << ms(packed - begun)
             << " ms, loaded in " << ms(loaded - packed) << " ms\n";
 }
