--- a/packages/raft/raft.cpp
+++ b/packages/raft/raft.cpp
@@ -50,6 +50,17 @@
   return found == progress_.end() ? 0 : found->second.heard;
 }
 
+bool RaftNode::is_caught_up(NodeId id) const {
+  const auto found = progress_.find(id);
+  return found != progress_.end() && found->second.last_round &&
+         *found->second.last_round <= options_.election_least;
+}
+
+bool RaftNode::is_sending_snapshot() const {
+  return is_leader() && std::any_of(progress_.begin(), progress_.end(),
+                                    [](const auto &item) { return item.second.snapshot != nullptr; });
+}
+
 bool RaftNode::is_disk_well(Instant now) const {
   return !is_disk_dead_ && (waiting_.empty() || now - waiting_.front().since < options_.disk_patience);
 }
@@ -118,12 +129,30 @@
   finish(now, out);
 }
 
+void RaftNode::abandon_empty_group(RaftOutput &out) {
+  if (last_index() != 0) return;
+  if (role_ != RaftRole::follower) out.has_role_changed = true;
+  role_ = RaftRole::follower;
+  leader_ = 0;
+  votes_.clear();
+  after_.clear();
+  hard_ = {};
+  base_ = {};
+  forget_verified();
+  refresh_replicas();
+}
+
+void RaftNode::forget_verified() {
+  verified_ = 0;
+  last_sent_at_ = 0;
+}
+
 void RaftNode::follow(std::uint64_t term, NodeId leader, Instant now, RaftOutput &out) {
   if (term > hard_.term) {
     hard_.term = term;
     hard_.vote = 0;
+    forget_verified();
     save(out).hard = hard_;
-    verified_ = 0;
   }
   if (role_ != RaftRole::follower || leader_ != leader) out.has_role_changed = true;
   if (role_ != RaftRole::follower) set_election(now);
@@ -143,7 +172,26 @@
   step_down(now, out);
 }
 
-void RaftNode::campaign(bool is_pre_vote, Instant now, RaftOutput &out) {
+bool RaftNode::transfer_leadership(const std::set<NodeId> &excluded, Instant now, RaftOutput &out) {
+  if (!is_leader()) return false;
+  NodeId furthest = 0;
+  for (const Replica &replica : replicas_) {
+    if (!replica.is_voter || replica.id == self_ || excluded.contains(replica.id)) continue;
+    if (now - heard_from(replica.id) > options_.election_least) continue;
+    if (furthest == 0 || match_of(replica.id) > match_of(furthest)) furthest = replica.id;
+  }
+  if (furthest == 0 || match_of(furthest) != last_index()) return false;
+  out.mail.push_back({furthest, {}, TimeoutNowRequest{hard_.group, hard_.term}});
+  return true;
+}
+
+void RaftNode::handle(NodeId from, const TimeoutNowRequest &ask, Instant now, RaftOutput &out) {
+  const bool is_from_leader = ask.group == hard_.group && ask.term == hard_.term && from == leader_;
+  if (!is_from_leader || role_ != RaftRole::follower || !is_voter(self_) || !is_disk_well(now)) return;
+  campaign(false, true, now, out);
+}
+
+void RaftNode::campaign(bool is_pre_vote, bool is_transfer, Instant now, RaftOutput &out) {
   set_election(now);
   votes_.clear();
   leader_ = 0;
@@ -152,12 +200,14 @@
   if (!is_pre_vote) {
     ++hard_.term;
     hard_.vote = self_;
+    forget_verified();
     save(out).hard = hard_;
   } else {
     votes_.insert(self_);
   }
-  RequestVoteRequest ask{hard_.group, hard_.term + (is_pre_vote ? 1 : 0), last_index(), term_at(last_index()),
-                         is_pre_vote};
+  RequestVoteRequest ask{hard_.group,  hard_.term + (is_pre_vote ? 1 : 0),
+                         last_index(), term_at(last_index()),
+                         is_pre_vote,  is_transfer};
   for (const Replica &replica : replicas_)
     if (replica.is_voter && replica.id != self_) after_.push_back({replica.id, {}, ask});
   if (is_pre_vote) count_votes(now, out);
@@ -168,7 +218,7 @@
   for (NodeId id : votes_) count += is_voter(id) ? 1 : 0;
   if (count < majority()) return;
   if (role_ == RaftRole::pre_candidate)
-    campaign(false, now, out);
+    campaign(false, false, now, out);
   else if (role_ == RaftRole::candidate)
     lead(now, out);
 }
@@ -179,12 +229,19 @@
   led_since_ = now;
   out.has_role_changed = true;
   progress_.clear();
-  for (const Replica &replica : replicas_) progress_[replica.id] = {last_index() + 1, 0, 0, now, 0};
+  for (const Replica &replica : replicas_) progress_[replica.id] = new_progress(last_index() + 1, now);
   append(static_cast<std::uint8_t>(EntryKind::replicas), pack(replicas_), out);
   replicas_index_ = last_index();
   broadcast(now, out);
 }
 
+RaftNode::Progress RaftNode::new_progress(std::uint64_t next, Instant now) {
+  Progress progress;
+  progress.next = next;
+  progress.heard = now;
+  return progress;
+}
+
 void RaftNode::append(std::uint8_t kind, std::string body, RaftOutput &out) {
   Entry entry{last_index() + 1, hard_.term, kind, std::move(body)};
   log_.push_back(entry);
@@ -206,11 +263,19 @@
   replicas_ = std::move(replicas);
   replicas_index_ = last_index();
   for (const Replica &replica : replicas_)
-    if (!progress_.contains(replica.id)) progress_[replica.id] = {last_index(), 0, 0, now, 0};
-  std::erase_if(progress_, [this](const auto &item) {
+    if (!progress_.contains(replica.id)) progress_[replica.id] = new_progress(last_index(), now);
+  const auto is_removed = [this](NodeId id) {
     return std::none_of(replicas_.begin(), replicas_.end(),
-                        [&](const Replica &replica) { return replica.id == item.first; });
-  });
+                        [id](const Replica &replica) { return replica.id == id; });
+  };
+  std::vector<NodeId> removed;
+  for (const auto &[id, progress] : progress_)
+    if (is_removed(id)) removed.push_back(id);
+  for (NodeId id : removed) {
+    // Told once, so that a replica that waits to leave learns that it may.
+    send_append(id, now, out);
+    progress_.erase(id);
+  }
   broadcast(now, out);
   finish(now, out);
   return last_index();
@@ -219,23 +284,7 @@
 void RaftNode::send_append(NodeId to, Instant now, RaftOutput &out) {
   Progress &progress = progress_[to];
   if (progress.next <= base_.index) {
-    if (progress.snapshot_index != base_.index) {
-      progress.snapshot_index = base_.index;
-      progress.snapshot_received = 0;
-      progress.snapshot_sent_at = 0;
-    }
-    if (progress.snapshot_sent_at != 0 && now - progress.snapshot_sent_at < options_.snapshot_retry) {
-      out.mail.push_back(
-          {to, {}, AppendEntriesRequest{hard_.group, hard_.term, base_.index, base_.term, 0, now, {}}});
-      return;
-    }
-    progress.snapshot_sent_at = now;
-    InstallSnapshotRequest part{hard_.group,    hard_.term, base_.index, base_.term, now,
-                                base_.replicas, {},         0,           0};
-    part.offset = std::min<std::uint64_t>(progress.snapshot_received, base_.body.size());
-    part.total = base_.body.size();
-    part.body = base_.body.substr(part.offset, options_.snapshot_chunk_bytes);
-    out.mail.push_back({to, {}, std::move(part)});
+    send_snapshot(to, progress, now, out);
     return;
   }
   AppendEntriesRequest ask{hard_.group, hard_.term, progress.next - 1, term_at(progress.next - 1), commit_,
@@ -251,6 +300,34 @@
   out.mail.push_back({to, {}, std::move(ask)});
 }
 
+void RaftNode::send_snapshot(NodeId to, Progress &progress, Instant now, RaftOutput &out) {
+  if (!progress.snapshot) {
+    progress.snapshot = std::make_shared<const Snapshot>(base_);
+    progress.snapshot_received = 0;
+    progress.snapshot_sent_at = 0;
+  }
+  const Snapshot &snapshot = *progress.snapshot;
+  if (progress.snapshot_sent_at != 0 && now - progress.snapshot_sent_at < options_.snapshot_retry) {
+    out.mail.push_back(
+        {to, {}, AppendEntriesRequest{hard_.group, hard_.term, snapshot.index, snapshot.term, 0, now, {}}});
+    return;
+  }
+  progress.snapshot_sent_at = now;
+  InstallSnapshotRequest part{
+      hard_.group, hard_.term, snapshot.index, snapshot.term, now, snapshot.replicas, {}, 0, 0};
+  part.offset = std::min<std::uint64_t>(progress.snapshot_received, snapshot.body.size());
+  part.total = snapshot.body.size();
+  part.body = snapshot.body.substr(part.offset, options_.snapshot_chunk_bytes);
+  out.mail.push_back({to, {}, std::move(part)});
+}
+
+void RaftNode::note_round(Progress &progress, Instant now) {
+  if (progress.match < progress.round_end) return;
+  if (progress.round_end != 0) progress.last_round = now - progress.round_began;
+  progress.round_end = last_index();
+  progress.round_began = now;
+}
+
 void RaftNode::broadcast(Instant now, RaftOutput &out) {
   heartbeat_at_ = now + options_.heartbeat;
   for (const Replica &replica : replicas_)
@@ -353,7 +430,7 @@
     if (now >= heartbeat_at_) broadcast(now, out);
   } else if (now >= election_at_) {
     set_election(now);
-    if (is_voter(self_) && is_disk_well(now)) campaign(true, now, out);
+    if (is_voter(self_) && is_disk_well(now)) campaign(true, false, now, out);
   }
   finish(now, out);
 }
@@ -372,13 +449,15 @@
     handle(from, *snapshot, now, out);
   else if (const auto *held = std::get_if<InstallSnapshotResponse>(&signal))
     handle(from, *held, now, out);
+  else if (const auto *transfer = std::get_if<TimeoutNowRequest>(&signal))
+    handle(from, *transfer, now, out);
   finish(now, out);
 }
 
 void RaftNode::handle(NodeId from, const RequestVoteRequest &ask, Instant now, RaftOutput &out) {
   if (ask.group != hard_.group || hard_.group == 0) return;
   const bool has_leader = is_leader() || (leader_ != 0 && now - heard_leader_ < options_.election_least);
-  if (has_leader && !(ask.term <= hard_.term)) return;
+  if (has_leader && !ask.is_transfer && ask.term > hard_.term) return;
   const bool is_fresh = ask.last_term > term_at(last_index()) ||
                         (ask.last_term == term_at(last_index()) && ask.last_index >= last_index());
   if (ask.is_pre_vote) {
@@ -478,8 +557,11 @@
   if (has_advanced) {
     progress.match = say.match;
     progress.next = std::max(progress.next, say.match + 1);
-    progress.snapshot_sent_at = 0;
+    if (progress.snapshot && progress.match >= progress.snapshot->index) progress.snapshot.reset();
+    note_round(progress, now);
     advance_commit(now, out);
+  } else {
+    note_round(progress, now);
   }
   if (is_leader() && has_advanced && progress.next <= last_index() && progress.next <= progress.match + 4096)
     send_append(from, now, out);
@@ -491,7 +573,7 @@
   Progress &progress = found->second;
   progress.heard = now;
   progress.acked = std::max(progress.acked, say.sent_at);
-  if (say.index != base_.index || progress.next > base_.index) return;
+  if (!progress.snapshot || say.index != progress.snapshot->index) return;
   const bool has_grown = say.held > progress.snapshot_received;
   progress.snapshot_received = say.held;
   if (!has_grown) return;
--- a/packages/raft/raft.hpp
+++ b/packages/raft/raft.hpp
@@ -1,6 +1,7 @@
 #pragma once
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -85,8 +86,13 @@
   void compact(std::uint64_t index, std::string body, RaftOutput &out);
   /// Founds or joins a group for the first time.
   void found(std::uint64_t group, std::vector<Replica> replicas, Instant now, RaftOutput &out);
+  /// Forgets a group whose log is empty here, so that another can be joined.
+  void abandon_empty_group(RaftOutput &out);
   /// Gives up the lead, when this replica has it.
   void step_down(Instant now, RaftOutput &out);
+  /// Asks the voter whose log is known to reach furthest to stand for election at once. True once a voter
+  /// whose log is complete has been asked; false when there is none yet, or this replica does not lead.
+  bool transfer_leadership(const std::set<NodeId> &excluded, Instant now, RaftOutput &out);
 
   RaftRole role() const { return role_; }
   bool is_leader() const { return role_ == RaftRole::leader; }
@@ -107,6 +113,12 @@
   std::uint64_t match_of(NodeId id) const;
   /// When the replica last answered this leader.
   Instant heard_from(NodeId id) const;
+  /// True when a replica's last catch-up round, from the end of this leader's log at the round's start until
+  /// the replica's log reached it, took no longer than the shortest election timeout: promoting it now delays
+  /// no commit.
+  bool is_caught_up(NodeId id) const;
+  /// True while a snapshot is on its way to some replica, so that the log behind it is better kept.
+  bool is_sending_snapshot() const;
   bool is_disk_well(Instant now) const;
   const std::deque<Entry> &log() const { return log_; }
 
@@ -114,7 +126,13 @@
   struct Progress {
     std::uint64_t next = 1, match = 0;
     Instant acked = 0, heard = 0, snapshot_sent_at = 0, stepped_back = 0;
-    std::uint64_t snapshot_index = 0, snapshot_received = 0;
+    /// The snapshot being sent; kept until it has arrived, though a newer one may have been taken meanwhile.
+    std::shared_ptr<const Snapshot> snapshot;
+    std::uint64_t snapshot_received = 0;
+    /// The end of the catch-up round under way, when it began, and how long the last complete one took.
+    std::uint64_t round_end = 0;
+    Instant round_began = 0;
+    std::optional<Span> last_round;
   };
   struct Waiting {
     std::uint64_t ticket = 0, last_index = 0, last_term = 0;
@@ -130,9 +148,15 @@
   void handle(NodeId from, const AppendEntriesResponse &say, Instant now, RaftOutput &out);
   void handle(NodeId from, const InstallSnapshotRequest &ask, Instant now, RaftOutput &out);
   void handle(NodeId from, const InstallSnapshotResponse &say, Instant now, RaftOutput &out);
+  void handle(NodeId from, const TimeoutNowRequest &ask, Instant now, RaftOutput &out);
 
   void follow(std::uint64_t term, NodeId leader, Instant now, RaftOutput &out);
-  void campaign(bool is_pre_vote, Instant now, RaftOutput &out);
+  void campaign(bool is_pre_vote, bool is_transfer, Instant now, RaftOutput &out);
+  /// Forgets how far the log was compared with a leader's; due whenever the term rises.
+  void forget_verified();
+  static Progress new_progress(std::uint64_t next, Instant now);
+  void note_round(Progress &progress, Instant now);
+  void send_snapshot(NodeId to, Progress &progress, Instant now, RaftOutput &out);
   void count_votes(Instant now, RaftOutput &out);
   void lead(Instant now, RaftOutput &out);
   void append(std::uint8_t kind, std::string body, RaftOutput &out);
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -33,7 +33,9 @@
   std::uint8_t role = 0;
   std::uint64_t beat = 0;
   bool is_leaving = false;
-  WHARF_CARRY(id, group, address, http, zone, role, beat, is_leaving)
+  /// False for a control process that keeps nothing and so is never made a replica.
+  bool is_replica = true;
+  WHARF_CARRY(id, group, address, http, zone, role, beat, is_leaving, is_replica)
 };
 
 /// That a member lives, to those who know the rest of it.
@@ -94,7 +96,10 @@
 struct RequestVoteRequest {
   std::uint64_t group = 0, term = 0, last_index = 0, last_term = 0;
   bool is_pre_vote = false;
-  WHARF_CARRY(group, term, last_index, last_term, is_pre_vote)
+  /// True when the leader itself asked the candidate to stand, so that hearing from that leader is no
+  /// objection.
+  bool is_transfer = false;
+  WHARF_CARRY(group, term, last_index, last_term, is_pre_vote, is_transfer)
 };
 struct RequestVoteResponse {
   std::uint64_t group = 0, term = 0;
@@ -129,6 +134,12 @@
   WHARF_CARRY(group, term, index, held, sent_at)
 };
 
+/// A leader that gives up its lead asks a voter whose log is complete to stand for election at once.
+struct TimeoutNowRequest {
+  std::uint64_t group = 0, term = 0;
+  WHARF_CARRY(group, term)
+};
+
 /// What a stevedore wishes for one service.
 struct Want {
   std::string service;
@@ -210,6 +221,7 @@
   std::uint64_t term = 0;
   Version version = 0;
   bool has_manifest = false;
+  /// The manifest as a delta from that of version `manifest_base`, or from nothing where that is 0.
   std::string manifest;
   Roster roster;
   Epoch settled = 0;
@@ -223,8 +235,9 @@
   /// When not 0, `runners` are only those that changed since this stamp, and `gone` those that went.
   std::uint64_t since_stamp = 0;
   std::vector<std::string> gone;
-  WHARF_CARRY(sent_at, age, term, version, has_manifest, manifest, roster, settled, quiet, runners_stamp,
-              has_runners, runners, has_roster, since_stamp, gone)
+  Version manifest_base = 0;
+  WHARF_CARRY(manifest_base, sent_at, age, term, version, has_manifest, manifest, roster, settled, quiet,
+              runners_stamp, has_runners, runners, has_roster, since_stamp, gone)
 };
 
 struct NotLeader {
@@ -396,7 +409,7 @@
                             AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, Pulse,
                             Orders, NotLeader, ClaimAsk, ClaimSay, CloseAsk, CloseSay, PermitAsk, PermitSay,
                             LedgerCopy, LedgerAck, SlotAsk, SlotSay, SlotFree, SlotFreed, InventoryAsk,
-                            InventorySay, InstallSnapshotResponse, PassOn>;
+                            InventorySay, InstallSnapshotResponse, PassOn, TimeoutNowRequest>;
 
 /// A signal with its sender.
 struct Envelope {
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -282,3 +282,102 @@
   for (const WriteBatch &save : snapshot_sent_at.batches) CHECK(save.cut_from == 0 && !save.snapshot);
   LONGS_EQUAL(3, snapshot_sent_at.committed.size());
 }
+
+namespace {
+/// A follower of leader 1 in term 1 that holds entries up to `last`, all synced and acknowledged.
+RaftNode &follower_with_entries(Trio &trio, std::uint64_t last) {
+  RaftNode &replica = *trio.sessions[2].replica;
+  AppendEntriesRequest ask{5, 1, 0, 0, 0, trio.now, {}};
+  for (std::uint64_t index = 1; index <= last; ++index) ask.entries.push_back({index, 1, 1, "old"});
+  RaftOutput out;
+  replica.step(1, ask, trio.now, out);
+  trio.take(2, std::move(out));
+  trio.sync(2);
+  trio.mail.clear();
+  return replica;
+}
+} // namespace
+
+TEST(RaftNode, what_was_compared_with_an_earlier_leader_is_not_acknowledged_to_a_later_one) {
+  // The follower stands for election itself before the later leader is heard, which raises its term.
+  for (const bool stands_itself : {true, false}) {
+    Trio trio;
+    RaftNode &replica = follower_with_entries(trio, 5);
+    std::uint64_t term = 2;
+    if (stands_itself) {
+      trio.now += seconds(3);
+      RaftOutput tick;
+      replica.tick(trio.now, tick);
+      RaftOutput vote;
+      replica.step(3, RequestVoteResponse{5, 2, true, true}, trio.now, vote);
+      LONGS_EQUAL(2, replica.term());
+      trio.take(2, std::move(vote));
+      trio.sync(2);
+      trio.mail.clear();
+    }
+    RaftOutput out;
+    replica.step(3, AppendEntriesRequest{5, term, 2, 1, 0, trio.now, {}}, trio.now, out);
+    trio.take(2, std::move(out));
+    trio.sync(2);
+    CHECK(!trio.mail.empty());
+    for (const auto &[from, posted] : trio.mail)
+      if (const auto *say = std::get_if<AppendEntriesResponse>(&posted.signal)) CHECK(say->match <= 2);
+  }
+}
+
+TEST(RaftNode, a_lead_passed_on_by_name_is_taken_without_waiting_for_silence) {
+  Trio trio;
+  const NodeId leader = trio.elect_first();
+  trio.pass_on();
+  RaftOutput out;
+  CHECK(trio.sessions[leader].replica->transfer_leadership({}, trio.now, out));
+  trio.take(leader, std::move(out));
+  trio.pass_on();
+  CHECK(!trio.sessions[leader].replica->is_leader());
+  NodeId successor = 0;
+  for (NodeId id = 1; id <= 3; ++id)
+    if (trio.sessions[id].replica->is_settled()) successor = id;
+  CHECK(successor != 0 && successor != leader);
+}
+
+TEST(RaftNode, a_snapshot_under_way_is_finished_though_a_newer_one_was_taken) {
+  Trio trio;
+  const NodeId leader = trio.elect_first();
+  const NodeId behind = leader == 3 ? 2 : 3;
+  RaftNode &leading = *trio.sessions[leader].replica;
+  // The follower comes back with an empty log, and one part of a snapshot reaches it between two new
+  // snapshots, as on a slow link in a storm of changes.
+  trio.sessions[behind].disk.entries.clear();
+  trio.start(behind);
+  std::optional<Snapshot> loaded;
+  for (int round = 0; round < 60 && !loaded; ++round) {
+    RaftOutput put;
+    leading.propose(std::string(1000, 'x'), trio.now, put);
+    trio.take(leader, std::move(put));
+    bool has_had_part = false;
+    for (int hop = 0; hop < 50 && !trio.mail.empty(); ++hop) {
+      auto [from, posted] = std::move(trio.mail.front());
+      trio.mail.pop_front();
+      const bool is_part = std::holds_alternative<InstallSnapshotRequest>(posted.signal);
+      if (is_part && has_had_part) continue;
+      has_had_part = has_had_part || is_part;
+      RaftOutput step;
+      trio.sessions[posted.to].replica->step(from, posted.signal, trio.now, step);
+      if (step.load) loaded = step.load;
+      trio.take(posted.to, std::move(step));
+      for (NodeId id = 1; id <= 3; ++id) trio.sync(id);
+    }
+    if (leading.commit() > leading.first_index() + 1) {
+      RaftOutput compacted;
+      leading.compact(leading.commit(), std::string(5u << 20, 'a'), compacted);
+      trio.take(leader, std::move(compacted));
+      trio.sync(leader);
+    }
+    trio.now += milliseconds(600);
+    RaftOutput tick;
+    leading.tick(trio.now, tick);
+    trio.take(leader, std::move(tick));
+  }
+  CHECK(loaded.has_value());
+  CHECK(loaded->body.size() == 5u << 20);
+}
