Tell members by rings, so that news reaches a hundred members in time

Change: members stand in a ring by identity; in turn each tells those 1, 2, ... and 5, 10, ... places behind it; silence allows for the rounds that news takes. is_replaced tells that another process answers at a member's address.

--- a/packages/rollcall/rollcall.cpp
+++ b/packages/rollcall/rollcall.cpp
@@ -4,6 +4,11 @@
 
 namespace wharf {
 
+namespace {
+/// News reaches as many members in this many rounds as the usual silence allows for.
+constexpr std::size_t usual_rounds = 2;
+} // namespace
+
 Rollcall::Rollcall(Member self, std::vector<std::string> seeds, RollcallOptions options)
     : self_(std::move(self)), seeds_(std::move(seeds)), options_(options) {}
 
@@ -63,10 +68,37 @@
   Muster muster;
   muster.members.push_back(self_);
   for (const auto &[id, known] : known_)
-    if (now - known.advanced <= options_.silent_after) muster.members.push_back(known.member);
+    if (now - known.advanced <= silence()) muster.members.push_back(known.member);
   return muster;
 }
 
+std::size_t Rollcall::rounds() const {
+  std::size_t count = 1, reached = options_.told_each + 1;
+  for (; reached < known_.size() + 1; reached *= options_.told_each + 1) ++count;
+  return count;
+}
+
+Span Rollcall::silence() const {
+  const auto extra = static_cast<Span>(std::max(rounds(), usual_rounds) - usual_rounds);
+  return options_.silent_after + extra * 2 * options_.every;
+}
+
+std::vector<const Rollcall::Known *> Rollcall::next_told() {
+  std::vector<const Known *> told;
+  if (known_.empty()) return told;
+  std::size_t stride = 1;
+  for (std::size_t round = beats_told_++ % rounds(); round > 0; --round) stride *= options_.told_each + 1;
+  std::vector<const Known *> ring;
+  const auto behind = known_.upper_bound(self_.id);
+  for (auto at = behind; at != known_.end(); ++at) ring.push_back(&at->second);
+  for (auto at = known_.begin(); at != behind; ++at) ring.push_back(&at->second);
+  for (std::size_t step = 1; step <= std::min(options_.told_each, ring.size()); ++step) {
+    const Known *next = ring[(step * stride - 1) % ring.size()];
+    if (std::find(told.begin(), told.end(), next) == told.end()) told.push_back(next);
+  }
+  return told;
+}
+
 void Rollcall::tick(Instant now, Outbox &out) {
   if (now < next_at_) return;
   next_at_ = now + options_.every;
@@ -75,23 +107,17 @@
   Muster muster;
   muster.members.push_back(self_);
   for (const auto &[id, known] : known_) {
-    if (now - known.advanced > options_.silent_after) continue;
+    if (now - known.advanced > silence()) continue;
     if (now - known.learned <= options_.news_for)
       muster.members.push_back(known.member);
     else
       muster.beats.push_back({id, known.member.beat});
   }
-  auto next = known_.upper_bound(told_last_);
-  for (std::size_t told = 0; told < std::min(options_.told_each, known_.size()); ++told) {
-    if (next == known_.end()) next = known_.begin();
-    told_last_ = next->first;
-    out.push_back({next->first, next->second.member.address, muster});
-    ++next;
-  }
+  for (const Known *known : next_told()) out.push_back({known->member.id, known->member.address, muster});
   for (const std::string &seed : seeds_) {
     const bool is_known =
         seed == self_.address || std::any_of(known_.begin(), known_.end(), [&](const auto &item) {
-          return item.second.member.address == seed && now - item.second.advanced <= options_.silent_after;
+          return item.second.member.address == seed && now - item.second.advanced <= silence();
         });
     if (!is_known) out.push_back({0, seed, Muster{{self_}, {}, {}}});
   }
@@ -100,7 +126,7 @@
 std::vector<Member> Rollcall::living(Instant now) const {
   std::vector<Member> list;
   for (const auto &[id, known] : known_)
-    if (now - known.advanced <= options_.silent_after) list.push_back(known.member);
+    if (now - known.advanced <= silence()) list.push_back(known.member);
   return list;
 }
 
@@ -113,7 +139,18 @@
 bool Rollcall::is_living(NodeId id, Instant now) const {
   if (id == self_.id) return true;
   const auto found = known_.find(id);
-  return found != known_.end() && now - found->second.advanced <= options_.silent_after;
+  return found != known_.end() && now - found->second.advanced <= silence();
+}
+
+bool Rollcall::is_replaced(NodeId id) const {
+  const auto found = known_.find(id);
+  if (found == known_.end()) return false;
+  const Known &old = found->second;
+  return std::any_of(known_.begin(), known_.end(), [&](const auto &item) {
+    const Known &other = item.second;
+    return item.first != id && other.member.address == old.member.address &&
+           other.advanced > old.advanced + options_.replaced_after;
+  });
 }
 
 std::string Rollcall::address_of(NodeId id) const {
--- a/packages/rollcall/rollcall.hpp
+++ b/packages/rollcall/rollcall.hpp
@@ -11,10 +11,12 @@
   Span every = milliseconds(250);
   Span silent_after = milliseconds(1500);
   Span forget_after = seconds(30);
-  /// Members told at each beat, in turn.
+  /// Members told at each beat.
   std::size_t told_each = 8;
   /// How long what was learned of a member is passed on whole; later only its beat is.
   Span news_for = seconds(1);
+  /// How long a member's successor at its address must have been heard of after it.
+  Span replaced_after = milliseconds(600);
   /// A member this many beats behind what it once said has had its clock set back and is told so.
   std::uint64_t beats_late = 40;
 };
@@ -33,6 +35,9 @@
   std::vector<Member> living(Instant now) const;
   const Member *find(NodeId id) const;
   bool is_living(NodeId id, Instant now) const;
+  /// True when another process answers at the member's address and has gone on doing so after the member was
+  /// last heard of: two cannot listen there, so the member has ended.
+  bool is_replaced(NodeId id) const;
   /// The address signals for a node go to; empty when it is not known.
   std::string address_of(NodeId id) const;
   const Member &self() const { return self_; }
@@ -44,13 +49,21 @@
     Instant advanced = 0, learned = 0;
   };
   Muster whole(Instant now) const;
+  /// How many beats news takes to reach everybody when all tell on what they hear.
+  std::size_t rounds() const;
+  /// How long a member may be unheard before it counts as silent; longer where news takes more rounds.
+  Span silence() const;
+  /// Whom to tell at this beat. Members stand in a ring by identity; in turn each tells those 1, 2, ...
+  /// places behind itself, then those `told_each + 1`, 2 (`told_each` + 1), ... places behind, and so on, so
+  /// that news reaches all in as few rounds as can be, and all members are told equally often.
+  std::vector<const Known *> next_told();
   void learn(const Member &member, Instant now);
   Member self_;
   std::vector<std::string> seeds_;
   RollcallOptions options_;
   std::map<NodeId, Known> known_;
   Instant next_at_ = 0;
-  NodeId told_last_ = 0;
+  std::uint64_t beats_told_ = 0;
 };
 
 } // namespace wharf
