--- a/packages/bosun/options.cpp
+++ b/packages/bosun/options.cpp
@@ -63,7 +63,8 @@
 
 bool fits(ProgramKind kind, std::string_view name) {
   const bool is_control_only = name == "data" || name == "platform" || name == "operator_token" ||
-                               name == "pace" || name == "may_found";
+                               name == "pace" || name == "may_found" || name == "in_memory" ||
+                               name == "replica";
   return kind == ProgramKind::harbourd ? name != "readiness" : !is_control_only;
 }
 
@@ -151,7 +152,8 @@
     faults.push_back("--seeds: two will not do without few_seeds. One or three addresses are expected.");
   for (const auto &[name, item] : given) faults.push_back(item.place + ": unknown option '" + name + "'");
   if (kind == ProgramKind::harbourd) {
-    if (options.data.empty()) faults.push_back("--data: is missing. Data folder; harbourd only.");
+    if (options.data.empty() && options.in_memory == 0)
+      faults.push_back("--data: is missing. Data folder; harbourd only.");
     if (options.operator_token.size() < 8)
       faults.push_back("--operator-token: at least 8 letters are needed.");
   }
--- a/packages/bosun/options.hpp
+++ b/packages/bosun/options.hpp
@@ -26,6 +26,9 @@
   NUMBER(few_seeds, 0, 0, 1, "Whether two seeds will do, 1 or 0: a group of two bears no loss.")             \
   NUMBER(seed_port, 0, 0, 65535, "Port where seeds listen for other processes, if not the one named.")       \
   NUMBER(may_found, 1, 0, 1, "Whether this process may found a group, 1 or 0; harbourd only.")               \
+  NUMBER(in_memory, 0, 0, 1,                                                                                 \
+         "Whether state is kept in memory only, 1 or 0, where there is no disk; harbourd only.")             \
+  NUMBER(replica, 1, 0, 1, "Whether this process is a replica of the group, 1 or 0; harbourd only.")         \
   NUMBER(threads, 192, 4, 4096, "Threads at the HTTP door.")                                                 \
   NUMBER(pace, 80, 1, 10000, "Starts and stops the platform allows a second; harbourd only.")
 
--- /dev/null
+++ b/packages/bosun/storage_options.hpp
@@ -0,0 +1,20 @@
+#pragma once
+#include <memory>
+#include <variant>
+
+#include "bosun/options.hpp"
+#include "storage/log_storage.hpp"
+
+namespace wharf {
+
+/// An open storage and what was read from it.
+struct StartedStorage {
+  std::unique_ptr<LogStorage> storage;
+  OpenedFolder opened;
+};
+
+/// Opens the storage that a control process's options name: its data folder, or memory where there is no
+/// disk.
+std::variant<StartedStorage, StorageError> open_storage(const ProcessOptions &options);
+
+} // namespace wharf
--- a/packages/control/control_node.hpp
+++ b/packages/control/control_node.hpp
@@ -14,6 +14,11 @@
 
 namespace wharf {
 
+/// True for processes of the control group's role, replicas or not.
+inline bool is_control_node(const Member &member) {
+  return member.role == static_cast<std::uint8_t>(Role::control);
+}
+
 enum class OperatorVerb : std::uint8_t {
   get_manifest,
   get_version,
@@ -29,6 +34,8 @@
   std::uint64_t ticket = 0;
   OperatorVerb verb = OperatorVerb::get_status;
   std::string body, if_match, write_id;
+  /// What the writer keeps with the manifest and gets back with it: any text.
+  std::string origin{};
 };
 struct OperatorSay {
   std::uint64_t ticket = 0;
@@ -37,6 +44,10 @@
   std::string body;
   /// Where the leader's API is, when this replica cannot answer.
   std::string leader_http;
+  /// True when a write was found to have been taken before, however it was read this time.
+  bool is_repeat = false;
+  /// What the manifest's writer keeps with it, for reads.
+  std::string origin{};
 };
 
 struct WorkerSeen {
@@ -93,6 +104,12 @@
   Span enrol_gather = milliseconds(300), enrol_most = milliseconds(900);
   Span voter_silence = seconds(3);
   Span learner_silence = seconds(15);
+  /// How long after a manifest was sent to a node it is taken to be still on its way there: this, and the
+  /// time its bytes take at the least pace of a link.
+  Span manifest_retry = milliseconds(240);
+  std::size_t manifest_bytes_per_s = 100'000;
+  /// How long a leaving leader looks for a voter that is up to date before it gives up the lead all the same.
+  Span handover_most = milliseconds(1500);
   Span settle_every = milliseconds(100);
   Span start_again = seconds(3);
   /// After an answer that says nothing, and after one that says the pace is too high.
@@ -118,6 +135,12 @@
   double platform_pace = 80;
   /// False for a process whose group exists already, though it may know nothing of it.
   bool may_found = true;
+  /// How long a founder waits for seeds that do not answer before a majority of the seeds will do, and each
+  /// later seed for earlier ones. 0 where all seeds must take part: a process that may found again after it
+  /// lost its disk must not found beside a seed that is only down.
+  Span founding_patience = 0;
+  /// False for a process that keeps nothing: it is no replica and only tells operators where one is.
+  bool is_replica = true;
   std::uint64_t compact_entries = 20'000;
   std::size_t compact_bytes = 16u << 20;
 };
@@ -135,7 +158,10 @@
   void operate(OperatorAsk ask, Instant now, ControlOutput &out);
   void platform_seen(PlatformView snapshot, Instant now, ControlOutput &out);
   void platform_said(const PlatformSay &say, Instant now, ControlOutput &out);
+  /// Begins to leave: the lead is handed over, and the vote where another replica can take it.
   void set_leaving(Instant now, ControlOutput &out);
+  /// True once the group does not need this process any more, as far as it can be spared at all.
+  bool may_end(Instant now) const;
 
   const RaftNode &raft() const { return raft_; }
   const Registry &registry() const { return registry_; }
@@ -151,6 +177,9 @@
     Version version = 0;
     Epoch epoch = 0;
     std::uint64_t stamp = 0;
+    /// The version whose manifest was last sent to the node, and until when it is taken to be on its way.
+    Version offered = 0;
+    Instant offered_until = 0;
     bool is_leaving = false;
     std::string address;
     std::map<std::string, Want> wants;
@@ -161,6 +190,7 @@
     OperatorAsk ask;
     std::string trial;
     Trial foretold;
+    std::shared_ptr<const Charter> charter;
     NodeId pilot = 0;
     bool is_claim = false, is_close = false;
     std::string errand;
@@ -169,6 +199,7 @@
     std::uint64_t ticket = 0;
     Version version = 0;
     std::string trial;
+    bool is_repeat = false;
   };
   /// The newest change's trial, to be set beside what came of it.
   struct Outlook {
@@ -179,7 +210,8 @@
     std::map<std::string, double> came;
     std::uint32_t runners = 0;
   };
-  struct WaitingRead {
+  /// A request of an operator that waits until a majority has confirmed this leader after it was asked.
+  struct UnconfirmedRequest {
     OperatorAsk ask;
     Instant asked_at = 0;
   };
@@ -205,20 +237,63 @@
   /// True when no pilot of any roster could act on a permit that this leader does not know of.
   bool is_all_known() const;
   std::string address_of_pilot(NodeId pilot) const;
-  Orders orders_for(const NodeSession &session, Instant now) const;
+  Orders orders_for(NodeSession &session, Instant now);
+  /// Adds the manifest in force to a node's orders, as what differs from the one the node has.
+  void add_manifest(NodeSession &session, Orders &orders, Instant now);
+  /// The manifest in force as a delta from an earlier version's; made once for each such version.
+  const std::string &delta_from(Version base);
+  /// Compiles the manifest in force unless that was done already.
+  void refresh_charter();
   void push_orders(Instant now, ControlOutput &out);
   Version settled_version(Instant now) const;
   Epoch settled_epoch(Instant now) const;
   void settle_writes(Instant now, ControlOutput &out);
-  void settle_reads(Instant now, ControlOutput &out);
+  /// Carries out the requests that were asked before the moment at which a majority last confirmed this
+  /// leader.
+  void carry_out_confirmed(Instant now, ControlOutput &out);
+  void carry_out(OperatorAsk ask, Instant now, ControlOutput &out);
+  void read_manifest(const OperatorAsk &ask, Instant now, ControlOutput &out);
+  void refuse_version(std::uint64_t ticket, ControlOutput &out);
+  /// Answers a write that was taken before as it was answered then; false when it was not.
+  bool acknowledge_again(const OperatorAsk &ask, Instant now, ControlOutput &out);
+  /// True when an order so old may have been taken without its mark being kept until now.
+  bool may_be_forgotten(Version number) const;
   void write_manifest(OperatorAsk ask, Instant now, ControlOutput &out);
+  PutConfiguration configuration_of(PutManifest put, const std::string &origin, const Charter &charter) const;
   Yard yard() const;
   /// Sets what was foretold of the newest change beside what was measured since.
   void judge_outlook(Instant now);
   void refuse_operator(std::uint64_t ticket, int status, std::string outcome, std::string why,
                        ControlOutput &out);
   void maintain_founding(Instant now, ControlOutput &out);
+  /// Sends a new group's replicas their part in it until all are known to have it.
+  void tell_founded(Instant now, ControlOutput &out);
+  void enter_group(std::uint64_t group, std::vector<Replica> replicas, const std::string &how, Instant now,
+                   ControlOutput &out);
+  bool join_known_group(Instant now, ControlOutput &out);
+  bool knows_group(Instant now) const;
+  void try_to_found(Instant now, ControlOutput &out);
+  void answer_founder(const Envelope &envelope, const FoundAsk &ask, Instant now, ControlOutput &out);
+  /// Leaves a group that was founded but never decided anything, once its majority is in another.
+  void leave_orphaned_group(Instant now, ControlOutput &out);
+  /// The group to join instead of this one where that never decided anything and never will; else 0.
+  std::uint64_t group_beside_orphaned(Instant now) const;
   void maintain_replicas(Instant now, ControlOutput &out);
+  /// One step at a time; each returns true when it proposed a change.
+  bool add_learner(Instant now, ControlOutput &out);
+  bool promote_learner(Instant now, ControlOutput &out);
+  bool remove_replica(Instant now, ControlOutput &out);
+  bool propose_replicas(std::vector<Replica> replicas, const std::string &why, Instant now,
+                        ControlOutput &out);
+  /// True when a replica has been silent for so long, or another process has taken over its address.
+  bool is_lost(const Replica &replica, Span patience, Instant now) const;
+  bool is_departing(NodeId id) const;
+  /// True for replicas that can be counted on: neither lost nor about to leave.
+  bool is_staying(const Replica &replica, Instant now) const;
+  std::size_t voters_wanted(Instant now) const;
+  std::size_t staying_voters(Instant now) const;
+  /// Hands the lead to a voter that stays, once this process is leaving.
+  void maintain_handover(Instant now, ControlOutput &out);
   void maintain_roster(Instant now, ControlOutput &out);
   void maintain_runners(Instant now, ControlOutput &out);
   void refresh_views(Instant now);
@@ -240,7 +315,9 @@
   std::optional<std::string> elect_worker(const std::string &service, std::uint32_t memory_mb,
                                           const std::vector<RunnerRecord> &planned) const;
   std::string seal_key_of(const std::string &runner) const;
-  std::string leader_http() const;
+  std::string leader_http(Instant now) const;
+  /// The API of some replica, for a process that is none itself.
+  std::string replica_http(Instant now) const;
   /// Why a service has fewer ready runners than wanted; empty when it has them.
   std::string why_unsettled(const Service &service, std::size_t ready, std::size_t wanted, Instant now) const;
   /// Why the newest manifest does not hold everywhere yet; empty when it does.
@@ -254,17 +331,21 @@
   Dice dice_;
   std::shared_ptr<const Charter> charter_;
   Version charter_version_ = 0;
+  Version deltas_version_ = 0;
+  std::map<Version, std::string> deltas_;
   std::uint64_t applied_ = 0;
 
   bool was_leader_ = false;
   /// Until when permits, and duties, of leaders before may run.
   Instant floor_ = 0, duty_floor_ = 0;
+  /// When this process began to leave; 0 while it stays.
+  Instant leaving_since_ = 0;
   std::map<NodeId, NodeSession> sessions_;
   /// Pilots that ended before another began at their address, and when at the latest.
   std::map<NodeId, Instant> ended_;
   std::map<std::uint64_t, Proposal> proposals_;
   std::vector<WaitingWrite> writes_;
-  std::vector<WaitingRead> reads_;
+  std::vector<UnconfirmedRequest> unconfirmed_;
   bool is_roster_proposed_ = false, is_runners_proposed_ = false, is_secret_proposed_ = false;
   std::uint64_t roster_index_ = 0, runners_index_ = 0;
   std::vector<NodeId> roster_wanted_;
@@ -289,7 +370,11 @@
   Instant pace_at_ = 0;
   std::size_t bytes_since_snapshot_ = 0;
 
+  Instant began_at_ = 0;
   std::uint64_t found_nonce_ = 0;
+  /// The founder this seed leaves the founding to, and until when.
+  std::string promised_to_;
+  Instant promised_until_ = 0;
   struct SeedSay {
     FoundSay say;
     Instant at = 0;
--- /dev/null
+++ b/packages/control/node_leases.cpp
@@ -0,0 +1,123 @@
+// Leases of edge nodes: what a node may still act on, and when every node is known to have moved on.
+#include "control/control_node.hpp"
+
+#include <algorithm>
+
+namespace wharf {
+
+std::string ControlNode::address_of_pilot(NodeId pilot) const {
+  const auto session = sessions_.find(pilot);
+  if (session != sessions_.end()) return session->second.address;
+  const Roster &roster = registry_.roster();
+  for (std::size_t at = 0; at < roster.pilots.size() && at < roster.addresses.size(); ++at)
+    if (roster.pilots[at] == pilot) return roster.addresses[at];
+  return {};
+}
+
+bool ControlNode::is_all_known() const {
+  const auto is_known = [this](NodeId pilot) { return sessions_.contains(pilot) || ended_.contains(pilot); };
+  const auto at_risk = rosters_at_risk();
+  return std::all_of(at_risk.begin(), at_risk.end(), [&](const std::vector<NodeId> *pilots) {
+    return std::all_of(pilots->begin(), pilots->end(), is_known);
+  });
+}
+
+std::vector<const std::vector<NodeId> *> ControlNode::rosters_at_risk() const {
+  const Roster &roster = registry_.roster();
+  const std::int64_t span_ms =
+      (std::max(options_.fresh, options_.duty) + options_.drift + options_.clock_every) / 1'000'000;
+  std::vector<const std::vector<NodeId> *> list{&roster.pilots};
+  std::int64_t replaced_ms = roster.taken_ms;
+  for (auto past = roster.past.rbegin(); past != roster.past.rend(); ++past) {
+    if (registry_.clock_ms() - replaced_ms > span_ms) break;
+    list.push_back(&past->pilots);
+    replaced_ms = past->taken_ms;
+  }
+  return list;
+}
+
+Span ControlNode::quiet_for(Instant now) const {
+  Instant last = 0;
+  const Roster &roster = registry_.roster();
+  if (roster.past.empty()) return 0;
+  auto earlier = rosters_at_risk();
+  earlier.front() = &roster.past.back().pilots;
+  for (const std::vector<NodeId> *pilots : earlier)
+    for (NodeId pilot : *pilots) {
+      const auto found = ended_.find(pilot);
+      if (found == ended_.end()) return 0;
+      last = std::max(last, found->second);
+    }
+  return last == 0 ? 0 : std::max<Span>(0, now - last);
+}
+
+void ControlNode::answer_pulse(const Envelope &envelope, const Pulse &pulse, Instant now,
+                               ControlOutput &out) {
+  const NodeId from = envelope.from;
+  if (!is_leading()) {
+    out.mail.push_back({from, {}, NotLeader{raft_.leader()}});
+    return;
+  }
+  if (ended_.contains(from)) return;
+  for (NodeId ended : pulse.replaces) {
+    if (ended == from) continue;
+    const Instant moment = now - std::min(now, pulse.up_for);
+    const auto [found, is_new] = ended_.emplace(ended, moment);
+    found->second = std::min(found->second, moment);
+    if (!is_new) continue;
+    sessions_.erase(ended);
+    settle_at_ = now;
+  }
+  almanac_.add(pulse.soundings, now);
+  NodeSession &session = sessions_[from];
+  session.address = envelope.from_address;
+  session.last_pulse = now;
+  session.last_sent_at = std::max(session.last_sent_at, pulse.sent_at);
+  session.version = std::max(session.version, pulse.version);
+  session.epoch = std::max(session.epoch, pulse.epoch);
+  session.stamp = pulse.runners_term == raft_.term() ? pulse.runners_stamp : 0;
+  session.is_leaving = pulse.is_leaving;
+  const auto before = std::move(session.wants);
+  session.wants.clear();
+  for (const Want &want : pulse.wants) {
+    const auto known = before.find(want.service);
+    if (known == before.end() || known->second.runners != want.runners || known->second.retire != want.retire)
+      settle_at_ = now;
+    session.wants[want.service] = want;
+  }
+  Orders orders = orders_for(session, now);
+  orders.sent_at = pulse.sent_at;
+  session.permit_until = now + options_.fresh + options_.drift;
+  session.duty_until = now + options_.duty + options_.drift;
+  out.mail.push_back({from, {}, std::move(orders)});
+  settle_writes(now, out);
+}
+
+Version ControlNode::settled_version(Instant now) const {
+  if (!is_leading() || now < floor_) return 0;
+  Version lowest = registry_.version();
+  for (const auto &[pilot, session] : sessions_)
+    if (session.permit_until > now) lowest = std::min(lowest, session.version);
+  return lowest;
+}
+
+Epoch ControlNode::settled_epoch(Instant now) const {
+  if (!is_leading() || (now < duty_floor_ && !is_all_known())) return 0;
+  Epoch lowest = registry_.roster().epoch;
+  for (const auto &[pilot, session] : sessions_)
+    if (session.duty_until > now) lowest = std::min(lowest, session.epoch);
+  return lowest;
+}
+
+std::string ControlNode::why_unheld(Instant now) const {
+  if (settled_version(now) >= registry_.version()) return {};
+  if (!is_leading()) return "no majority: this replica does not lead";
+  if (now < floor_) return "a new leader waits out its predecessors' permits";
+  std::string late;
+  for (const auto &[pilot, session] : sessions_)
+    if (session.permit_until > now && session.version < registry_.version())
+      late += (late.empty() ? "" : ", ") + session.address;
+  return "not yet switched: " + late;
+}
+
+} // namespace wharf
--- a/packages/control/registry.cpp
+++ b/packages/control/registry.cpp
@@ -3,14 +3,19 @@
 #include <algorithm>
 
 #include "charter/charter.hpp"
+#include "delta/delta.hpp"
 #include "seal/seal.hpp"
 #include "signals/pack.hpp"
 
 namespace wharf {
 
 namespace {
-constexpr std::size_t writes_kept = 256;
 constexpr std::size_t past_kept = 12;
+/// Versions before the one in force whose manifests are kept, so that who has them is sent what differs.
+constexpr std::size_t earlier_kept = 4;
+/// Begins snapshots of the present layout; those without it are of the layout before, whose manifest stood as
+/// it is.
+constexpr std::string_view snapshot_mark = "WHJSTATE3";
 constexpr std::size_t claims_most = 400'000;
 constexpr std::size_t answer_bytes_most = 32u << 20;
 constexpr std::int64_t release_keep_ms = 120'000;
@@ -33,6 +38,13 @@
   WHARF_CARRY(secret, manifest, version, write_ids, write_versions, roster, runners, claims, released,
               clock_ms, claim_keep_ms, unknown_keep_ms, next_runner)
 };
+
+/// The present layout: the manifest and its origin are compressed.
+struct CompressedState {
+  State state;
+  std::string manifest, origin;
+  WHARF_CARRY(state, manifest, origin)
+};
 } // namespace
 
 std::string pack_command(const Command &command) {
@@ -59,39 +71,80 @@
   return 0;
 }
 
+Version Registry::oldest_kept_write() const {
+  return writes_.size() < writes_kept ? 0 : writes_.front().second;
+}
+
 Applied Registry::apply_one(const PutSecret &command) {
   if (secret_.empty()) secret_ = command.secret;
   return {};
 }
 
-Applied Registry::apply_one(const PutManifest &command) {
-  Applied applied;
+bool Registry::may_take(const PutManifest &command, Applied &applied) const {
   if (!command.write_id.empty()) {
     if (const Version earlier = version_of_write(command.write_id); earlier != 0) {
       applied.version = earlier;
-      return applied;
+      return false;
     }
   }
   const bool is_behind = command.number != 0 && command.number <= version_;
   if ((command.is_bound && command.base != version_) || is_behind) {
     applied.is_taken = false;
     applied.version = version_;
-    return applied;
-  }
-  manifest_ = command.bytes;
-  applied.version = version_ = command.number != 0 ? command.number : version_ + 1;
-  if (auto read = read_charter(manifest_);
-      auto *charter = std::get_if<std::shared_ptr<const Charter>>(&read)) {
-    claim_keep_ms_ = (*charter)->limits.claim_keep_s * 1000;
-    unknown_keep_ms_ = (*charter)->limits.unknown_keep_s * 1000;
+    return false;
   }
+  return true;
+}
+
+Applied Registry::take_version(const PutManifest &command, std::string manifest, std::string origin) {
+  if (version_ != 0) earlier_manifests_.emplace_back(version_, std::move(manifest_));
+  if (earlier_manifests_.size() > earlier_kept) earlier_manifests_.pop_front();
+  manifest_ = std::move(manifest);
+  origin_ = std::move(origin);
+  version_ = command.number != 0 ? command.number : version_ + 1;
   if (!command.write_id.empty()) {
     writes_.emplace_back(command.write_id, version_);
     if (writes_.size() > writes_kept) writes_.pop_front();
   }
+  Applied applied;
+  applied.version = version_;
   return applied;
 }
 
+Applied Registry::apply_one(const PutManifest &command) {
+  Applied applied;
+  if (!may_take(command, applied)) return applied;
+  if (auto read = read_charter(command.bytes);
+      auto *charter = std::get_if<std::shared_ptr<const Charter>>(&read)) {
+    claim_keep_ms_ = (*charter)->limits.claim_keep_s * 1000;
+    unknown_keep_ms_ = (*charter)->limits.unknown_keep_s * 1000;
+  }
+  return take_version(command, command.bytes, {});
+}
+
+Applied Registry::apply_one(const PutConfiguration &command) {
+  Applied applied;
+  if (!may_take(command.put, applied)) return applied;
+  const bool is_bound = command.put.is_bound;
+  auto manifest = decode_delta(is_bound ? manifest_ : std::string_view(), command.put.bytes);
+  auto origin = decode_delta(is_bound ? origin_ : std::string_view(), command.origin);
+  if (!manifest || !origin) {
+    applied.is_taken = false;
+    applied.version = version_;
+    return applied;
+  }
+  claim_keep_ms_ = command.claim_keep_ms;
+  unknown_keep_ms_ = command.unknown_keep_ms;
+  return take_version(command.put, std::move(*manifest), std::move(*origin));
+}
+
+const std::string *Registry::manifest_at(Version version) const {
+  if (version == version_ && version != 0) return &manifest_;
+  for (const auto &[number, manifest] : earlier_manifests_)
+    if (number == version) return &manifest;
+  return nullptr;
+}
+
 Applied Registry::apply_one(const PutRoster &command) {
   if (roster_.epoch != 0) {
     roster_.past.push_back({roster_.epoch, roster_.pilots, roster_.addresses, roster_.taken_ms});
@@ -211,19 +264,43 @@
 }
 
 std::string Registry::snapshot() const {
-  State state{secret_,        manifest_,        version_,    {},        {},
-              roster_,        runners_,         claims_,     released_, clock_ms_,
-              claim_keep_ms_, unknown_keep_ms_, next_runner_};
+  CompressedState whole;
+  whole.manifest = encode_delta({}, manifest_);
+  whole.origin = encode_delta({}, origin_);
+  State &state = whole.state;
+  state.secret = secret_;
+  state.version = version_;
+  state.roster = roster_;
+  state.runners = runners_;
+  state.claims = claims_;
+  state.released = released_;
+  state.clock_ms = clock_ms_;
+  state.claim_keep_ms = claim_keep_ms_;
+  state.unknown_keep_ms = unknown_keep_ms_;
+  state.next_runner = next_runner_;
   for (const auto &[id, version] : writes_) {
     state.write_ids.push_back(id);
     state.write_versions.push_back(version);
   }
-  return pack(state);
+  return std::string(snapshot_mark) + pack(whole);
 }
 
 bool Registry::load(std::string_view snapshot) {
-  State state;
-  if (!snapshot.empty() && !unpack(snapshot, state)) return false;
+  CompressedState whole;
+  State &state = whole.state;
+  std::string origin;
+  if (snapshot.starts_with(snapshot_mark)) {
+    if (!unpack(snapshot.substr(snapshot_mark.size()), whole)) return false;
+    auto manifest_text = decode_delta({}, whole.manifest);
+    auto origin_text = decode_delta({}, whole.origin);
+    if (!manifest_text || !origin_text) return false;
+    state.manifest = std::move(*manifest_text);
+    origin = std::move(*origin_text);
+  } else if (!snapshot.empty() && !unpack(snapshot, state)) {
+    return false;
+  }
+  origin_ = std::move(origin);
+  earlier_manifests_.clear();
   secret_ = state.secret;
   manifest_ = state.manifest;
   version_ = state.version;
--- a/packages/control/registry.hpp
+++ b/packages/control/registry.hpp
@@ -22,6 +22,15 @@
   Version number = 0;
   WHARF_CARRY(bytes, write_id, base, is_bound, number)
 };
+/// Takes a manifest with the text its writer keeps with it, both as deltas: from the texts in force at
+/// version `put.base` where the write is bound to that, else from nothing. What the state needs of the
+/// manifest's limits travels along, so that applying it compiles nothing.
+struct PutConfiguration {
+  PutManifest put;
+  std::string origin;
+  std::int64_t claim_keep_ms = 0, unknown_keep_ms = 0;
+  WHARF_CARRY(put, origin, claim_keep_ms, unknown_keep_ms)
+};
 struct PutRoster {
   std::vector<NodeId> pilots;
   std::vector<std::string> addresses;
@@ -63,7 +72,8 @@
   WHARF_CARRY(elapsed_ms)
 };
 
-using Command = std::variant<PutSecret, PutManifest, PutRoster, PutRunners, PutClaim, PutClose, PutClock>;
+using Command = std::variant<PutSecret, PutManifest, PutRoster, PutRunners, PutClaim, PutClose, PutClock,
+                             PutConfiguration>;
 std::string pack_command(const Command &command);
 bool unpack_command(std::string_view bytes, Command &command);
 
@@ -88,6 +98,8 @@
 /// The replicated state: the same commands in the same order give the same state on every replica.
 class Registry {
 public:
+  /// How many of the newest writes are remembered by their marks.
+  static constexpr std::size_t writes_kept = 2048;
   Applied apply(const Command &command);
   std::string snapshot() const;
   bool load(std::string_view snapshot);
@@ -97,11 +109,17 @@
   const std::string &secret() const { return secret_; }
   Version version() const { return version_; }
   const std::string &manifest() const { return manifest_; }
+  /// The text that the manifest's writer keeps with it; empty when there is none.
+  const std::string &origin() const { return origin_; }
+  /// The manifest that was in force as this version, or nullptr when it is no longer kept.
+  const std::string *manifest_at(Version version) const;
   const Roster &roster() const { return roster_; }
   const std::map<std::string, RunnerRecord> &runners() const { return runners_; }
   const std::map<std::string, ClaimRecord> &claims() const { return claims_; }
   /// The version an operator's write already became, or 0.
   Version version_of_write(const std::string &write_id) const;
+  /// Writes that became versions before this one may have been forgotten; 0 when all are still known.
+  Version oldest_kept_write() const;
   void set_claim_keep(std::int64_t keep_ms) { claim_keep_ms_ = keep_ms; }
   std::size_t answer_bytes() const { return answer_bytes_; }
   /// The group's own clock, which trails the leader's by one step of it at most.
@@ -111,14 +129,20 @@
 private:
   Applied apply_one(const PutSecret &command);
   Applied apply_one(const PutManifest &command);
+  Applied apply_one(const PutConfiguration &command);
+  /// Whether a write may take the place of the version in force; if not, what it is answered.
+  bool may_take(const PutManifest &command, Applied &applied) const;
+  Applied take_version(const PutManifest &command, std::string manifest, std::string origin);
   Applied apply_one(const PutRoster &command);
   Applied apply_one(const PutRunners &command);
   Applied apply_one(const PutClaim &command);
   Applied apply_one(const PutClose &command);
   Applied apply_one(const PutClock &command);
 
-  std::string secret_, manifest_;
+  std::string secret_, manifest_, origin_;
   Version version_ = 0;
+  /// The manifests of the last few versions before this one, the newest last.
+  std::deque<std::pair<Version, std::string>> earlier_manifests_;
   std::deque<std::pair<std::string, Version>> writes_;
   Roster roster_;
   std::map<std::string, RunnerRecord> runners_;
--- /dev/null
+++ b/packages/control/runner_placement.cpp
@@ -0,0 +1,340 @@
+// Which runners start, stop and move, and where; derived from wants, worth and what the platform lists.
+#include "control/control_node.hpp"
+
+#include <algorithm>
+
+#include "seal/seal.hpp"
+
+namespace wharf {
+
+std::string ControlNode::seal_key_of(const std::string &runner) const {
+  return hmac_hex(registry_.secret(), "runner/" + runner);
+}
+
+std::optional<std::string> ControlNode::elect_worker(const std::string &service, std::uint32_t memory_mb,
+                                                     const std::vector<RunnerRecord> &planned) const {
+  std::map<std::string, std::uint64_t> used;
+  std::map<std::string, int> mine, zone_mine;
+  std::map<std::string, std::string> zone_of;
+  for (const WorkerSeen &worker : platform_.workers) zone_of[worker.id] = worker.zone;
+  const auto note = [&](const RunnerRecord &record) {
+    used[record.worker] += record.memory_mb;
+    if (record.service != service || record.is_leaving) return;
+    ++mine[record.worker];
+    ++zone_mine[zone_of[record.worker]];
+  };
+  for (const auto &[id, record] : registry_.runners()) note(record);
+  for (const RunnerRecord &record : planned) note(record);
+  const WorkerSeen *best = nullptr;
+  const auto rank = [&](const WorkerSeen &worker) {
+    return std::make_tuple(zone_mine[worker.zone], mine[worker.id],
+                           used[worker.id] * 1000 / std::max(1u, worker.memory_mb), worker.id);
+  };
+  for (const WorkerSeen &worker : platform_.workers) {
+    const auto rest = worker_rests_.find(worker.id);
+    const bool is_resting = rest != worker_rests_.end() && platform_at_ < rest->second;
+    if (worker.is_draining || is_resting || used[worker.id] + memory_mb > worker.memory_mb) continue;
+    if (!options_.must_spread) return worker.id;
+    if (best == nullptr || rank(worker) < rank(*best)) best = &worker;
+  }
+  if (best == nullptr) return std::nullopt;
+  return best->id;
+}
+
+std::string ControlNode::zone_of_worker(const std::string &id) const {
+  for (const WorkerSeen &worker : platform_.workers)
+    if (worker.id == id) return worker.zone;
+  return {};
+}
+
+bool ControlNode::is_lopsided(const Service &service, const std::vector<const RunnerRecord *> &list) const {
+  if (list.size() < 2 || !options_.must_spread) return false;
+  const std::string zone = zone_of_worker(list.front()->worker);
+  for (const RunnerRecord *record : list)
+    if (zone_of_worker(record->worker) != zone) return false;
+  const auto worker = elect_worker(service.name, static_cast<std::uint32_t>(service.memory_mb), {});
+  return worker && zone_of_worker(*worker) != zone;
+}
+
+std::vector<std::string> ControlNode::elect_leaving(std::vector<const RunnerRecord *> list,
+                                                    std::size_t target) const {
+  std::vector<std::string> leaving;
+  while (list.size() > target) {
+    std::map<std::string, int> in_zone, on_worker;
+    for (const RunnerRecord *record : list) {
+      ++in_zone[zone_of_worker(record->worker)];
+      ++on_worker[record->worker];
+    }
+    const auto rank = [&](const RunnerRecord *record) {
+      return std::make_tuple(in_zone[zone_of_worker(record->worker)], on_worker[record->worker], record->id);
+    };
+    const auto most =
+        std::max_element(list.begin(), list.end(), [&](const RunnerRecord *left, const RunnerRecord *right) {
+          return rank(left) < rank(right);
+        });
+    leaving.push_back((*most)->id);
+    list.erase(most);
+  }
+  return leaving;
+}
+
+std::vector<std::string>
+ControlNode::make_memory(const Service &service,
+                         std::map<std::string, std::vector<const RunnerRecord *>> &active) const {
+  const Service *least_worth = nullptr;
+  for (const Service &other : charter_->services) {
+    const auto found = active.find(other.name);
+    const auto kept = static_cast<std::size_t>(std::max<std::int64_t>(1, other.least));
+    if (other.worth >= service.worth || found == active.end() || found->second.size() <= kept) continue;
+    if (least_worth == nullptr || other.worth < least_worth->worth) least_worth = &other;
+  }
+  if (least_worth == nullptr) return {};
+  auto &list = active[least_worth->name];
+  const auto leaving = elect_leaving(list, list.size() - 1);
+  std::erase_if(list, [&](const RunnerRecord *record) { return record->id == leaving.front(); });
+  return leaving;
+}
+
+void ControlNode::order_starts(std::vector<const RunnerRecord *> waiting, Instant now, ControlOutput &out) {
+  const auto worth_of = [this](const RunnerRecord *record) {
+    const Service *service = charter_->service_named(record->service);
+    return service == nullptr ? 0 : service->worth;
+  };
+  std::vector<const RunnerRecord *> by_worth = waiting;
+  if (options_.by_worth)
+    std::stable_sort(by_worth.begin(), by_worth.end(),
+                     [&](const auto *left, const auto *right) { return worth_of(left) > worth_of(right); });
+  std::set<std::string> ordered;
+  std::size_t at = 0, oldest = 0;
+  while (pace_ >= 1 && ordered.size() < waiting.size()) {
+    const bool is_oldest_turn = starts_ordered_ % 5 == 4;
+    const RunnerRecord *record = is_oldest_turn ? waiting[oldest++] : by_worth[at++];
+    if (!ordered.insert(record->id).second) continue;
+    ++starts_ordered_;
+    pace_ -= 1;
+    notes_[record->id].started_at = now;
+    out.orders.push_back({true, *record, seal_key_of(record->id), 0});
+  }
+}
+
+void ControlNode::platform_seen(PlatformView snapshot, Instant now, ControlOutput &out) {
+  platform_ = std::move(snapshot);
+  platform_at_ = now;
+  if (!is_leading()) return;
+  const std::uint64_t stamp = views_stamp_;
+  refresh_views(now);
+  if (views_stamp_ != stamp) push_orders(now, out);
+  maintain_runners(now, out);
+}
+
+std::string ControlNode::handle_of(const RunnerRecord &record) const {
+  if (!record.handle.empty()) return record.handle;
+  const auto note = notes_.find(record.id);
+  return note == notes_.end() ? std::string() : note->second.handle;
+}
+
+void ControlNode::platform_said(const PlatformSay &say, Instant now, ControlOutput &out) {
+  const auto found = registry_.runners().find(say.runner);
+  if (!is_leading() || found == registry_.runners().end()) return;
+  RunnerNote &note = notes_[say.runner];
+  const Span again = say.end == OrderEnd::busy ? options_.busy_again : options_.unknown_again;
+  note.retry_at = now + again;
+  settle_at_ = std::min(settle_at_, note.retry_at);
+  if (!say.is_start) {
+    note.is_stopped = say.end == OrderEnd::done || say.end == OrderEnd::refused;
+    return;
+  }
+  if (say.end == OrderEnd::refused) {
+    worker_rests_[say.worker] = now + options_.worker_rest;
+    propose(PutRunners{{}, {}, {say.runner}, {}}, now, out);
+    settle_at_ = now;
+    return;
+  }
+  if (say.end != OrderEnd::done || say.handle.empty() || !handle_of(found->second).empty()) return;
+  note.handle = say.handle;
+  note.address = say.address;
+  named_.push_back({say.runner, say.handle, say.address});
+  refresh_views(now);
+  push_orders(now, out);
+}
+
+void ControlNode::maintain_runners(Instant now, ControlOutput &out) {
+  if (platform_at_ == 0 || registry_.secret().empty() || !charter_) return;
+  pace_ = std::min(options_.platform_pace / 4,
+                   pace_ + options_.platform_pace * static_cast<double>(now - pace_at_) / 1e9);
+  pace_at_ = now;
+  std::map<std::string, const RunnerSeen *> seen;
+  for (const RunnerSeen &runner : platform_.runners) seen[runner.id] = &runner;
+  std::set<std::string> draining;
+  for (const WorkerSeen &worker : platform_.workers)
+    if (worker.is_draining) draining.insert(worker.id);
+  std::set<std::string> worker_ids;
+  for (const WorkerSeen &worker : platform_.workers) worker_ids.insert(worker.id);
+
+  PutRunners put;
+  std::vector<const RunnerRecord *> unstarted;
+  std::map<std::string, std::vector<const RunnerRecord *>> active;
+  std::set<std::string> idle, retire;
+  std::map<std::string, const Want *> wants;
+  for (const auto &[pilot, session] : sessions_) {
+    if (now - session.last_pulse > options_.pilot_silence) continue;
+    for (const auto &[service, want] : session.wants) {
+      const auto ranked = rank_nodes(registry_.roster().pilots, service, stevedore_salt);
+      if (ranked.empty() || ranked[0] != pilot) continue;
+      wants[service] = &want;
+      idle.insert(want.idle.begin(), want.idle.end());
+      retire.insert(want.retire.begin(), want.retire.end());
+    }
+  }
+  std::set<std::string> ours;
+  put.named = std::move(named_);
+  named_.clear();
+  for (const auto &[id, record] : registry_.runners()) {
+    RunnerNote &note = notes_[id];
+    if (note.known_since == 0) note.known_since = now;
+    const std::string handle = handle_of(record);
+    const std::string name = handle.empty() ? id : handle;
+    ours.insert(name);
+    const auto found = seen.find(name);
+    if (found != seen.end()) {
+      note.was_listed = true;
+      note.absent = 0;
+    }
+    const bool is_lost = found == seen.end() && note.was_listed && note.started_at < platform_at_;
+    const bool is_unwanted = !worker_ids.contains(record.worker) && !note.was_listed &&
+                             now - note.started_at > seconds(10) && note.started_at != 0;
+    const bool is_unlisted = found == seen.end() && !note.was_listed && !handle.empty() &&
+                             now - std::max(note.known_since, note.started_at) > options_.unlisted_most;
+    if (is_lost || is_unwanted || is_unlisted ||
+        (found == seen.end() && record.is_leaving && !note.was_listed && handle.empty()) ||
+        (found == seen.end() && note.is_stopped)) {
+      put.gone.push_back(id);
+      continue;
+    }
+    if (record.is_leaving) {
+      if (note.leaving_since == 0) note.leaving_since = now;
+      const bool is_known_service = wants.contains(record.service);
+      const bool may_stop =
+          idle.contains(id) ||
+          (now - note.leaving_since > (is_known_service ? options_.leave_most : seconds(6)) &&
+           charter_->service_named(record.service) == nullptr) ||
+          now - note.leaving_since > options_.leave_most;
+      const bool is_due = note.stopped_at == 0 || now - note.stopped_at > options_.start_again ||
+                          (note.retry_at > note.stopped_at && now >= note.retry_at);
+      if (may_stop && pace_ >= 1 && is_due && !note.is_stopped) {
+        pace_ -= 1;
+        note.stopped_at = now;
+        RunnerRecord named = record;
+        named.handle = handle;
+        out.orders.push_back({false, std::move(named), {}, options_.stop_grace});
+      }
+      continue;
+    }
+    const bool must_leave = retire.contains(id) || draining.contains(record.worker) ||
+                            (found != seen.end() && found->second->phase == RunnerPhase::stopping) ||
+                            charter_->service_named(record.service) == nullptr;
+    if (must_leave) {
+      put.leaving.push_back(id);
+      continue;
+    }
+    active[record.service].push_back(&record);
+    const bool is_due = note.started_at == 0 || now - note.started_at > options_.start_again ||
+                        (note.retry_at > note.started_at && now >= note.retry_at);
+    if (found == seen.end() && handle.empty() && is_due) unstarted.push_back(&record);
+  }
+  order_starts(std::move(unstarted), now, out);
+  for (const RunnerSeen &runner : platform_.runners) {
+    if (ours.contains(runner.id) || runner.phase == RunnerPhase::stopping) continue;
+    RunnerNote &note = notes_[runner.id];
+    if (note.known_since == 0) note.known_since = now;
+    if (now - note.known_since < options_.stray_most || pace_ < 1 ||
+        now - note.stopped_at < options_.start_again || now < floor_)
+      continue;
+    pace_ -= 1;
+    note.stopped_at = now;
+    RunnerRecord record;
+    record.id = record.handle = runner.id;
+    out.orders.push_back({false, record, {}, options_.stop_grace});
+  }
+  std::vector<const Service *> services;
+  for (const Service &service : charter_->services) services.push_back(&service);
+  if (options_.by_worth)
+    std::stable_sort(services.begin(), services.end(),
+                     [](const Service *left, const Service *right) { return left->worth > right->worth; });
+  std::uint64_t next = registry_.next_runner();
+  for (const Service *service : services) {
+    auto &list = active[service->name];
+    std::size_t target =
+        std::max<std::size_t>(static_cast<std::size_t>(service->least),
+                              std::min<std::size_t>(list.size(), static_cast<std::size_t>(service->most)));
+    if (const auto want = wants.find(service->name); want != wants.end())
+      target = std::clamp<std::size_t>(want->second->runners, static_cast<std::size_t>(service->least),
+                                       static_cast<std::size_t>(service->most));
+    const bool is_booting = std::any_of(list.begin(), list.end(), [this](const RunnerRecord *record) {
+      return std::none_of(views_.begin(), views_.end(),
+                          [&](const RunnerView &view) { return view.id == record->id; });
+    });
+    if (list.size() > target && !(list.size() == target + 1 && is_booting && target > 0)) {
+      const auto leaving = elect_leaving(list, target);
+      put.leaving.insert(put.leaving.end(), leaving.begin(), leaving.end());
+    }
+    if (list.size() == target && !is_booting && now - moved_at_ > options_.move_every &&
+        is_lopsided(*service, list)) {
+      moved_at_ = now;
+      ++target;
+    }
+    bool has_made_memory = false;
+    for (std::size_t missing = list.size(); missing < target && put.add.size() < 64; ++missing) {
+      const auto worker =
+          elect_worker(service->name, static_cast<std::uint32_t>(service->memory_mb), put.add);
+      if (!worker) {
+        if (options_.by_worth && !has_made_memory) {
+          has_made_memory = true;
+          const auto leaving = make_memory(*service, active);
+          put.leaving.insert(put.leaving.end(), leaving.begin(), leaving.end());
+        }
+        break;
+      }
+      RunnerRecord record;
+      record.id = "r" + std::to_string(raft_.term()) + "-" + std::to_string(next++);
+      record.service = service->name;
+      record.worker = *worker;
+      record.image = service->image;
+      record.memory_mb = static_cast<std::uint32_t>(service->memory_mb);
+      record.slots = static_cast<std::uint32_t>(service->slots);
+      put.add.push_back(std::move(record));
+    }
+  }
+  std::erase_if(notes_, [&](const auto &item) {
+    return !registry_.runners().contains(item.first) && !seen.contains(item.first);
+  });
+  if (is_runners_proposed_ ||
+      (put.add.empty() && put.leaving.empty() && put.gone.empty() && put.named.empty())) {
+    named_ = std::move(put.named);
+    return;
+  }
+  is_runners_proposed_ = true;
+  runners_index_ = raft_.last_index() + 1;
+  if (!propose(put, now, out)) is_runners_proposed_ = false;
+  refresh_views(now);
+}
+
+std::string ControlNode::why_unsettled(const Service &service, std::size_t ready, std::size_t wanted,
+                                       Instant now) const {
+  if (ready >= wanted) return {};
+  if (platform_at_ == 0 || now - platform_at_ > seconds(3)) return "the platform is away";
+  std::size_t planned = 0, unordered = 0;
+  for (const auto &[id, record] : registry_.runners()) {
+    if (record.service != service.name || record.is_leaving) continue;
+    ++planned;
+    const auto note = notes_.find(id);
+    unordered += note == notes_.end() || note->second.started_at == 0 ? 1 : 0;
+  }
+  if (planned < wanted && !elect_worker(service.name, static_cast<std::uint32_t>(service.memory_mb), {}))
+    return "no worker has " + std::to_string(service.memory_mb) + " MB left";
+  if (!is_leading()) return "this replica does not lead";
+  if (unordered > 0) return std::to_string(unordered) + " starts wait for the platform's pace";
+  return "runners are booting";
+}
+
+} // namespace wharf
--- a/packages/helm/control_runtime.cpp
+++ b/packages/helm/control_runtime.cpp
@@ -16,12 +16,19 @@
   self.http = options.http;
   self.zone = options.zone;
   self.role = static_cast<std::uint8_t>(Role::control);
+  self.is_replica = options.replica != 0;
   self.beat = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
                                              std::chrono::system_clock::now().time_since_epoch())
                                              .count());
   return self;
 }
 
+/// Small enough for a chunk, and the heartbeat behind it, to pass a slow link between two heartbeats.
+constexpr std::size_t snapshot_chunk_bytes = 128u << 10;
+/// How much log is kept before a snapshot takes its place: log, snapshot and the next snapshot must fit
+/// together in the memory and the disk of a small machine.
+constexpr std::size_t compact_bytes = 4u << 20;
+
 HttpDoorOptions door_options() {
   HttpDoorOptions made;
   made.bounds.body_most = 4u << 20;
@@ -52,6 +59,10 @@
   ControlRuntimeOptions made;
   made.control.platform_pace = static_cast<double>(options.pace);
   made.control.may_found = options.may_found != 0;
+  made.control.is_replica = options.replica != 0;
+  made.control.founding_patience = seconds(2);
+  made.control.raft.snapshot_chunk_bytes = snapshot_chunk_bytes;
+  made.control.compact_bytes = compact_bytes;
   made.control.duty = helm_duty;
   made.control.rollcall.told_each = helm_told_each;
   made.control.pilot_silence = milliseconds(900);
@@ -236,9 +247,14 @@
   log_line(line);
 }
 
+bool ControlRuntime::is_over(Instant now) const {
+  if (leaving_at_ == 0 || now - leaving_at_ < helm_.leave_least) return false;
+  return control_->may_end(now) || now - leaving_at_ >= helm_.leave_most;
+}
+
 int ControlRuntime::run() {
   Instant tick_at = 0;
-  while (leaving_at_ == 0 || tide_.now() - leaving_at_ < helm_.leave_most) {
+  while (!is_over(tide_.now())) {
     loop_.turn(std::clamp<Span>(tick_at - tide_.now(), 0, helm_.tick));
     const Instant now = tide_.now();
     if (now >= tick_at) {
--- a/packages/helm/control_runtime.hpp
+++ b/packages/helm/control_runtime.hpp
@@ -18,7 +18,10 @@
   /// How often the platform's lists are read by the leader.
   Span list_runners = milliseconds(300), list_workers = seconds(1);
   Span call_within = seconds(1), operator_within = milliseconds(900);
-  Span leave_most = milliseconds(700), count_every = seconds(5);
+  /// How long a leaving process answers on at least, and how long it waits at most until its lead and its
+  /// vote are with others.
+  Span leave_least = milliseconds(700), leave_most = seconds(4);
+  Span count_every = seconds(5);
 };
 
 /// A control process of two duties: one event loop for all links and decisions, one for the disk.
@@ -43,6 +46,7 @@
     Instant until = 0;
   };
   void build(const Recovered &recovered);
+  bool is_over(Instant now) const;
   void disk_said(DiskEvent &&word);
   void carry_out();
   void ask_group(std::uint64_t ticket, OperatorAsk ask);
--- a/packages/helm/pilot_helm.cpp
+++ b/packages/helm/pilot_helm.cpp
@@ -59,6 +59,7 @@
   made.pilot.duty = helm_duty;
   made.pilot.rollcall.told_each = helm_told_each;
   made.pilot.report_again = milliseconds(250);
+  made.pilot.switch_gap = milliseconds(300);
   made.pilot.sound_again = seconds(10);
   made.pilot.soundings_most = 60;
   return made;
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "delta/delta.hpp"
+
 namespace wharf {
 
 namespace {
@@ -268,12 +270,44 @@
   if (!orders.has_roster && orders.roster.epoch != roster_.epoch) return;
   leader_ = from;
   heard_leader_at_ = now;
-  bool is_switched = false;
-  if (orders.version > version) {
-    if (!orders.has_manifest) return;
-    switch_manifest(orders, now, out);
-    is_switched = true;
+  if (orders.version == version) {
+    follow_orders(from, orders, false, now, out);
+    return;
+  }
+  if (!orders.has_manifest || !take_manifest_text(orders)) return;
+  staged_.emplace(from, orders);
+  staged_->second.manifest.clear();
+  if (version == 0 || now - switched_at_ >= options_.switch_gap) switch_staged(now, out);
+}
+
+bool Pilot::take_manifest_text(const Orders &orders) {
+  if (!is_delta(orders.manifest)) {
+    manifest_text_ = orders.manifest;
+    manifest_text_version_ = orders.version;
+    return true;
+  }
+  if (orders.manifest_base != 0 && orders.manifest_base != manifest_text_version_) return false;
+  auto text = decode_delta(orders.manifest_base == 0 ? std::string_view() : manifest_text_, orders.manifest);
+  if (!text) {
+    count("manifest_unreadable");
+    return false;
   }
+  manifest_text_ = std::move(*text);
+  manifest_text_version_ = orders.version;
+  return true;
+}
+
+void Pilot::switch_staged(Instant now, PilotOutput &out) {
+  const auto [from, orders] = std::move(*staged_);
+  staged_.reset();
+  if (orders.version <= in_force().version || orders.roster.epoch < roster_.epoch) return;
+  switched_at_ = now;
+  switch_manifest(orders.version, now, out);
+  if (!orders.has_roster && orders.roster.epoch != roster_.epoch) return;
+  follow_orders(from, orders, true, now, out);
+}
+
+void Pilot::follow_orders(NodeId, const Orders &orders, bool is_switched, Instant now, PilotOutput &out) {
   const bool takes_runners =
       orders.has_runners &&
       (orders.since_stamp == 0 || (orders.since_stamp <= runners_stamp_ &&
@@ -308,8 +342,8 @@
   if (is_switched) send_pulse(now, out);
 }
 
-void Pilot::switch_manifest(const Orders &orders, Instant now, PilotOutput &out) {
-  auto read = read_charter(orders.manifest);
+void Pilot::switch_manifest(Version version, Instant now, PilotOutput &out) {
+  auto read = read_charter(manifest_text_);
   std::shared_ptr<const Charter> charter;
   if (auto *whole = std::get_if<std::shared_ptr<const Charter>>(&read)) charter = *whole;
   if (!charter) {
@@ -318,11 +352,11 @@
   }
   {
     std::lock_guard guard(in_force_mutex_);
-    in_force_ = {orders.version, charter};
+    in_force_ = {version, charter};
   }
   cut_off_ = seconds(charter->limits.cut_off_s);
   count("manifest_switches");
-  out.lines.push_back("manifest " + std::to_string(orders.version) + " in force");
+  out.lines.push_back("manifest " + std::to_string(version) + " in force");
   std::map<std::string, Allowance> allowances;
   for (const Tenant &tenant : charter->tenants)
     allowances[tenant.name] = {static_cast<double>(tenant.base), static_cast<double>(tenant.burst)};
@@ -1020,6 +1054,7 @@
 void Pilot::tick(Instant now, PilotOutput &out) {
   std::erase_if(heard_, [now](const auto &item) { return now - item.second > seconds(60); });
   rollcall_.tick(now, out.mail);
+  if (staged_ && now - switched_at_ >= options_.switch_gap) switch_staged(now, out);
   for (const Member &member : rollcall_.living(now))
     if (member.group != 0 && member.role == static_cast<std::uint8_t>(Role::control))
       rollcall_.set_group(member.group);
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -69,6 +69,9 @@
   Span unheard = milliseconds(700);
   Span sound_again = seconds(1);
   std::size_t soundings_most = 300;
+  /// Least time between two switches of the manifest: compiling one holds everything up, so in a storm of
+  /// changes only the newest of those that arrived meanwhile is compiled.
+  Span switch_gap = 0;
   Span fresh = seconds(2);
   Span duty = milliseconds(1200);
   Span leader_silence = milliseconds(600);
@@ -210,7 +213,13 @@
   /// Sends what is for pilots that only others reach through one of these.
   void go_round(Instant now, PilotOutput &out);
   bool is_out_of_reach(NodeId pilot, Instant now);
-  void switch_manifest(const Orders &orders, Instant now, PilotOutput &out);
+  /// Takes what orders hold beside the manifest.
+  void follow_orders(NodeId from, const Orders &orders, bool is_switched, Instant now, PilotOutput &out);
+  /// Puts the manifest's text together from the orders' delta; false when this node lacks the base.
+  bool take_manifest_text(const Orders &orders);
+  /// Switches to the newest manifest that was put off.
+  void switch_staged(Instant now, PilotOutput &out);
+  void switch_manifest(Version version, Instant now, PilotOutput &out);
 
   void go_on(const std::string &errand, Instant now, PilotOutput &out);
   void next_step(const std::string &errand, Instant now, PilotOutput &out);
@@ -268,6 +277,12 @@
   PurseRack rack_;
   mutable std::mutex in_force_mutex_;
   InForce in_force_;
+  /// The newest manifest received, in force or staged, and its version.
+  std::string manifest_text_;
+  Version manifest_text_version_ = 0;
+  /// Orders with a newer manifest that are put off, as the last switch was a moment ago.
+  std::optional<std::pair<NodeId, Orders>> staged_;
+  Instant switched_at_ = 0;
   std::map<std::string, std::uint32_t> tenant_index_;
   std::map<std::uint32_t, Till> tills_;
   std::map<std::string, Afloat> afloat_;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -198,7 +198,9 @@
   CHECK(charter->service_named("till")->self_bounding);
   LONGS_EQUAL(16384, charter->limits.head_most_bytes);
   CHECK(charter->tenant_named("free")->unbounded);
-  CHECK(Json::parse(origin_of(std::get<std::string>(manifest_of(config())))) == config());
+  Operators operators;
+  const HttpMessage put = message("PUT", "/config", {}, config().dump());
+  CHECK(Json::parse(std::get<OperatorAsk>(operators.begin(put)).origin) == config());
 }
 
 TEST(Platform, the_longest_prefix_wins_and_nothing_but_what_it_begins_matches) {
@@ -299,7 +301,12 @@
   const HttpMessage get = message("GET", "/config");
   const auto read = std::get<OperatorAsk>(operators.begin(get));
   const std::string manifest = std::get<std::string>(manifest_of(config()));
-  const auto told = std::get<HttpMessage>(operators.go_on(get, read, {2, 200, 7, manifest, {}}));
+  const auto in_force = [&](std::uint64_t ticket, Version version) {
+    OperatorSay say{ticket, 200, version, manifest, {}};
+    say.origin = config().dump();
+    return say;
+  };
+  const auto told = std::get<HttpMessage>(operators.go_on(get, read, in_force(2, 7)));
   CHECK(Json::parse(told.body) == config());
   LONGS_EQUAL(404, status(get, read, {2, 404, 0, {}, {}}));
 
@@ -307,14 +314,18 @@
                                     R"({"generation": 9, "remove": {"routeTable": ["r-2"]}})");
   const auto first = std::get<OperatorAsk>(operators.begin(patch));
   CHECK(first.verb == OperatorVerb::get_manifest);
-  const auto second = std::get<OperatorAsk>(operators.go_on(patch, first, {3, 200, 7, manifest, {}}));
+  const auto second = std::get<OperatorAsk>(operators.go_on(patch, first, in_force(3, 7)));
   CHECK(second.verb == OperatorVerb::put_manifest);
   STRCMP_EQUAL("7", second.if_match.c_str());
-  LONGS_EQUAL(1, Json::parse(origin_of(second.body))["routeTable"].size());
+  LONGS_EQUAL(1, Json::parse(second.origin)["routeTable"].size());
+  OperatorSay repeated{4, 200, 9, "{}", {}};
+  repeated.is_repeat = true;
+  CHECK(!first.write_id.empty() && first.write_id == second.write_id);
+  LONGS_EQUAL(200, status(patch, first, repeated));
   HttpMessage broken = patch;
   broken.body = R"({"generation": 9, "upsert": {"routeTable": [{"name": "r-1"}]}})";
-  LONGS_EQUAL(400, status(broken, first, {3, 200, 7, manifest, {}}));
-  LONGS_EQUAL(412, status(broken, first, {3, 200, 8, manifest, {}}));
+  LONGS_EQUAL(400, status(broken, first, in_force(3, 7)));
+  LONGS_EQUAL(412, status(broken, first, in_force(3, 8)));
 
   LONGS_EQUAL(400, std::get<HttpMessage>(operators.begin(message("PUT", "/config", {}, "{"))).status);
   LONGS_EQUAL(404, std::get<HttpMessage>(operators.begin(message("GET", "/other"))).status);
--- /dev/null
+++ b/tests/worst_days_test.cpp
@@ -0,0 +1,188 @@
+// The five troubles that control sides meet on their worst days, each brought about on a whole group in
+// virtual time.
+#include "control_group_rig.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wharf;
+
+namespace {
+OperatorAsk order(int number, int base, const std::string &mark) {
+  OperatorAsk request;
+  request.verb = OperatorVerb::put_manifest;
+  request.body = ControlGroupRig::manifest(number, "key-of-tenant-0000");
+  request.if_match = std::to_string(base);
+  request.write_id = mark;
+  return request;
+}
+} // namespace
+
+TEST_GROUP(WorstDays){};
+
+TEST(WorstDays, a_leader_that_is_cut_off_neither_confirms_nor_refuses_nor_reads) {
+  for (const int base : {1, 7}) {
+    ControlGroupRig rig(3);
+    LONGS_EQUAL(200, rig.put(1, 0, "first"));
+    const std::string old_leader = rig.leader();
+    rig.machines.at(old_leader).is_cut = true;
+    const std::uint64_t write = rig.ask(old_leader, order(9, base, "cut-off"));
+    OperatorAsk read;
+    read.verb = OperatorVerb::get_manifest;
+    const std::uint64_t reading = rig.ask(old_leader, read);
+    read.verb = OperatorVerb::get_status;
+    const std::uint64_t status = rig.ask(old_leader, read);
+    rig.pass(seconds(20));
+    for (const std::uint64_t ticket : {write, reading, status}) {
+      const OperatorSay *say = rig.answer_to(ticket);
+      CHECK(say != nullptr);
+      LONGS_EQUAL(503, say->status);
+    }
+  }
+}
+
+TEST(WorstDays, a_leader_that_thaws_answers_only_what_a_majority_confirms_after_the_question) {
+  ControlGroupRig rig(3);
+  LONGS_EQUAL(200, rig.put(1, 0, "first"));
+  const std::string old_leader = rig.leader();
+  rig.machines.at(old_leader).is_frozen = true;
+  rig.pass(seconds(5));
+  LONGS_EQUAL(200, rig.put(2, 1, "second"));
+  rig.machines.at(old_leader).is_frozen = false;
+  OperatorAsk read;
+  read.verb = OperatorVerb::get_manifest;
+  const std::uint64_t reading = rig.ask(old_leader, read);
+  const std::uint64_t write = rig.ask(old_leader, order(3, 1, "stale"));
+  rig.pass(seconds(3));
+  for (const std::uint64_t ticket : {reading, write}) {
+    const OperatorSay *say = rig.answer_to(ticket);
+    CHECK(say != nullptr);
+    LONGS_EQUAL(503, say->status);
+  }
+}
+
+TEST(WorstDays, of_two_orders_under_one_number_one_is_confirmed_and_repeats_of_it_are_too) {
+  ControlGroupRig rig(3);
+  LONGS_EQUAL(200, rig.put(1, 0, "first"));
+  const std::string leader = rig.leader();
+  const std::uint64_t one = rig.ask(leader, order(2, 1, "one"));
+  const std::uint64_t other = rig.ask(leader, order(2, 1, "other"));
+  const std::uint64_t again = rig.ask(leader, order(2, 1, "one"));
+  rig.pass(seconds(3));
+  LONGS_EQUAL(200, rig.answer_to(one)->status);
+  LONGS_EQUAL(412, rig.answer_to(other)->status);
+  LONGS_EQUAL(200, rig.answer_to(again)->status);
+  rig.restart(leader);
+  rig.wait_leader();
+  LONGS_EQUAL(200, rig.put(2, 1, "one"));
+  LONGS_EQUAL(412, rig.put(2, 1, "other"));
+}
+
+TEST(WorstDays, an_order_sent_again_after_hundreds_of_changes_and_restarts_is_never_refused) {
+  ControlGroupRig rig(3);
+  rig.options.compact_entries = 100;
+  for (const std::string &seed : rig.seeds) rig.restart(seed);
+  rig.wait_leader();
+  const int changes = 600;
+  for (int number = 1; number <= changes; ++number)
+    LONGS_EQUAL(200, rig.put(number, number - 1, "w" + std::to_string(number),
+                             "key-of-tenant-" + std::to_string(number)));
+  for (const std::string &seed : rig.seeds) rig.restart(seed);
+  rig.wait_leader();
+  for (const int number : {1, 2, 300, changes - 1, changes})
+    LONGS_EQUAL(200, rig.put(number, number - 1, "w" + std::to_string(number),
+                             "key-of-tenant-" + std::to_string(number)));
+  LONGS_EQUAL(412, rig.put(5, 4, "never sent before"));
+}
+
+TEST(WorstDays, a_member_that_missed_hundreds_of_changes_catches_up_and_never_leads_with_old_state) {
+  ControlGroupRig rig(3);
+  rig.options.compact_entries = 50;
+  for (const std::string &seed : rig.seeds) rig.restart(seed);
+  rig.wait_leader();
+  const std::string absent = rig.leader() == "m2" ? "m1" : "m2";
+  rig.stop(absent);
+  for (int number = 1; number <= 300; ++number)
+    LONGS_EQUAL(200, rig.put(number, number - 1, "w" + std::to_string(number)));
+  rig.start(absent);
+  rig.pass(seconds(4));
+  LONGS_EQUAL(300, rig.machines.at(absent).node->registry().version());
+  const std::string old_leader = rig.leader();
+  rig.stop(old_leader);
+  CHECK(!rig.wait_leader().empty());
+  LONGS_EQUAL(300, rig.machines.at(rig.leader()).node->registry().version());
+}
+
+TEST(WorstDays, a_leaving_leader_hands_the_lead_over_without_an_election_timeout) {
+  ControlGroupRig rig(3);
+  LONGS_EQUAL(200, rig.put(1, 0, "first"));
+  const std::string old_leader = rig.leader();
+  ControlNode &leaving = *rig.machines.at(old_leader).node;
+  ControlOutput out;
+  leaving.set_leaving(rig.now, out);
+  CHECK(!leaving.may_end(rig.now));
+  rig.pass(milliseconds(200));
+  CHECK(!leaving.raft().is_leader());
+  CHECK(!rig.leader().empty());
+  CHECK(rig.leader() != old_leader);
+  CHECK(leaving.may_end(rig.now));
+}
+
+TEST(WorstDays, a_leaving_voter_is_replaced_while_it_still_runs_and_a_second_loss_is_borne) {
+  for (const bool leader_leaves : {true, false}) {
+    ControlGroupRig rig(4);
+    LONGS_EQUAL(3, rig.voters());
+    LONGS_EQUAL(200, rig.put(1, 0, "first"));
+    std::string leaver;
+    for (const auto &[address, machine] : rig.machines)
+      if (rig.is_voter(machine.id) && (address == rig.leader()) == leader_leaves) leaver = address;
+    ControlNode &leaving = *rig.machines.at(leaver).node;
+    ControlOutput out;
+    leaving.set_leaving(rig.now, out);
+    const Instant began = rig.now;
+    while (!leaving.may_end(rig.now) && rig.now - began < seconds(3)) rig.pass(milliseconds(20));
+    CHECK(leaving.may_end(rig.now));
+    rig.stop(leaver);
+    rig.wait_leader();
+    LONGS_EQUAL(3, rig.voters());
+    CHECK(!rig.is_voter(rig.machines.at(leaver).id));
+    rig.stop(rig.leader());
+    CHECK(!rig.wait_leader().empty());
+    LONGS_EQUAL(200, rig.put(2, 1, "second"));
+  }
+}
+
+TEST(WorstDays, a_wiped_voter_is_replaced_at_once_and_a_second_loss_right_after_is_borne) {
+  ControlGroupRig rig(3);
+  LONGS_EQUAL(200, rig.put(1, 0, "first"));
+  const std::string wiped = rig.leader() == "m1" ? "m2" : "m1";
+  const NodeId old_identity = rig.machines.at(wiped).id;
+  rig.wipe(wiped);
+  rig.pass(seconds(2));
+  CHECK(!rig.is_voter(old_identity));
+  CHECK(rig.is_voter(rig.machines.at(wiped).id));
+  LONGS_EQUAL(3, rig.voters());
+  rig.stop(rig.leader());
+  CHECK(!rig.wait_leader().empty());
+  LONGS_EQUAL(200, rig.put(2, 1, "second"));
+}
+
+TEST(WorstDays, a_process_without_a_disk_is_no_replica_and_names_one) {
+  ControlGroupRig rig(3);
+  rig.options.is_replica = false;
+  Member self;
+  self.id = 77;
+  self.address = self.http = "diskless";
+  self.role = static_cast<std::uint8_t>(Role::control);
+  self.is_replica = false;
+  ControlGroupRig::Machine &machine = rig.machines["diskless"];
+  machine.address = "diskless";
+  machine.id = self.id;
+  machine.node = std::make_unique<ControlNode>(self, rig.seeds, rig.options, 5, Recovered{}, rig.now);
+  rig.pass(seconds(4));
+  LONGS_EQUAL(3, rig.machines.at(rig.leader()).node->raft().replicas().size());
+  const std::uint64_t ticket = rig.ask("diskless", order(1, 0, "first"));
+  const OperatorSay *say = rig.answer_to(ticket);
+  CHECK(say != nullptr);
+  LONGS_EQUAL(503, say->status);
+  CHECK(rig.machines.contains(say->leader_http) && say->leader_http != "diskless");
+}
