Cancel calls whose client left; judge a cut by what is not answered

Ruled out: a longer silence, as most pilots never have a reason to speak to each other. Change: HttpCalls::cancel for what may be repeated; is_first with is_answer_to; out of reach is who was sent something and did not answer, the direct way is tried again now and then. Assertions of platform_test got the new argument, with stricter ones beside them. Before and after: silence_of_a_pilot..., a_pilot_that_does_not_answer..., a_caller_that_leaves_ends..., a_cancelled_call are new; all 34 tests pass (202 s at 3 at once).

--- a/packages/anchorage/http_calls.cpp
+++ b/packages/anchorage/http_calls.cpp
@@ -110,7 +110,7 @@
   bool take_answer(bool has_more) {
     HttpMessage response = reader_.take();
     if (response.status / 100 == 1) return true;
-    if (call_.is_mine && !call_.is_mine(response)) {
+    if (call_.is_mine && !call_.is_mine(response, !was_reused_ && passed_ == 0)) {
       is_tainted_ = true;
       if (++passed_ > 8 || !response.keeps_link) {
         calls_.end(*this, CallFate::garbled);
@@ -248,6 +248,15 @@
   done({fate, {}, link.was_reused_});
 }
 
+void HttpCalls::cancel(const std::string &name) {
+  for (const auto &[key, link] : busy_) {
+    if (!link->is_busy_ || link->call_.name != name) continue;
+    const auto kept = link;
+    end(*kept, CallFate::lost);
+    return;
+  }
+}
+
 void HttpCalls::forget(const std::string &peer) {
   const auto found = resting_.find(peer);
   if (found == resting_.end()) return;
--- a/packages/anchorage/http_calls.hpp
+++ b/packages/anchorage/http_calls.hpp
@@ -40,8 +40,12 @@
   Instant deadline = 0;
   /// How long a link may have rested to be taken for this call; 0 for a fresh one.
   Span rested_most = seconds(60);
-  /// True for the answer to this very request; others on the link are passed over.
-  std::function<bool(const HttpMessage &)> is_mine;
+  /// Names the call, so that it can be cancelled; calls without a name cannot.
+  std::string name{};
+  /// True for the answer to this very request; others on the link are passed over. `is_first` tells that
+  /// nothing else was ever asked or answered on the link, so that what comes cannot belong to an earlier
+  /// request.
+  std::function<bool(const HttpMessage &, bool is_first)> is_mine;
   std::function<void(CallAnswer &&)> done;
 };
 
@@ -55,6 +59,8 @@
   /// Tells whether anything listens at an address, without sending a byte.
   void knock(const std::string &address, const std::string &peer, Instant deadline,
              std::function<void(bool)> done);
+  /// Ends the call of this name, if it is under way, as `lost` or `unreached`; its link is closed.
+  void cancel(const std::string &name);
   /// Ends links at rest of a peer.
   void forget(const std::string &peer);
   void tick(Instant now);
--- a/packages/control/control_node.cpp
+++ b/packages/control/control_node.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t log_growth_during_transfer = 3;
 } // namespace
 
-ControlNode::ControlNode(Member self, std::vector<std::string> seeds, ControlOptions options,
+ControlNode::ControlNode(const Member &self, std::vector<std::string> seeds, ControlOptions options,
                          std::uint64_t seed, const Recovered &recovered, Instant now)
     : self_(self), options_(options), rollcall_(self, std::move(seeds), options.rollcall),
       raft_(self.id, options.raft, seed, recovered, now), dice_(seed ^ (self.id * 31)), began_at_(now) {
--- a/packages/control/control_node.hpp
+++ b/packages/control/control_node.hpp
@@ -148,7 +148,7 @@
 /// A replica of the control group: replicated state, permits, operators' writes and placements; pure.
 class ControlNode {
 public:
-  ControlNode(Member self, std::vector<std::string> seeds, ControlOptions options, std::uint64_t seed,
+  ControlNode(const Member &self, std::vector<std::string> seeds, ControlOptions options, std::uint64_t seed,
               const Recovered &recovered, Instant now);
 
   void receive(const Envelope &envelope, Instant now, ControlOutput &out);
--- a/packages/control/placement_epochs.cpp
+++ b/packages/control/placement_epochs.cpp
@@ -30,6 +30,7 @@
   is_roster_proposed_ = true;
   roster_index_ = raft_.last_index() + 1;
   std::vector<std::string> addresses;
+  addresses.reserve(wanted.size());
   for (NodeId pilot : wanted) addresses.push_back(address_of_pilot(pilot));
   if (!propose(PutRoster{std::move(wanted), std::move(addresses)}, now, out))
     is_roster_proposed_ = false;
--- a/packages/control/runner_placement.cpp
+++ b/packages/control/runner_placement.cpp
@@ -90,7 +90,7 @@
   }
   if (least_worth == nullptr) return {};
   auto &list = active[least_worth->name];
-  const auto leaving = elect_leaving(list, list.size() - 1);
+  auto leaving = elect_leaving(list, list.size() - 1);
   std::erase_if(list, [&](const RunnerRecord *record) { return record->id == leaving.front(); });
   return leaving;
 }
--- a/packages/control/status.cpp
+++ b/packages/control/status.cpp
@@ -91,7 +91,8 @@
       for (const auto &[id, record] : registry_.runners()) {
         if (record.service != service.name) continue;
         const bool is_ready =
-            std::any_of(views_.begin(), views_.end(), [&](const RunnerView &view) { return view.id == id; });
+            std::any_of(views_.begin(), views_.end(),
+                        [&runner = id](const RunnerView &view) { return view.id == runner; });
         ready += is_ready && !record.is_leaving ? 1 : 0;
         item["runners"].push_back({{"id", id},
                                    {"worker", record.worker},
--- a/packages/helm/pilot_helm.cpp
+++ b/packages/helm/pilot_helm.cpp
@@ -114,9 +114,10 @@
   call.deadline = carry.deadline;
   call.request = runners_.call(carry, found->second.request, carry.deadline - tide_.now());
   if (!carry.is_repeatable) call.rested_most = helm_.rested_for_once;
-  call.is_mine = [this, carry](const HttpMessage &response) {
+  call.name = carry.errand;
+  call.is_mine = [this, carry](const HttpMessage &response, bool is_first) {
     const auto cargo = cargo_.find(carry.errand);
-    return cargo != cargo_.end() && runners_.is_answer_to(carry, cargo->second.request, response);
+    return cargo != cargo_.end() && runners_.is_answer_to(carry, cargo->second.request, response, is_first);
   };
   call.done = [this, carry](CallAnswer &&answer) { end_call(carry, std::move(answer)); };
   calls_.call(std::move(call));
@@ -167,7 +168,7 @@
 void PilotHelm::carry_out() {
   for (int round = 0; round < 16; ++round) {
     if (out_.mail.empty() && out_.carries.empty() && out_.replies.empty() && out_.knocks.empty() &&
-        out_.lines.empty())
+        out_.cancels.empty() && out_.lines.empty())
       break;
     PilotOutput taken;
     std::swap(taken, out_);
@@ -177,6 +178,7 @@
     }
     for (const Reply &reply : taken.replies) send_reply(reply);
     for (const Carry &carry : taken.carries) start_call(carry);
+    for (const std::string &errand : taken.cancels) calls_.cancel(errand);
     for (const Knock &one : taken.knocks) knock(one);
     for (const std::string &line : taken.lines) log_line(line);
   }
--- a/packages/helm/wires.hpp
+++ b/packages/helm/wires.hpp
@@ -35,7 +35,9 @@
   /// The request as it goes to a runner, with `left` until its deadline.
   virtual HttpMessage call(const Carry &carry, const HttpMessage &request, Span left) = 0;
   /// True when a response on the link answers this errand's call.
-  virtual bool is_answer_to(const Carry &carry, const HttpMessage &request, const HttpMessage &response) = 0;
+  /// `is_first` tells that nothing else was asked on the link before.
+  virtual bool is_answer_to(const Carry &carry, const HttpMessage &request, const HttpMessage &response,
+                            bool is_first) = 0;
   /// What a whole response comes to.
   virtual CallKind judge(const Carry &carry, const HttpMessage &response) = 0;
 };
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -139,6 +139,7 @@
 
 void Pilot::receive(const Envelope &envelope, Instant now, PilotOutput &out) {
   heard_[envelope.from] = now;
+  unanswered_.erase(envelope.from);
   if (const auto *passed = std::get_if<PassOn>(&envelope.signal)) {
     Envelope inner;
     std::size_t used = 0;
@@ -154,11 +155,12 @@
   loop_back(now, out);
 }
 
-bool Pilot::is_out_of_reach(NodeId pilot, Instant now) {
+bool Pilot::is_out_of_reach(NodeId pilot, Instant now) const {
   const bool is_counted =
       std::find(roster_.pilots.begin(), roster_.pilots.end(), pilot) != roster_.pilots.end();
   if (!is_counted || !rollcall_.is_living(pilot, now)) return false;
-  return now - heard_.try_emplace(pilot, now).first->second > options_.unheard;
+  const auto found = unanswered_.find(pilot);
+  return found != unanswered_.end() && now - found->second.since > options_.unheard;
 }
 
 void Pilot::go_round(Instant now, PilotOutput &out) {
@@ -168,15 +170,24 @@
     if (pilot != self_.id && found != heard_.end() && now - found->second < options_.unheard / 2)
       reached.push_back(pilot);
   }
-  if (reached.empty()) return;
+  Outbox probes;
   for (Posted &posted : out.mail) {
     const bool may_go =
         !std::holds_alternative<PassOn>(posted.signal) && !std::holds_alternative<Muster>(posted.signal);
-    if (posted.to == 0 || !may_go || !is_out_of_reach(posted.to, now)) continue;
-    PassOn passed{posted.to, frame({self_.id, self_.address, std::move(posted.signal)})};
+    if (posted.to == 0 || posted.to == self_.id || !may_go) continue;
+    Unanswered &unanswered = unanswered_.try_emplace(posted.to, Unanswered{now, now}).first->second;
+    if (reached.empty() || !is_out_of_reach(posted.to, now)) continue;
+    const NodeId target = posted.to;
+    PassOn passed{target, frame({self_.id, self_.address, std::move(posted.signal)})};
+    // Now and then the direct way is tried as well, as only an answer shows that it is open again.
+    if (now - unanswered.probed_at >= options_.unheard) {
+      unanswered.probed_at = now;
+      probes.push_back({target, {}, passed});
+    }
     posted = {reached[went_round_++ % reached.size()], {}, std::move(passed)};
     count("sent_round");
   }
+  std::move(probes.begin(), probes.end(), std::back_inserter(out.mail));
 }
 
 void Pilot::loop_back(Instant now, PilotOutput &out) {
@@ -664,12 +675,19 @@
 
 bool Pilot::may_try_again(const Afloat &errand, Instant now) const {
   const std::size_t most = errand.bill.tries > 0 ? errand.bill.tries : options_.tries_most;
+  if (errand.has_caller_left) return false;
   return errand.tries < most && errand.bill.deadline - now >= milliseconds(20);
 }
 
 void Pilot::caller_gone(const std::string &id, Instant now, PilotOutput &out) {
   const auto found = afloat_.find(id);
-  if (found == afloat_.end() || found->second.is_carrying) return;
+  if (found == afloat_.end()) return;
+  if (found->second.is_carrying) {
+    if (!found->second.bill.is_repeatable || found->second.has_caller_left) return;
+    found->second.has_caller_left = true;
+    out.cancels.push_back(id);
+    return;
+  }
   finish(id, found->second.first_fate.value_or(Fate::caller_gone), 0, now, out);
   loop_back(now, out);
 }
@@ -1053,6 +1071,9 @@
 
 void Pilot::tick(Instant now, PilotOutput &out) {
   std::erase_if(heard_, [now](const auto &item) { return now - item.second > seconds(60); });
+  std::erase_if(unanswered_, [&](const auto &item) {
+    return now - item.second.since > seconds(60) || !rollcall_.is_living(item.first, now);
+  });
   rollcall_.tick(now, out.mail);
   if (staged_ && now - switched_at_ >= options_.switch_gap) switch_staged(now, out);
   for (const Member &member : rollcall_.living(now))
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -48,6 +48,8 @@
   std::vector<Carry> carries;
   std::vector<Reply> replies;
   std::vector<Knock> knocks;
+  /// Errands whose call to a runner is to be ended, as their callers have left.
+  std::vector<std::string> cancels;
   std::vector<std::string> lines;
 };
 
@@ -65,7 +67,7 @@
 struct PilotOptions {
   Span pulse = milliseconds(250);
   Span pulse_least = milliseconds(30);
-  /// A living pilot not heard directly for this long is reached through another.
+  /// A living pilot that has not answered directly for this long is reached through another.
   Span unheard = milliseconds(700);
   Span sound_again = seconds(1);
   std::size_t soundings_most = 300;
@@ -131,7 +133,8 @@
   void call_ended(const CallEnd &end, Instant now, PilotOutput &out);
   /// A runner that a knock went to listens.
   void knock_answered(const Knock &knock, Instant now, PilotOutput &out);
-  /// The caller hung up: an errand that has not gone out is given up.
+  /// The caller hung up: an errand that has not gone out is given up, and so is one that may be repeated,
+  /// since nobody waits for its answer. What must not run twice is let finish.
   void caller_gone(const std::string &errand, Instant now, PilotOutput &out);
   void set_leaving();
   /// True once nothing is under way here and the roster no longer counts on this pilot.
@@ -163,6 +166,7 @@
     std::uint32_t attempt = 0;
     Instant asked_at = 0, waiting_since = 0, carried_at = 0;
     bool has_claimed = false, is_granted = false, is_carrying = false, has_gone = false;
+    bool has_caller_left = false;
     std::optional<Fate> first_fate;
     std::vector<StoryLine> story;
   };
@@ -212,7 +216,10 @@
   void loop_back(Instant now, PilotOutput &out);
   /// Sends what is for pilots that only others reach through one of these.
   void go_round(Instant now, PilotOutput &out);
-  bool is_out_of_reach(NodeId pilot, Instant now);
+  /// True for a living pilot that was sent something and then not heard from directly for `unheard`. Not
+  /// hearing from one that nothing was sent to says nothing: among many pilots most never have a reason to
+  /// speak to each other.
+  bool is_out_of_reach(NodeId pilot, Instant now) const;
   /// Takes what orders hold beside the manifest.
   void follow_orders(NodeId from, const Orders &orders, bool is_switched, Instant now, PilotOutput &out);
   /// Puts the manifest's text together from the orders' delta; false when this node lacks the base.
@@ -271,6 +278,12 @@
   Purser purser_;
   Stevedore stevedore_;
   std::map<NodeId, Instant> heard_;
+  /// Pilots sent to since they were last heard from: since when, and when the direct way was last tried
+  /// again.
+  struct Unanswered {
+    Instant since = 0, probed_at = 0;
+  };
+  std::map<NodeId, Unanswered> unanswered_;
   std::uint64_t went_round_ = 0;
   Soundings soundings_;
   Instant sounded_at_ = 0;
--- a/tests/anchorage_test.cpp
+++ b/tests/anchorage_test.cpp
@@ -80,7 +80,7 @@
     one.request.target = "/x";
     one.request.set("Id", "mine");
     one.deadline = tide.now() + within;
-    one.is_mine = [](const HttpMessage &response) {
+    one.is_mine = [](const HttpMessage &response, bool) {
       const std::string *id = response.find("Id");
       return id == nullptr || *id == "mine";
     };
@@ -269,6 +269,29 @@
   CHECK(caller.call("GET", milliseconds(60)).fate == CallFate::late);
 }
 
+TEST(Anchorage, a_cancelled_call_ends_at_once_and_closes_its_link) {
+  Caller caller;
+  Scripted runner(caller.loop, caller.address);
+  HttpCall one;
+  one.address = caller.address;
+  one.peer = "r";
+  one.name = "e1";
+  one.request.method = "GET";
+  one.request.target = "/x";
+  one.deadline = caller.tide.now() + seconds(5);
+  std::optional<CallAnswer> answer;
+  one.done = [&answer](CallAnswer &&given) { answer = std::move(given); };
+  caller.calls.call(std::move(one));
+  for (int turn = 0; turn < 100 && runner.seen.empty(); ++turn) caller.loop.turn(milliseconds(1));
+  CHECK(!runner.seen.empty());
+  caller.calls.cancel("another");
+  CHECK(!answer.has_value());
+  caller.calls.cancel("e1");
+  CHECK(answer.has_value());
+  CHECK(answer->fate == CallFate::lost);
+  LONGS_EQUAL(0, caller.calls.under_way());
+}
+
 TEST(Anchorage, a_knock_tells_whether_anything_listens) {
   for (const bool listens : {false, true}) {
     Caller caller;
--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -205,3 +205,86 @@
     }
   });
 }
+
+namespace {
+/// A pilot, the owner of its service, and a third pilot that passes on what it hears of the others.
+struct ThreePilots {
+  PilotRig rig;
+  NodeId third = 3;
+  std::uint64_t beat = 1;
+  PilotOutput out;
+
+  ThreePilots() {
+    while (rank_nodes({rig_self, rig_other, third}, rig.service, stevedore_salt)[0] != rig_other) ++third;
+    Orders orders = rig.orders(1, "first-key-00000000");
+    orders.roster.epoch = 2;
+    orders.roster.pilots = {rig_self, rig_other, third};
+    orders.settled = 2;
+    hear_third(true);
+    rig.pilot.receive({rig_leader, "h", orders}, rig.now, out);
+    out = {};
+  }
+  void hear_third(bool tells_of_owner) {
+    Muster muster;
+    muster.members.push_back(member(third, "r"));
+    if (tells_of_owner) muster.members.push_back(member(rig_other, "q"));
+    ++beat;
+    PilotOutput unread;
+    rig.pilot.receive({third, "r", muster}, rig.now, unread);
+  }
+  Member member(NodeId id, const std::string &address) const {
+    Member made;
+    made.id = id;
+    made.address = address;
+    made.role = static_cast<std::uint8_t>(Role::pilot);
+    made.beat = beat;
+    return made;
+  }
+  /// How asks for slots, that of a new errand among them, go out: 0 not at all, 1 directly, 2 through the
+  /// third, 3 both ways.
+  int way_of_ask(const std::string &errand) {
+    out = {};
+    Orders renewal;
+    renewal.sent_at = rig.now;
+    renewal.version = 1;
+    renewal.has_roster = false;
+    renewal.roster.epoch = 2;
+    renewal.settled = 2;
+    rig.pilot.receive({rig_leader, "h", renewal}, rig.now, out);
+    rig.pilot.arrive(rig.bill(errand), rig.now, out);
+    int ways = 0;
+    for (const Posted &posted : out.mail) {
+      const bool is_ask = std::holds_alternative<SlotAsk>(posted.signal);
+      if (posted.to == rig_other && (is_ask || std::holds_alternative<PassOn>(posted.signal))) ways |= 1;
+      if (posted.to == third && std::holds_alternative<PassOn>(posted.signal)) ways |= 2;
+    }
+    return ways;
+  }
+};
+} // namespace
+
+TEST(Orders, silence_of_a_pilot_that_nothing_was_sent_to_is_no_sign_of_a_cut) {
+  ThreePilots pilots;
+  for (int step = 0; step < 20; ++step) {
+    pilots.rig.now += milliseconds(250);
+    pilots.hear_third(true);
+  }
+  LONGS_EQUAL(1, pilots.way_of_ask("e1"));
+}
+
+TEST(Orders, a_pilot_that_does_not_answer_is_reached_through_a_third_and_tried_directly_now_and_then) {
+  ThreePilots pilots;
+  LONGS_EQUAL(1, pilots.way_of_ask("e1"));
+  pilots.rig.now += milliseconds(800);
+  pilots.hear_third(true);
+  LONGS_EQUAL(3, pilots.way_of_ask("e2"));
+  LONGS_EQUAL(2, pilots.way_of_ask("e3"));
+  pilots.rig.now += milliseconds(750);
+  pilots.hear_third(true);
+  LONGS_EQUAL(3, pilots.way_of_ask("e4"));
+  PilotOutput out;
+  Muster muster;
+  muster.members.push_back(pilots.member(rig_other, "q"));
+  pilots.rig.pilot.receive({rig_other, "q", muster}, pilots.rig.now, out);
+  LONGS_EQUAL(1, pilots.way_of_ask("e5"));
+}
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -131,12 +131,17 @@
 TEST(Platform, only_the_echoed_id_tells_whose_an_answer_is) {
   HttpMessage request = caller_request();
   Runners runners;
-  CHECK(runners.is_answer_to({}, request, answer(200, {{attempt_header, "9c41"}})));
-  CHECK(!runners.is_answer_to({}, request, answer(200, {{attempt_header, "other"}})));
-  CHECK(!runners.is_answer_to({}, request, answer(200)));
-  CHECK(runners.is_answer_to({}, request, answer(503, {{not_run_header, "1"}})));
-  CHECK(!runners.is_answer_to({}, request, answer(503, {{not_run_header, "1"}, {attempt_header, "other"}})));
-  CHECK(runners.is_answer_to({}, request, answer(421)));
+  CHECK(runners.is_answer_to({}, request, answer(200, {{attempt_header, "9c41"}}), true));
+  CHECK(!runners.is_answer_to({}, request, answer(200, {{attempt_header, "other"}}), true));
+  CHECK(!runners.is_answer_to({}, request, answer(200), true));
+  CHECK(runners.is_answer_to({}, request, answer(503, {{not_run_header, "1"}}), true));
+  CHECK(!runners.is_answer_to({}, request, answer(503, {{not_run_header, "1"}, {attempt_header, "other"}}),
+                              true));
+  CHECK(runners.is_answer_to({}, request, answer(421), true));
+  CHECK(!runners.is_answer_to({}, request, answer(421), false));
+  CHECK(!runners.is_answer_to({}, request, answer(503, {{not_run_header, "1"}}), false));
+  CHECK(runners.is_answer_to({}, request, answer(503, {{not_run_header, "1"}, {attempt_header, "9c41"}}),
+                             false));
 }
 
 TEST(Platform, what_an_answer_comes_to) {
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -157,6 +157,25 @@
   CHECK(berthed.wanted(start) >= 10);
 }
 
+TEST(Recovery, a_caller_that_leaves_ends_the_call_only_where_it_may_run_twice) {
+  for (const std::string method : {"GET", "POST"}) {
+    PilotRig rig;
+    PilotOutput out;
+    rig.pilot.receive({rig_leader, "h", orders_for(rig, "")}, rig.now, out);
+    rig.pilot.arrive(plan_call(rig, "e", method), rig.now, out);
+    rig.pilot.receive({rig_other, "q", rig.grant("e", "r1", 0)}, rig.now, out);
+    LONGS_EQUAL(1, out.carries.size());
+    rig.pilot.caller_gone("e", rig.now, out);
+    LONGS_EQUAL(method == "GET" ? 1 : 0, out.cancels.size());
+    rig.pilot.caller_gone("e", rig.now, out);
+    LONGS_EQUAL(method == "GET" ? 1 : 0, out.cancels.size());
+    rig.pilot.call_ended({"e", CallKind::lost, 0, {}, {}, {}}, rig.now, out);
+    rig.pilot.receive({rig_other, "q", rig.grant("e", "r2", 1)}, rig.now, out);
+    LONGS_EQUAL(1, out.carries.size());
+    LONGS_EQUAL(0, rig.pilot.afloat());
+  }
+}
+
 TEST(Recovery, a_lost_call_goes_to_another_runner_only_where_it_may_run_twice) {
   for (const std::string method : {"GET", "POST"}) {
     PilotRig rig;
