--- a/packages/bosun/storage_options.hpp
+++ b/packages/bosun/storage_options.hpp
@@ -17,4 +17,9 @@
 /// disk.
 std::variant<StartedStorage, StorageError> open_storage(const ProcessOptions &options);
 
+/// Opens it as soon as the disk lets it be opened: a disk that is full or in trouble as the process starts
+/// may recover, and nobody is there to start the process again. Ends at once on any other trouble, or when
+/// told to stop.
+std::variant<StartedStorage, StorageError> wait_for_storage(const ProcessOptions &options);
+
 } // namespace wharf
--- a/programs/harbourd/main.cpp
+++ b/programs/harbourd/main.cpp
@@ -4,6 +4,7 @@
 
 #include "bosun/log.hpp"
 #include "bosun/options.hpp"
+#include "bosun/storage_options.hpp"
 #include "bridge/bridge.hpp"
 #include "capstan/ring.hpp"
 #include "hawser/hawser.hpp"
@@ -109,6 +110,7 @@
     self.http = options.http;
     self.zone = options.zone;
     self.role = static_cast<std::uint8_t>(Role::control);
+    self.is_replica = options.replica != 0;
     self.beat = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
                                                std::chrono::system_clock::now().time_since_epoch())
                                                .count());
@@ -118,6 +120,8 @@
   void build(const Recovered &recovered) {
     ControlOptions control_options;
     control_options.platform_pace = static_cast<double>(options_.pace);
+    control_options.may_found = options_.may_found != 0;
+    control_options.is_replica = options_.replica != 0;
     std::random_device source;
     Member self = self_;
     if (control_) self.beat = control_->rollcall().self().beat + 1;
@@ -297,19 +301,21 @@
   const ProcessOptions options = std::get<Launch>(read).options;
   start_log("harbourd", options.log_level);
   catch_stops();
-  auto storage = std::make_unique<DiskStorage>(options.data);
-  auto identity = storage->identity();
-  auto opened = storage->open();
-  for (const auto *error : {std::get_if<StorageError>(&identity), std::get_if<StorageError>(&opened)}) {
-    if (error == nullptr) continue;
+  auto started = wait_for_storage(options);
+  if (const auto *error = std::get_if<StorageError>(&started)) {
     std::cerr << "harbourd: " << error->what << "\n";
     return 1;
   }
+  auto &[storage, opened] = std::get<StartedStorage>(started);
+  ProcessOptions used = options;
+  if (!opened.set_aside_because.empty()) {
+    log_warning("the data folder is set aside: " + opened.set_aside_because);
+    used.may_found = 0;
+  }
   try {
-    std::unique_ptr<LogStorage> used = std::move(storage);
     if (!options.disk_trial.empty())
-      used = std::make_unique<FaultyStorage>(std::move(used), options.disk_trial);
-    ControlDaemon daemon(options, std::get<NodeId>(identity), std::move(used), std::get<Recovered>(opened));
+      storage = std::make_unique<FaultyStorage>(std::move(storage), options.disk_trial);
+    ControlDaemon daemon(used, opened.identity, std::move(storage), opened.recovered);
     return daemon.run();
   } catch (const std::exception &error) {
     std::cerr << "harbourd: " << error.what() << "\n";
