Send nodes on from a leader in doubt, before a successor takes them for lost

The cut-off leader went on giving leases for two election timeouts, so nodes stayed with it; its successor had heard of two of twelve nodes after its patience and made a node set of two, then one of eleven, and the owners of slots moved twice, while the owners before them still acted. Ruled out: longer patience of the successor, which delays the replacement of nodes that died with their leader.

--- a/packages/control/control_node.hpp
+++ b/packages/control/control_node.hpp
@@ -227,6 +227,9 @@
   void apply(const Entry &entry, Instant now, ControlOutput &out);
   std::optional<std::uint64_t> propose(const Command &command, Instant now, ControlOutput &out);
   void lead_changed(Instant now, ControlOutput &out);
+  /// True once no majority has confirmed this leader for so long that another may have been elected. It gives
+  /// no more leases then, so that nodes look for the other at once and are not taken for lost by it.
+  bool is_in_doubt(Instant now) const;
   void answer_pulse(const Envelope &envelope, const Pulse &pulse, Instant now, ControlOutput &out);
   /// How long ago all pilots of earlier rosters had provably ended; 0 when some may still act.
   Span quiet_for(Instant now) const;
--- a/packages/control/node_leases.cpp
+++ b/packages/control/node_leases.cpp
@@ -51,6 +51,11 @@
   return last == 0 ? 0 : std::max<Span>(0, now - last);
 }
 
+bool ControlNode::is_in_doubt(Instant now) const {
+  const Span doubtful_after = options_.raft.election_least + 2 * options_.raft.heartbeat;
+  return now - std::max(raft_.confirmed_at(now), raft_.led_since()) > doubtful_after;
+}
+
 void ControlNode::answer_pulse(const Envelope &envelope, const Pulse &pulse, Instant now,
                                ControlOutput &out) {
   const NodeId from = envelope.from;
@@ -58,6 +63,10 @@
     out.mail.push_back({from, {}, NotLeader{raft_.leader()}});
     return;
   }
+  if (is_in_doubt(now)) {
+    out.mail.push_back({from, {}, NotLeader{}});
+    return;
+  }
   if (ended_.contains(from)) return;
   for (NodeId ended : pulse.replaces) {
     if (ended == from) continue;
--- a/tests/worst_days_test.cpp
+++ b/tests/worst_days_test.cpp
@@ -60,6 +60,29 @@
   }
 }
 
+TEST(WorstDays, a_leader_that_is_cut_off_sends_nodes_on_before_a_successor_takes_them_for_lost) {
+  ControlGroupRig rig(3);
+  LONGS_EQUAL(200, rig.put(1, 0, "first"));
+  ControlGroupRig::Machine &machine = rig.machines.at(rig.leader());
+  const auto answers_with_orders = [&] {
+    ControlOutput out;
+    Pulse pulse;
+    pulse.sent_at = rig.now;
+    machine.node->receive({4242, "edge", pulse}, rig.now, out);
+    bool has_orders = false;
+    for (const Posted &posted : out.mail)
+      has_orders = has_orders || (posted.to == 4242 && std::holds_alternative<Orders>(posted.signal));
+    return has_orders;
+  };
+  CHECK(answers_with_orders());
+  machine.is_cut = true;
+  rig.pass(milliseconds(300));
+  CHECK(answers_with_orders());
+  rig.pass(milliseconds(500));
+  CHECK(machine.node->raft().is_leader());
+  CHECK(!answers_with_orders());
+}
+
 TEST(WorstDays, of_two_orders_under_one_number_one_is_confirmed_and_repeats_of_it_are_too) {
   ControlGroupRig rig(3);
   LONGS_EQUAL(200, rig.put(1, 0, "first"));
