--- a/packages/helm/control_runtime.cpp
+++ b/packages/helm/control_runtime.cpp
@@ -102,6 +102,10 @@
 }
 
 void ControlRuntime::asked(LinkId link, HttpMessage &&request) {
+  if (asks_for_metrics(request)) {
+    door_.answer(link, metrics_response(metrics(tide_.now())), true);
+    return;
+  }
   auto begun = operators_.begin(request);
   if (auto *response = std::get_if<HttpMessage>(&begun)) {
     door_.answer(link, *response, true);
@@ -226,7 +230,11 @@
     for (Posted &posted : taken.mail) {
       const std::string address =
           posted.to == 0 ? posted.address : control_->rollcall().address_of(posted.to);
-      if (!address.empty()) cables_.send(address, frame({self_.id, self_.address, std::move(posted.signal)}));
+      if (address.empty()) continue;
+      const Envelope envelope{self_.id, self_.address, std::move(posted.signal)};
+      const std::string bytes = frame(envelope);
+      traffic_meter_.sent(envelope.signal, bytes.size());
+      cables_.send(address, bytes);
     }
     for (PlatformOrder &order : taken.orders) give_order(std::move(order));
     for (const OperatorSay &say : taken.answers) answered(say);
@@ -235,16 +243,23 @@
   cables_.flush();
 }
 
+Metrics ControlRuntime::metrics(Instant now) const {
+  Metrics figures = control_->gauges(now);
+  figures["platform_calls"] = platform_calls_;
+  figures["platform_away"] = platform_away_;
+  figures["disk_writes"] = disk_->writes();
+  figures["frames_dropped"] = cables_.dropped();
+  figures["frame_bytes"] = cables_.bytes_sent();
+  traffic_meter_.report(figures);
+  loop_meter_.report(figures);
+  return figures;
+}
+
 void ControlRuntime::tell_counters(Instant now) {
   if (now < count_at_) return;
   count_at_ = now + helm_.count_every;
-  std::string line = "counters";
-  for (const auto &[name, value] : control_->gauges(now)) line += " " + name + "=" + std::to_string(value);
-  line += " platform_calls=" + std::to_string(platform_calls_) +
-          " platform_away=" + std::to_string(platform_away_) +
-          " disk_writes=" + std::to_string(disk_->writes()) +
-          " frames_dropped=" + std::to_string(cables_.dropped());
-  log_line(line);
+  log_line(metrics_line(metrics(now)));
+  loop_meter_.begin_span(now);
 }
 
 bool ControlRuntime::is_over(Instant now) const {
@@ -258,6 +273,7 @@
     loop_.turn(std::clamp<Span>(tick_at - tide_.now(), 0, helm_.tick));
     const Instant now = tide_.now();
     if (now >= tick_at) {
+      loop_meter_.tick_ran(tick_at, now);
       control_->tick(now, out_);
       calls_.tick(now);
       door_.tick(now);
--- a/packages/helm/control_runtime.hpp
+++ b/packages/helm/control_runtime.hpp
@@ -7,6 +7,7 @@
 #include "anchorage/http_calls.hpp"
 #include "anchorage/http_door.hpp"
 #include "bosun/options.hpp"
+#include "helm/metrics.hpp"
 #include "helm/wires.hpp"
 #include "storage/disk_worker.hpp"
 
@@ -56,6 +57,7 @@
   void list_runners(const std::string &page, std::shared_ptr<PlatformView> snapshot);
   void give_order(PlatformOrder order);
   HttpCall platform_call(HttpMessage request);
+  Metrics metrics(Instant now) const;
   void tell_counters(Instant now);
 
   ProcessOptions options_;
@@ -79,6 +81,8 @@
   bool has_workers_ = false;
   std::function<void()> watch_;
   std::unique_ptr<DiskWorker> disk_;
+  TrafficMeter traffic_meter_;
+  LoopMeter loop_meter_;
 };
 
 ControlRuntimeOptions control_runtime_options(const ProcessOptions &options);
--- a/packages/helm/pilot_helm.cpp
+++ b/packages/helm/pilot_helm.cpp
@@ -13,7 +13,10 @@
   ReadinessSink(PilotHelm &helm, const std::string &address)
       : helm_(helm), door_(helm.loop_, address, *this, HttpDoorOptions{}) {}
   void asked(LinkId link, HttpMessage &&request) override {
-    door_.answer(link, helm_.callers_.readiness(request, helm_.is_ready()), true);
+    if (asks_for_metrics(request))
+      door_.answer(link, metrics_response(helm_.metrics(helm_.tide_.now())), true);
+    else
+      door_.answer(link, helm_.callers_.readiness(request, helm_.is_ready()), true);
   }
   void left(LinkId) override {}
   void tick(Instant now) { door_.tick(now); }
@@ -174,7 +177,11 @@
     std::swap(taken, out_);
     for (Posted &posted : taken.mail) {
       const std::string address = posted.to == 0 ? posted.address : pilot_.rollcall().address_of(posted.to);
-      if (!address.empty()) cables_.send(address, frame({self_.id, self_.address, std::move(posted.signal)}));
+      if (address.empty()) continue;
+      const Envelope envelope{self_.id, self_.address, std::move(posted.signal)};
+      const std::string bytes = frame(envelope);
+      traffic_meter_.sent(envelope.signal, bytes.size());
+      cables_.send(address, bytes);
     }
     for (const Reply &reply : taken.replies) send_reply(reply);
     for (const Carry &carry : taken.carries) start_call(carry);
@@ -212,22 +219,24 @@
   if (is_over_) log_line(is_quiet ? "drained" : "drain cut short");
 }
 
+Metrics PilotHelm::metrics(Instant now) const {
+  Metrics figures = pilot_.counters();
+  figures.merge(pilot_.gauges(now));
+  figures.insert(door_.counters().begin(), door_.counters().end());
+  figures["door_links"] = door_.links();
+  figures["runner_links"] = calls_.opened();
+  figures["frames_dropped"] = cables_.dropped();
+  figures["frame_bytes"] = cables_.bytes_sent();
+  traffic_meter_.report(figures);
+  loop_meter_.report(figures);
+  return figures;
+}
+
 void PilotHelm::tell_counters(Instant now) {
   if (now < count_at_) return;
   count_at_ = now + helm_.count_every;
-  std::string line = "counters";
-  const auto add = [&line](const auto &values) {
-    for (const auto &[name, value] : values)
-      if (value != 0) line += " " + name + "=" + std::to_string(value);
-  };
-  add(pilot_.counters());
-  add(pilot_.gauges(now));
-  add(door_.counters());
-  line += " door_links=" + std::to_string(door_.links()) +
-          " runner_links=" + std::to_string(calls_.opened()) +
-          " frames_dropped=" + std::to_string(cables_.dropped()) +
-          " frame_bytes=" + std::to_string(cables_.bytes_sent());
-  log_line(line);
+  log_line(metrics_line(metrics(now)));
+  loop_meter_.begin_span(now);
 }
 
 int PilotHelm::run() {
@@ -236,6 +245,7 @@
     loop_.turn(std::clamp<Span>(tick_at_ - before, 0, helm_.tick_idle));
     const Instant now = tide_.now();
     if (now >= tick_at_) {
+      loop_meter_.tick_ran(tick_at_, now);
       pilot_.tick(now, out_);
       calls_.tick(now);
       door_.tick(now);
--- a/packages/helm/pilot_helm.hpp
+++ b/packages/helm/pilot_helm.hpp
@@ -9,6 +9,7 @@
 #include "anchorage/http_calls.hpp"
 #include "anchorage/http_door.hpp"
 #include "bosun/options.hpp"
+#include "helm/metrics.hpp"
 #include "helm/wires.hpp"
 
 namespace wharf {
@@ -54,6 +55,7 @@
   void knock(const Knock &knock);
   void leave(Instant now);
   void take_limits();
+  Metrics metrics(Instant now) const;
   void tell_counters(Instant now);
   std::string next_errand();
 
@@ -70,6 +72,8 @@
   HttpCalls calls_;
   HttpDoor door_;
   std::unique_ptr<ReadinessSink> readiness_;
+  TrafficMeter traffic_meter_;
+  LoopMeter loop_meter_;
   std::unordered_map<std::string, Cargo> cargo_;
   std::unordered_map<LinkId, std::string> errand_of_;
   std::function<void()> watch_;
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -98,6 +98,8 @@
   values["members_living"] = rollcall_.living(now).size();
   values["permits_granted"] = purser_.granted();
   values["permits_denied"] = purser_.denied();
+  values["tokens_granted"] = purser_.tokens_granted();
+  values["ledgers_sent_whole"] = purser_.whole_copies();
   values["ledger_unknown_starts"] = purser_.unknown_starts();
   values["slots_granted"] = stevedore_.granted();
   values["second_tries_granted"] = stevedore_.second_granted();
@@ -956,6 +958,7 @@
   if (say.tokens > 0) till.seen.push_back(say.permit);
   if (till.seen.size() > 64) till.seen.pop_front();
   if (asked == till.asks.end()) {
+    if (say.tokens > 0) counters_["tokens_unasked"] += say.tokens;
     if (say.tokens > 0) end_permit(till, {say.permit, 0, say.tokens}, now);
     return;
   }
@@ -972,6 +975,7 @@
   }
   const Grant grant{say.permit, say.tokens, sent_at, say.window, options_.purser.life};
   if (now - sent_at >= grant.life) {
+    counters_["tokens_late"] += say.tokens;
     end_permit(till, {say.permit, 0, say.tokens}, now);
     serve_line(tenant, now, out);
     return;
@@ -979,6 +983,7 @@
   const Spent old = rack_.obtain(tenant, capacity_of(till.name))->install(grant, now);
   end_permit(till, old, now);
   count("permits_received");
+  counters_["tokens_received"] += say.tokens;
   serve_line(tenant, now, out);
 }
 
@@ -1041,6 +1046,8 @@
 
 void Pilot::end_permit(Till &till, const Spent &old, Instant now) {
   if (old.permit == 0) return;
+  counters_["tokens_spent"] += old.spent;
+  counters_["tokens_unspent"] += old.tokens - std::min(old.spent, old.tokens);
   Outlay &outlay = till.outlays[old.permit];
   outlay.spent = old.spent;
   outlay.is_final = outlay.has_news = true;
--- a/packages/purser/purser.cpp
+++ b/packages/purser/purser.cpp
@@ -216,6 +216,7 @@
     return;
   }
   ledger.whole_at = now;
+  ++whole_copies_;
   out.push_back({replica, {}, copy_of(tenant, ledger, now, false)});
 }
 
@@ -358,6 +359,7 @@
     return;
   }
   ++granted_;
+  tokens_granted_ += granted;
   ledger.tokens -= granted;
   say.permit = (roster_.epoch << 28) | (++ledger.next_permit & 0xfffffff);
   say.tokens = granted;
--- a/packages/purser/purser.hpp
+++ b/packages/purser/purser.hpp
@@ -58,6 +58,9 @@
   bool is_handing_over(Instant now) const;
   std::uint64_t granted() const { return granted_; }
   std::uint64_t denied() const { return denied_; }
+  std::uint64_t tokens_granted() const { return tokens_granted_; }
+  /// Ledgers sent to replicas whole.
+  std::uint64_t whole_copies() const { return whole_copies_; }
   std::uint64_t unknown_starts() const { return unknown_starts_; }
 
 private:
@@ -125,6 +128,7 @@
   Instant settled_at_ = 0, fresh_until_ = 0;
   Span quiet_ = 0;
   std::uint64_t granted_ = 0, denied_ = 0, unknown_starts_ = 0;
+  std::uint64_t tokens_granted_ = 0, whole_copies_ = 0;
 };
 
 } // namespace wharf
--- a/packages/signals/signals.cpp
+++ b/packages/signals/signals.cpp
@@ -56,6 +56,39 @@
   return ranked;
 }
 
+std::string_view signal_name_at(std::size_t kind) {
+  static constexpr std::array<std::string_view, std::variant_size_v<Signal>> names{"Muster",
+                                                                                   "FoundAsk",
+                                                                                   "FoundSay",
+                                                                                   "FoundOrder",
+                                                                                   "RequestVoteRequest",
+                                                                                   "RequestVoteResponse",
+                                                                                   "AppendEntriesRequest",
+                                                                                   "AppendEntriesResponse",
+                                                                                   "InstallSnapshotRequest",
+                                                                                   "Pulse",
+                                                                                   "Orders",
+                                                                                   "NotLeader",
+                                                                                   "ClaimAsk",
+                                                                                   "ClaimSay",
+                                                                                   "CloseAsk",
+                                                                                   "CloseSay",
+                                                                                   "PermitAsk",
+                                                                                   "PermitSay",
+                                                                                   "LedgerCopy",
+                                                                                   "LedgerAck",
+                                                                                   "SlotAsk",
+                                                                                   "SlotSay",
+                                                                                   "SlotFree",
+                                                                                   "SlotFreed",
+                                                                                   "InventoryAsk",
+                                                                                   "InventorySay",
+                                                                                   "InstallSnapshotResponse",
+                                                                                   "PassOn",
+                                                                                   "TimeoutNowRequest"};
+  return names[kind];
+}
+
 std::string frame(const Envelope &envelope) {
   std::string body;
   body.append(reinterpret_cast<const char *>(&envelope.from), sizeof envelope.from);
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -411,6 +411,9 @@
                             LedgerCopy, LedgerAck, SlotAsk, SlotSay, SlotFree, SlotFreed, InventoryAsk,
                             InventorySay, InstallSnapshotResponse, PassOn, TimeoutNowRequest>;
 
+/// The name of the signal at a place in the list, for counters.
+std::string_view signal_name_at(std::size_t kind);
+
 /// A signal with its sender.
 struct Envelope {
   NodeId from = 0;
