Grant repeated asks once and send replicas new charges alone, also many under way

Ruled out: tokens asked ahead as the cause (5,914 of 12,454 tokens unspent, but 6,256 did not arrive at all). Change: deltas of charges follow one another without waiting, a replica that lacks one says so and gets the whole ledger; unacknowledged charges are sent again ever more seldom; an ask keeps its number until it is answered or too old, and is granted once; tokens ahead are those that will surely be used. Two tests of purser_test gave separate asks one number and now number them; recovery_test reads the replica's refusal instead of its silence.

--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -919,21 +919,29 @@
   return id;
 }
 
+std::uint32_t Pilot::tokens_wanted(const Till &till) const {
+  const double waiting = static_cast<double>(till.line.size());
+  return static_cast<std::uint32_t>(std::max(1.0, waiting + std::floor(till.rate * permit_reach())));
+}
+
 void Pilot::ask_permit(std::uint32_t tenant, Instant now, PilotOutput &out) {
   Till &till = tills_[tenant];
-  if (till.asked_at != 0 && now - till.asked_at < options_.permit_again) return;
+  const Span again_after = till.pending ? till.pending->again_after : options_.permit_again;
+  if (till.asked_at != 0 && now - till.asked_at < again_after) return;
   const NodeId owner = owner_of(till.name, purser_salt);
   if (owner == 0) return;
-  const auto purse = rack_.obtain(tenant, capacity_of(till.name));
+  // Tokens granted to an ask this old would be dead on arrival, so it is given up for a new one.
+  if (till.pending && now - till.pending->first_sent_at >= options_.purser.life) till.pending.reset();
+  if (till.pending)
+    till.pending->again_after = std::min(till.pending->again_after * 2, options_.permit_again_most);
+  else
+    till.pending = PendingAsk{next_ask_++, now, options_.permit_again};
   PermitAsk ask;
   ask.tenant = till.name;
   ask.epoch = roster_.epoch;
-  ask.ask = next_ask_++;
-  ask.want = static_cast<std::uint32_t>(
-      std::max(1.0, static_cast<double>(till.line.size()) + std::ceil(till.rate * permit_reach())));
+  ask.ask = till.pending->number;
+  ask.want = tokens_wanted(till);
   ask.returns = take_report(till, tenant, now);
-  till.asks[ask.ask] = now;
-  while (till.asks.size() > 16) till.asks.erase(till.asks.begin());
   till.asked_at = now;
   if (till.unanswered_since == 0) till.unanswered_since = now;
   count("permit_asks");
@@ -945,9 +953,9 @@
   const auto found = tills_.find(tenant);
   if (found == tills_.end()) return;
   Till &till = found->second;
-  const auto asked = till.asks.find(say.ask);
+  const bool is_asked = till.pending && till.pending->number == say.ask;
   if (!say.is_owner) {
-    if (asked != till.asks.end()) till.asked_at = now - options_.permit_again + say.retry_after;
+    if (is_asked) till.asked_at = now - till.pending->again_after + say.retry_after;
     return;
   }
   till.unanswered_since = 0;
@@ -957,13 +965,13 @@
   if (is_doubled) return;
   if (say.tokens > 0) till.seen.push_back(say.permit);
   if (till.seen.size() > 64) till.seen.pop_front();
-  if (asked == till.asks.end()) {
+  if (!is_asked) {
     if (say.tokens > 0) counters_["tokens_unasked"] += say.tokens;
     if (say.tokens > 0) end_permit(till, {say.permit, 0, say.tokens}, now);
     return;
   }
-  const Instant sent_at = asked->second;
-  till.asks.erase(asked);
+  const Instant sent_at = till.pending->first_sent_at;
+  till.pending.reset();
   till.asked_at = 0;
   if (say.tokens == 0) {
     till.deny_until = std::max(till.deny_until, now + std::min(say.retry_after, milliseconds(250)));
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -77,7 +77,8 @@
   Span fresh = seconds(2);
   Span duty = milliseconds(1200);
   Span leader_silence = milliseconds(600);
-  Span permit_again = milliseconds(100);
+  /// How long an ask for tokens may be unanswered before it is sent again; twice as long after each time.
+  Span permit_again = milliseconds(100), permit_again_most = milliseconds(400);
   Span permit_patience = milliseconds(400);
   /// The wait for a permit of a tenant that evidently keeps within its allowance.
   Span modest_patience = milliseconds(1500);
@@ -177,10 +178,16 @@
     bool is_final = false, has_news = true;
     Instant told_at = 0, since = 0;
   };
+  /// An ask for tokens that has not been answered yet; sent again under its number.
+  struct PendingAsk {
+    std::uint64_t number = 0;
+    Instant first_sent_at = 0;
+    Span again_after = 0;
+  };
   struct Till {
     std::string name;
     std::deque<std::string> line;
-    std::map<std::uint64_t, Instant> asks;
+    std::optional<PendingAsk> pending;
     std::uint64_t recent = 0;
     Instant asked_at = 0, unanswered_since = 0, deny_until = 0, rate_at = 0;
     double rate = 0, fallback = 0;
@@ -255,6 +262,9 @@
   Span patience_of(const Afloat &errand);
   bool may_try_again(const Afloat &errand, Instant now) const;
   std::optional<Fate> recheck(const Afloat &errand, Instant now) const;
+  /// How many tokens to ask for: one for each request that waits, and those that will surely be used before
+  /// they die; more would only be kept from other nodes.
+  std::uint32_t tokens_wanted(const Till &till) const;
   void ask_permit(std::uint32_t tenant, Instant now, PilotOutput &out);
   void serve_line(std::uint32_t tenant, Instant now, PilotOutput &out);
   void maintain_till(std::uint32_t tenant, Instant now, PilotOutput &out);
--- a/packages/purser/purser.cpp
+++ b/packages/purser/purser.cpp
@@ -93,18 +93,19 @@
         if (ledger.post == Post::ready && is_unbroken) {
           ++ledger.sequence;
           ledger.copied_at = 0;
+          ledger.is_followed = false;
         } else if (ledger.post != Post::awaiting || !is_unbroken) {
           ledger.has_copy =
               ledger.post != Post::ready && ledger.post != Post::awaiting && is_copy_whole(tenant, ledger);
           ledger.post = Post::awaiting;
           ledger.settled_at = 0;
-          ledger.answers.clear();
+          forget_owner_state(ledger);
         }
         continue;
       }
       const bool was_owner = ledger.post == Post::ready || ledger.post == Post::awaiting;
       const bool has_word = ledger.post == Post::ready || ledger.has_copy;
-      ledger.answers.clear();
+      forget_owner_state(ledger);
       if (was_owner && has_word && was_owner_since(old.epoch, tenant)) {
         ++ledger.sequence;
         hand_over(tenant, ledger, owner, now, out);
@@ -174,7 +175,14 @@
   ++ledger.sequence;
   ledger.acked = 0;
   ledger.copied_at = 0;
+  forget_owner_state(ledger);
+}
+
+void Purser::forget_owner_state(Ledger &ledger) {
   ledger.answers.clear();
+  ledger.unacked.clear();
+  ledger.granted_asks.clear();
+  ledger.is_followed = false;
 }
 
 void Purser::charge(Ledger &ledger, std::uint32_t tokens, Instant expires) const {
@@ -197,8 +205,8 @@
           now - ledger.settled_at >= options_.handover_patience)
         begin(tenant, ledger, now, out);
     }
-    const bool must_copy = ledger.post == Post::ready && ledger.sequence > ledger.acked;
-    if (must_copy && now - ledger.copied_at >= options_.copy_again) send_copy(tenant, ledger, now, out);
+    if (ledger.post == Post::ready && ledger.sequence > ledger.acked)
+      resend_unacked(tenant, ledger, now, out);
     if (ledger.handover_to != 0 && now < ledger.handover_until &&
         now - ledger.copied_at >= options_.copy_again) {
       ledger.copied_at = now;
@@ -212,22 +220,19 @@
   ledger.copied_at = now;
   if (replica == 0) {
     ledger.acked = ledger.sequence;
+    ledger.unacked.clear();
     release(ledger, out);
     return;
   }
   ledger.whole_at = now;
+  ledger.is_followed = true;
   ++whole_copies_;
+  std::erase_if(ledger.granted_asks, [&](const auto &item) { return now - item.second.at > options_.life; });
   out.push_back({replica, {}, copy_of(tenant, ledger, now, false)});
 }
 
-void Purser::send_charge(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out) {
-  const NodeId replica = replica_in(roster_.pilots, tenant);
-  const bool has_all = ledger.acked + 1 == ledger.sequence && ledger.whole_at != 0;
-  if (replica == 0 || !has_all || now - ledger.whole_at >= options_.copy_whole) {
-    send_copy(tenant, ledger, now, out);
-    return;
-  }
-  const Entry &entry = ledger.charges.back();
+void Purser::send_charges_after(std::uint64_t base, const std::string &tenant, Ledger &ledger, Instant now,
+                                Outbox &out) {
   LedgerCopy copy;
   copy.tenant = tenant;
   copy.epoch = roster_.epoch;
@@ -235,10 +240,31 @@
   copy.next_permit = ledger.next_permit;
   copy.tokens = ledger.tokens;
   copy.is_delta = true;
-  copy.charges.push_back({entry.permit, entry.node, entry.tokens, entry.granted, entry.gone,
-                          entry.expires - now, entry.is_open, entry.is_final});
+  copy.base = base;
+  for (const UnackedCharge &charge : ledger.unacked)
+    if (charge.sequence > base) copy.charges.push_back(charge_of(charge.entry, now));
   ledger.copied_at = now;
-  out.push_back({replica, {}, std::move(copy)});
+  out.push_back({replica_in(roster_.pilots, tenant), {}, std::move(copy)});
+}
+
+void Purser::send_charge(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out) {
+  const bool is_whole_due = now - ledger.whole_at >= options_.copy_whole;
+  if (replica_in(roster_.pilots, tenant) == 0 || !ledger.is_followed || is_whole_due)
+    send_copy(tenant, ledger, now, out);
+  else
+    send_charges_after(ledger.sequence - 1, tenant, ledger, now, out);
+}
+
+void Purser::resend_unacked(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out) {
+  ledger.resend_after = std::max(ledger.resend_after, options_.copy_again);
+  if (now - ledger.copied_at < ledger.resend_after) return;
+  // A link that is merely slow must not get more to carry each time.
+  ledger.resend_after = std::min(ledger.resend_after * 2, options_.copy_again_most);
+  const bool is_complete = ledger.is_followed && ledger.unacked.size() == ledger.sequence - ledger.acked;
+  if (is_complete)
+    send_charges_after(ledger.acked, tenant, ledger, now, out);
+  else
+    send_copy(tenant, ledger, now, out);
 }
 
 void Purser::release(Ledger &ledger, Outbox &out) {
@@ -257,12 +283,20 @@
   copy.next_permit = ledger.next_permit;
   copy.tokens = ledger.tokens;
   copy.is_handover = is_handover;
-  for (const Entry &entry : ledger.charges)
-    copy.charges.push_back({entry.permit, entry.node, entry.tokens, entry.granted, entry.gone,
-                            entry.expires - now, entry.is_open, entry.is_final});
+  for (const Entry &entry : ledger.charges) copy.charges.push_back(charge_of(entry, now));
   return copy;
 }
 
+Charge Purser::charge_of(const Entry &entry, Instant now) {
+  return {entry.permit, entry.node,          entry.tokens,  entry.granted,
+          entry.gone,   entry.expires - now, entry.is_open, entry.is_final};
+}
+
+Purser::Entry Purser::entry_of(const Charge &charge, Instant now) {
+  return {charge.permit, charge.node,      charge.tokens,  charge.granted,
+          charge.gone,   now + charge.age, charge.is_open, charge.is_final};
+}
+
 void Purser::refill(const Allowance &allowance, Ledger &ledger, Instant now) {
   const double elapsed = static_cast<double>(std::max<Span>(0, now - ledger.refilled_at)) / 1e9;
   ledger.tokens = std::min(allowance.base + allowance.burst, ledger.tokens + elapsed * allowance.base);
@@ -338,7 +372,7 @@
   const Allowance &plan = allowance->second;
   refill(plan, ledger, now);
   take_returns(plan, ledger, from, ask.returns, now);
-  if (ask.want == 0) return;
+  if (ask.want == 0 || answer_again(ledger, from, ask, out)) return;
   double taken = 0;
   for (const Entry &entry : ledger.charges) taken += entry.tokens;
   const double cap = plan.base * static_cast<double>(options_.quota_window) / 1e9 + plan.burst;
@@ -367,13 +401,33 @@
   ledger.charges.push_back(
       {say.permit, from, granted, granted, 0, now + options_.life + options_.quota_window, true, false});
   ++ledger.sequence;
+  ledger.unacked.push_back({ledger.sequence, ledger.charges.back()});
   ledger.answers.push_back({ledger.sequence, from, say});
+  ledger.granted_asks[from] = {ask.ask, ledger.sequence, say, now};
   send_charge(ask.tenant, ledger, now, out);
 }
 
+bool Purser::answer_again(const Ledger &ledger, NodeId from, const PermitAsk &ask, Outbox &out) const {
+  const auto granted = ledger.granted_asks.find(from);
+  if (granted == ledger.granted_asks.end() || granted->second.ask != ask.ask) return false;
+  const bool is_released = granted->second.sequence <= ledger.acked;
+  if (is_released) out.push_back({from, {}, granted->second.say});
+  return true;
+}
+
+bool Purser::apply_delta(Ledger &ledger, const LedgerCopy &copy, Instant now) const {
+  const bool is_known = ledger.has_copy && copy.epoch == ledger.copy_epoch;
+  if (!is_known || ledger.sequence < copy.base || copy.charges.size() != copy.sequence - copy.base)
+    return false;
+  std::erase_if(ledger.charges, [now](const Entry &entry) { return entry.expires <= now; });
+  for (std::size_t at = ledger.sequence - copy.base; at < copy.charges.size(); ++at)
+    ledger.charges.push_back(entry_of(copy.charges[at], now));
+  return true;
+}
+
 void Purser::handle(NodeId from, const LedgerCopy &copy, Instant now, Outbox &out) {
   Ledger &ledger = ledgers_[copy.tenant];
-  const LedgerAck ack{copy.tenant, copy.epoch, copy.sequence};
+  LedgerAck ack{copy.tenant, copy.epoch, copy.sequence, false};
   if (ledger.post == Post::ready) {
     if (copy.is_handover) out.push_back({from, {}, ack});
     return;
@@ -387,10 +441,10 @@
         ledger.has_copy && (copy.epoch < ledger.copy_epoch ||
                             (copy.epoch == ledger.copy_epoch && copy.sequence < ledger.sequence));
     if (is_older) return;
-    const bool follows =
-        ledger.has_copy && copy.epoch == ledger.copy_epoch && copy.sequence == ledger.sequence + 1;
-    if (copy.is_delta && !follows) return;
+    ack.needs_whole = copy.is_delta && !apply_delta(ledger, copy, now);
+    if (ack.needs_whole) ack.sequence = 0;
     out.push_back({from, {}, ack});
+    if (ack.needs_whole) return;
   }
   ledger.copy_epoch = copy.epoch;
   ledger.has_copy = true;
@@ -398,14 +452,12 @@
   ledger.next_permit = copy.next_permit;
   ledger.tokens = copy.tokens;
   ledger.refilled_at = now;
-  if (!copy.is_delta) ledger.charges.clear();
-  std::erase_if(ledger.charges, [now](const Entry &entry) { return entry.expires <= now; });
-  for (const Charge &charge : copy.charges)
-    ledger.charges.push_back({charge.permit, charge.node, charge.tokens, charge.granted, charge.gone,
-                              now + charge.age, charge.is_open, charge.is_final});
+  if (copy.is_delta) return;
+  ledger.charges.clear();
+  for (const Charge &charge : copy.charges) ledger.charges.push_back(entry_of(charge, now));
 }
 
-void Purser::handle(NodeId from, const LedgerAck &ack, Instant, Outbox &out) {
+void Purser::handle(NodeId from, const LedgerAck &ack, Instant now, Outbox &out) {
   const auto found = ledgers_.find(ack.tenant);
   if (found == ledgers_.end()) return;
   Ledger &ledger = found->second;
@@ -413,7 +465,15 @@
   if (ledger.post != Post::ready || ack.epoch != roster_.epoch ||
       replica_in(roster_.pilots, ack.tenant) != from)
     return;
+  if (ack.needs_whole) {
+    // Deltas under way behind the one that was lost are refused as well; one whole ledger answers them all.
+    if (now - ledger.whole_at >= options_.copy_again) send_copy(ack.tenant, ledger, now, out);
+    return;
+  }
+  if (ack.sequence > ledger.acked) ledger.resend_after = options_.copy_again;
   ledger.acked = std::max(ledger.acked, ack.sequence);
+  while (!ledger.unacked.empty() && ledger.unacked.front().sequence <= ledger.acked)
+    ledger.unacked.pop_front();
   release(ledger, out);
 }
 
--- a/packages/purser/purser.hpp
+++ b/packages/purser/purser.hpp
@@ -18,7 +18,8 @@
   Span life = milliseconds(250);
   Span quota_window = seconds(5);
   Span handover_patience = milliseconds(300);
-  Span copy_again = milliseconds(80);
+  /// How long a replica may take to acknowledge before its part is sent again; twice as long after each time.
+  Span copy_again = milliseconds(80), copy_again_most = milliseconds(640);
   /// How often a replica gets the whole ledger; between, only each new charge.
   Span copy_whole = seconds(2);
   double permit_share = 0.10;
@@ -77,6 +78,17 @@
     NodeId to = 0;
     PermitSay say;
   };
+  /// A charge that the replica has not acknowledged yet.
+  struct UnackedCharge {
+    std::uint64_t sequence = 0;
+    Entry entry;
+  };
+  /// The last ask of a node that was granted, to be answered alike when it is sent again.
+  struct GrantedAsk {
+    std::uint64_t ask = 0, sequence = 0;
+    PermitSay say;
+    Instant at = 0;
+  };
   struct Ledger {
     Post post = Post::none;
     double tokens = 0;
@@ -89,6 +101,12 @@
     Epoch blind_before = 0;
     Instant settled_at = 0, copied_at = 0, whole_at = 0;
     std::deque<Answer> answers;
+    /// Charges after `acked`, the oldest first; complete while `is_followed`.
+    std::deque<UnackedCharge> unacked;
+    /// True once the replica of this epoch was sent the whole ledger, so that new charges alone will do.
+    bool is_followed = false;
+    Span resend_after = 0;
+    std::map<NodeId, GrantedAsk> granted_asks;
     NodeId handover_to = 0;
     Epoch handover_epoch = 0;
     Instant handover_until = 0;
@@ -104,6 +122,8 @@
   void take_returns(const Allowance &allowance, Ledger &ledger, NodeId from,
                     const std::vector<PermitReturn> &returns, Instant now);
   LedgerCopy copy_of(const std::string &tenant, const Ledger &ledger, Instant now, bool is_handover) const;
+  static Charge charge_of(const Entry &entry, Instant now);
+  static Entry entry_of(const Charge &charge, Instant now);
   NodeId owner_in(const std::vector<NodeId> &pilots, const std::string &tenant) const;
   NodeId replica_in(const std::vector<NodeId> &pilots, const std::string &tenant) const;
   void hand_over(const std::string &tenant, Ledger &ledger, NodeId owner, Instant now, Outbox &out);
@@ -114,10 +134,22 @@
   /// Keeps tokens charged until they are older than the quota window.
   void charge(Ledger &ledger, std::uint32_t tokens, Instant expires) const;
   void start_unknown(const Allowance &allowance, Ledger &ledger, Instant now);
+  /// Sends the replica the whole ledger.
   void send_copy(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out);
-  /// Sends the newest charge alone when the replica has all before it, else the whole ledger.
+  /// Sends the charges after a sequence number alone; earlier ones may still be on their way.
+  void send_charges_after(std::uint64_t base, const std::string &tenant, Ledger &ledger, Instant now,
+                          Outbox &out);
+  /// Sends the newest charge alone, now and then the whole ledger.
   void send_charge(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out);
+  /// Sends again what the replica has not acknowledged for too long.
+  void resend_unacked(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out);
+  /// Answers an ask that was granted before as it was then; false when it was not.
+  bool answer_again(const Ledger &ledger, NodeId from, const PermitAsk &ask, Outbox &out) const;
+  /// Applies the charges of a delta that this replica lacks; false when earlier ones are missing here.
+  bool apply_delta(Ledger &ledger, const LedgerCopy &copy, Instant now) const;
   void release(Ledger &ledger, Outbox &out);
+  /// Forgets what only the owner of an epoch keeps.
+  static void forget_owner_state(Ledger &ledger);
 
   NodeId self_;
   PurserOptions options_;
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -298,6 +298,8 @@
   bool is_final = false;
   WHARF_CARRY(permit, spent, gone, is_final)
 };
+/// Asks a tenant's owner for tokens. Sent again with the same number until it is answered, it is granted
+/// once.
 struct PermitAsk {
   std::string tenant;
   Epoch epoch = 0;
@@ -332,15 +334,19 @@
   double tokens = 0;
   std::vector<Charge> charges;
   bool is_handover = false;
-  /// True when `charges` holds only what the sequence number before did not have.
+  /// True when `charges` holds one charge for each sequence number after `base` and nothing else.
   bool is_delta = false;
-  WHARF_CARRY(tenant, epoch, sequence, next_permit, tokens, charges, is_handover, is_delta)
+  std::uint64_t base = 0;
+  WHARF_CARRY(tenant, epoch, sequence, next_permit, tokens, charges, is_handover, is_delta, base)
 };
+/// What a replica holds of a ledger.
 struct LedgerAck {
   std::string tenant;
   Epoch epoch = 0;
   std::uint64_t sequence = 0;
-  WHARF_CARRY(tenant, epoch, sequence)
+  /// True when charges before those sent are missing here, so that only the whole ledger helps.
+  bool needs_whole = false;
+  WHARF_CARRY(tenant, epoch, sequence, needs_whole)
 };
 
 struct SlotAsk {
--- a/tests/purser_test.cpp
+++ b/tests/purser_test.cpp
@@ -62,14 +62,107 @@
   LONGS_EQUAL(5, granted(out));
 }
 
+TEST(Purser, an_ask_that_is_sent_again_is_granted_once) {
+  Purser purser = owner(ranked()[0]);
+  Outbox out;
+  purser.set_roster(roster(1, {ranked()}), 1, start, out);
+  out.clear();
+  for (int again = 0; again < 5; ++again) purser.step(9, ask(1, 5), start + milliseconds(10) * again, out);
+  LONGS_EQUAL(1, purser.granted());
+  LONGS_EQUAL(0, granted(out));
+  std::uint64_t sequence = 0;
+  for (const Posted &posted : out)
+    if (const auto *copy = std::get_if<LedgerCopy>(&posted.signal)) sequence = copy->sequence;
+  purser.step(ranked()[1], LedgerAck{"t", 1, sequence, false}, start + milliseconds(60), out);
+  LONGS_EQUAL(5, granted(out));
+  out.clear();
+  purser.step(9, ask(1, 5), start + milliseconds(70), out);
+  LONGS_EQUAL(5, granted(out));
+  LONGS_EQUAL(1, purser.granted());
+  purser.step(9, ask(2, 5), start + milliseconds(80), out);
+  LONGS_EQUAL(2, purser.granted());
+}
+
+TEST(Purser, many_grants_under_way_cost_their_replica_one_charge_each) {
+  Purser purser = owner(ranked()[0]);
+  Outbox out;
+  purser.set_roster(roster(1, {ranked()}), 1, start, out);
+  purser.step(9, ask(1, 1), start, out);
+  out.clear();
+  for (std::uint64_t at = 2; at < 100; ++at) purser.step(9 + at, ask(at, 1), start, out);
+  std::size_t charges = 0;
+  for (const Posted &posted : out)
+    if (const auto *copy = std::get_if<LedgerCopy>(&posted.signal)) charges += copy->charges.size();
+  LONGS_EQUAL(98, charges);
+}
+
+TEST(Purser, a_replica_that_lost_a_charge_gets_the_whole_ledger) {
+  Purser purser = owner(ranked()[0]), replica = owner(ranked()[1]);
+  Outbox ignored, lost, sent, back;
+  purser.set_roster(roster(1, {ranked()}), 1, start, sent);
+  replica.set_roster(roster(1, {ranked()}), 1, start, ignored);
+  const auto deliver = [&](Purser &to, NodeId from, const Outbox &mail, Outbox &out) {
+    for (const Posted &posted : mail)
+      if (!std::holds_alternative<PermitSay>(posted.signal)) to.step(from, posted.signal, start, out);
+  };
+  Instant now = start + milliseconds(100);
+  purser.step(9, ask(1, 1), now, sent);
+  deliver(replica, ranked()[0], sent, back);
+  deliver(purser, ranked()[1], back, ignored);
+  purser.step(8, ask(1, 1), now, lost);
+  sent.clear();
+  back.clear();
+  now += milliseconds(100);
+  purser.step(7, ask(1, 1), now, sent);
+  deliver(replica, ranked()[0], sent, back);
+  const auto *ack = std::get_if<LedgerAck>(&back.back().signal);
+  CHECK(ack != nullptr && ack->needs_whole);
+  Outbox whole, answers;
+  for (const Posted &posted : back) purser.step(ranked()[1], posted.signal, now, whole);
+  const auto *copy = std::get_if<LedgerCopy>(&whole.back().signal);
+  CHECK(copy != nullptr && !copy->is_delta && copy->charges.size() == 3);
+  back.clear();
+  deliver(replica, ranked()[0], whole, back);
+  for (const Posted &posted : back) purser.step(ranked()[1], posted.signal, now, answers);
+  LONGS_EQUAL(2, granted(answers));
+}
+
+TEST(Purser, what_a_replica_does_not_acknowledge_is_sent_again_ever_more_seldom) {
+  Purser purser = owner(ranked()[0]);
+  Outbox out;
+  purser.set_roster(roster(1, {ranked()}), 1, start, out);
+  purser.step(9, ask(1, 1), start, out);
+  out.clear();
+  for (Instant now = start; now < start + seconds(3); now += milliseconds(10)) purser.tick(now, out);
+  CHECK(out.size() >= 4 && out.size() <= 8);
+}
+
+TEST(Purser, an_unanswered_ask_keeps_its_number_while_its_tokens_could_be_used) {
+  const Span rig_permit_life = PurserOptions{}.life;
+  PilotRig rig;
+  PilotOutput out;
+  Waybill bill = rig.bill("e");
+  bill.is_paid = false;
+  rig.pilot.arrive(bill, rig.now, out);
+  for (Span later = 0; later < rig_permit_life; later += milliseconds(10))
+    rig.pilot.tick(rig.now + later, out);
+  std::vector<std::uint64_t> numbers;
+  for (const Posted &posted : out.mail)
+    if (const auto *made = std::get_if<PermitAsk>(&posted.signal); made != nullptr && made->want > 0)
+      numbers.push_back(made->ask);
+  CHECK(numbers.size() >= 2);
+  for (std::uint64_t number : numbers) CHECK(number == numbers.front());
+}
+
 TEST(Purser, no_five_seconds_see_more_than_five_times_base_and_the_burst) {
   Purser purser = owner(1);
   Outbox out;
   purser.set_roster(roster(1, {{1}}), 1, start, out);
   std::vector<std::pair<Instant, std::uint32_t>> grants;
+  std::uint64_t number = 0;
   for (Instant now = start; now < start + seconds(20); now += milliseconds(10)) {
     out.clear();
-    purser.step(9, ask(1, 50), now, out);
+    purser.step(9, ask(++number, 50), now, out);
     grants.emplace_back(now, granted(out));
   }
   std::uint32_t worst = 0, all = 0;
@@ -210,9 +303,10 @@
   purser.set_roster(roster(1, {{1}}), 1, start, out);
   std::vector<PermitReturn> held;
   Instant now = start;
+  std::uint64_t number = 10;
   for (; now < start + seconds(8); now += milliseconds(50)) {
     out.clear();
-    PermitAsk made = ask(1, 50);
+    PermitAsk made = ask(++number, 50);
     made.returns = held;
     purser.step(9, made, now, out);
     for (const Posted &posted : out)
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -470,9 +470,12 @@
     copy.epoch = 1;
     copy.sequence = sequence;
     copy.is_delta = is_delta;
+    copy.base = sequence - 1;
     copy.charges.push_back({sequence, 9, 1, 1, 0, seconds(5), true, false});
     replica.step(ranked[0], copy, start, out);
-    return !out.empty();
+    const auto &ack = std::get<LedgerAck>(out.back().signal);
+    CHECK(ack.needs_whole == (ack.sequence == 0));
+    return !ack.needs_whole;
   };
   CHECK(!acks(1, true));
   CHECK(acks(1, false));
