--- a/packages/berth/berth.cpp
+++ b/packages/berth/berth.cpp
@@ -8,8 +8,7 @@
 Stevedore::Stevedore(NodeId self, BerthOptions options) : self_(self), options_(options) {}
 
 NodeId Stevedore::owner_in(const std::vector<NodeId> &pilots, const std::string &service) const {
-  const auto ranked = rank_nodes(pilots, service, stevedore_salt);
-  return ranked.empty() ? 0 : ranked[0];
+  return top_ranked_node(pilots, service, stevedore_salt);
 }
 
 bool Stevedore::was_owner_since(Epoch epoch, const std::string &service) const {
--- a/packages/control/configuration_delivery.cpp
+++ b/packages/control/configuration_delivery.cpp
@@ -8,7 +8,7 @@
 
 namespace wharf {
 
-Orders ControlNode::orders_for(NodeSession &session, Instant now) {
+Orders ControlNode::orders_for(NodeId node, NodeSession &session, Instant now) {
   Orders orders;
   orders.age = now - std::min(now, raft_.confirmed_at(now));
   orders.term = raft_.term();
@@ -21,7 +21,8 @@
     orders.roster.epoch = registry_.roster().epoch;
   orders.settled = settled_epoch(now);
   orders.quiet = quiet_for(now);
-  if (platform_at_ != 0 && session.stamp != views_stamp_) add_views(session, orders);
+  if (platform_at_ != 0 && (orders.has_roster || session.stamp != views_.stamp()))
+    add_views(node, session, orders);
   return orders;
 }
 
@@ -48,86 +49,68 @@
   return found->second;
 }
 
-void ControlNode::add_views(const NodeSession &session, Orders &orders) const {
+void ControlNode::add_views(NodeId node, const NodeSession &session, Orders &orders) {
   orders.has_runners = true;
-  orders.runners_stamp = views_stamp_;
-  if (session.stamp <= views_whole_) {
-    orders.runners = views_;
-    return;
+  orders.runners_stamp = views_.stamp();
+  // A node that does not know the newest node set yet may own other services than it thinks.
+  const bool is_whole = orders.has_roster || session.stamp == 0 || views_.has_forgotten_since(session.stamp);
+  if (!is_whole) orders.since_stamp = session.stamp;
+  for (const std::string &service : is_whole ? views_.services() : views_.changed_since(session.stamp)) {
+    if (owner_of_service(service) != node) continue;
+    views_.append(service, orders.runners);
+    if (!is_whole) orders.changed_services.push_back(service);
   }
-  orders.since_stamp = session.stamp;
-  for (const RunnerView &view : views_)
-    if (const auto found = view_stamps_.find(view.id);
-        found != view_stamps_.end() && found->second > session.stamp)
-      orders.runners.push_back(view);
-  for (const auto &[stamp, runner] : views_gone_)
-    if (stamp > session.stamp) orders.gone.push_back(runner);
 }
 
 void ControlNode::push_orders(Instant now, ControlOutput &out) {
   if (!is_leading()) return;
   for (auto &[pilot, session] : sessions_) {
     if (now - session.last_pulse > options_.fresh * 2) continue;
-    out.mail.push_back({pilot, {}, orders_for(session, now)});
-    session.stamp = views_stamp_;
+    out.mail.push_back({pilot, {}, orders_for(pilot, session, now)});
+    session.stamp = views_.stamp();
   }
 }
 
-void ControlNode::refresh_views(Instant now) {
-  std::map<std::string, const RunnerSeen *> seen;
-  for (const RunnerSeen &runner : platform_.runners) seen[runner.id] = &runner;
-  std::map<std::string, const WorkerSeen *> workers;
-  for (const WorkerSeen &worker : platform_.workers) workers[worker.id] = &worker;
-  std::vector<RunnerView> views;
-  for (const auto &[id, record] : registry_.runners()) {
-    const std::string handle = handle_of(record);
-    const auto found = seen.find(handle.empty() ? id : handle);
-    const bool is_listed = found != seen.end() && found->second->phase != RunnerPhase::booting &&
-                           !found->second->address.empty();
-    const auto note = notes_.find(id);
-    const bool was_listed = note != notes_.end() && note->second.was_listed;
-    if (!is_listed && (handle.empty() || was_listed || record.is_leaving)) continue;
-    const auto worker = workers.find(record.worker);
-    RunnerView view;
-    view.id = id;
-    view.service = record.service;
-    view.handle = handle;
-    view.is_booting = !is_listed;
-    view.address = is_listed                ? found->second->address
-                   : record.address.empty() ? note->second.address
-                                            : record.address;
-    if (!is_listed && note != notes_.end() && note->second.started_at != 0)
-      view.booting_for = now - note->second.started_at;
-    view.worker = record.worker;
-    view.zone = worker == workers.end() ? std::string() : worker->second->zone;
-    if (handle.empty()) view.seal_key = seal_key_of(id);
-    view.is_leaving = record.is_leaving || (is_listed && found->second->phase == RunnerPhase::stopping) ||
-                      (worker != workers.end() && worker->second->is_draining);
-    views.push_back(std::move(view));
-  }
-  const auto is_same = [](const RunnerView &left, const RunnerView &right) {
-    return left.id == right.id && left.address == right.address && left.is_leaving == right.is_leaving &&
-           left.is_booting == right.is_booting;
-  };
-  if (std::equal(views.begin(), views.end(), views_.begin(), views_.end(), is_same)) return;
-  ++views_stamp_;
-  constexpr std::size_t gone_most = 4096;
-  std::map<std::string, const RunnerView *> before;
-  for (const RunnerView &view : views_) before[view.id] = &view;
-  for (const RunnerView &view : views) {
-    const auto old = before.find(view.id);
-    if (old == before.end() || !is_same(*old->second, view)) view_stamps_[view.id] = views_stamp_;
-    if (old != before.end()) before.erase(old);
-  }
-  for (const auto &[id, view] : before) {
-    view_stamps_.erase(id);
-    views_gone_.emplace_back(views_stamp_, id);
-  }
-  while (views_gone_.size() > gone_most) {
-    views_whole_ = std::max(views_whole_, views_gone_.front().first);
-    views_gone_.pop_front();
+void ControlNode::push_views_since(std::uint64_t stamp, Instant now, ControlOutput &out) {
+  if (!is_leading()) return;
+  std::set<NodeId> owners;
+  for (const std::string &service : views_.changed_since(stamp)) owners.insert(owner_of_service(service));
+  for (NodeId owner : owners) {
+    const auto session = sessions_.find(owner);
+    if (session == sessions_.end() || now - session->second.last_pulse > options_.fresh * 2) continue;
+    out.mail.push_back({owner, {}, orders_for(owner, session->second, now)});
+    session->second.stamp = views_.stamp();
   }
-  views_ = std::move(views);
+}
+
+std::optional<RunnerView> ControlNode::view_of(const RunnerRecord &record, Instant now) const {
+  const std::string handle = handle_of(record);
+  const auto found = listed_.find(handle.empty() ? record.id : handle);
+  const RunnerSeen *seen = found == listed_.end() ? nullptr : found->second;
+  const bool is_listed = seen != nullptr && seen->phase != RunnerPhase::booting && !seen->address.empty();
+  const auto note = notes_.find(record.id);
+  const bool was_listed = note != notes_.end() && note->second.was_listed;
+  if (!is_listed && (handle.empty() || was_listed || record.is_leaving)) return std::nullopt;
+  const auto worker = workers_.find(record.worker);
+  RunnerView view;
+  view.id = record.id;
+  view.service = record.service;
+  view.handle = handle;
+  view.is_booting = !is_listed;
+  view.address = is_listed ? seen->address : record.address.empty() ? note->second.address : record.address;
+  if (!is_listed && note != notes_.end() && note->second.started_at != 0)
+    view.booting_for = now - note->second.started_at;
+  view.worker = record.worker;
+  view.zone = worker == workers_.end() ? std::string() : worker->second->zone;
+  if (handle.empty()) view.seal_key = seal_key_of(record.id);
+  view.is_leaving = record.is_leaving || (is_listed && seen->phase == RunnerPhase::stopping) ||
+                    (worker != workers_.end() && worker->second->is_draining);
+  return view;
+}
+
+void ControlNode::refresh_views(Instant now) {
+  for (const auto &[id, record] : registry_.runners()) views_.update(id, view_of(record, now));
+  views_.retain([this](const std::string &id) { return registry_.runners().contains(id); });
 }
 
 } // namespace wharf
--- a/packages/control/control_node.cpp
+++ b/packages/control/control_node.cpp
@@ -64,9 +64,8 @@
   worker_rests_.clear();
   named_.clear();
   views_.clear();
-  view_stamps_.clear();
-  views_gone_.clear();
-  views_whole_ = ++views_stamp_;
+  listed_.clear();
+  workers_.clear();
   platform_ = {};
   platform_at_ = 0;
   is_roster_proposed_ = is_runners_proposed_ = is_secret_proposed_ = false;
--- a/packages/control/control_node.hpp
+++ b/packages/control/control_node.hpp
@@ -8,6 +8,7 @@
 
 #include "charter/charter.hpp"
 #include "control/registry.hpp"
+#include "control/runner_views.hpp"
 #include "raft/raft.hpp"
 #include "rollcall/rollcall.hpp"
 #include "seatrial/seatrial.hpp"
@@ -240,14 +241,20 @@
   /// True when no pilot of any roster could act on a permit that this leader does not know of.
   bool is_all_known() const;
   std::string address_of_pilot(NodeId pilot) const;
-  Orders orders_for(NodeSession &session, Instant now);
+  Orders orders_for(NodeId node, NodeSession &session, Instant now);
   /// Adds the manifest in force to a node's orders, as what differs from the one the node has.
   void add_manifest(NodeSession &session, Orders &orders, Instant now);
   /// The manifest in force as a delta from an earlier version's; made once for each such version.
   const std::string &delta_from(Version base);
   /// Compiles the manifest in force unless that was done already.
   void refresh_charter();
+  /// Sends all nodes what is new to them.
   void push_orders(Instant now, ControlOutput &out);
+  /// Sends the owners of services whose runners changed since a stamp what is new to them.
+  void push_views_since(std::uint64_t stamp, Instant now, ControlOutput &out);
+  NodeId owner_of_service(const std::string &service) {
+    return service_owners_.owner_of(service, registry_.roster());
+  }
   Version settled_version(Instant now) const;
   Epoch settled_epoch(Instant now) const;
   void settle_writes(Instant now, ControlOutput &out);
@@ -300,8 +307,10 @@
   void maintain_roster(Instant now, ControlOutput &out);
   void maintain_runners(Instant now, ControlOutput &out);
   void refresh_views(Instant now);
-  /// Puts the views that a pilot does not have yet into its orders.
-  void add_views(const NodeSession &session, Orders &orders) const;
+  /// What nodes are to be told of a runner, or nothing when they are not to know of it.
+  std::optional<RunnerView> view_of(const RunnerRecord &record, Instant now) const;
+  /// Puts the views of a node's own services that it does not have yet into its orders.
+  void add_views(NodeId node, const NodeSession &session, Orders &orders);
   /// The platform's name for a runner, as committed or as just answered.
   std::string handle_of(const RunnerRecord &record) const;
   void compact_if_due(ControlOutput &out);
@@ -361,12 +370,11 @@
   std::map<std::string, RunnerNote> notes_;
   std::map<std::string, Instant> worker_rests_;
   std::vector<RunnerName> named_;
-  std::vector<RunnerView> views_;
-  std::uint64_t views_stamp_ = 0;
-  /// The stamp at which a view was last changed, and runners that went with the stamp of that.
-  std::map<std::string, std::uint64_t> view_stamps_;
-  std::deque<std::pair<std::uint64_t, std::string>> views_gone_;
-  std::uint64_t views_whole_ = 0;
+  /// What the platform listed last, by its own names.
+  std::unordered_map<std::string, const RunnerSeen *> listed_;
+  std::unordered_map<std::string, const WorkerSeen *> workers_;
+  RunnerViews views_;
+  OwnerCache service_owners_{stevedore_salt};
   Instant moved_at_ = 0;
   std::uint64_t starts_ordered_ = 0;
   double pace_ = 0;
--- a/packages/control/node_leases.cpp
+++ b/packages/control/node_leases.cpp
@@ -94,7 +94,7 @@
       settle_at_ = now;
     session.wants[want.service] = want;
   }
-  Orders orders = orders_for(session, now);
+  Orders orders = orders_for(from, session, now);
   orders.sent_at = pulse.sent_at;
   session.permit_until = now + options_.fresh + options_.drift;
   session.duty_until = now + options_.duty + options_.drift;
--- a/packages/control/runner_placement.cpp
+++ b/packages/control/runner_placement.cpp
@@ -120,10 +120,14 @@
 void ControlNode::platform_seen(PlatformView snapshot, Instant now, ControlOutput &out) {
   platform_ = std::move(snapshot);
   platform_at_ = now;
+  listed_.clear();
+  for (const RunnerSeen &runner : platform_.runners) listed_[runner.id] = &runner;
+  workers_.clear();
+  for (const WorkerSeen &worker : platform_.workers) workers_[worker.id] = &worker;
   if (!is_leading()) return;
-  const std::uint64_t stamp = views_stamp_;
+  const std::uint64_t stamp = views_.stamp();
   refresh_views(now);
-  if (views_stamp_ != stamp) push_orders(now, out);
+  push_views_since(stamp, now, out);
   maintain_runners(now, out);
 }
 
@@ -154,8 +158,9 @@
   note.handle = say.handle;
   note.address = say.address;
   named_.push_back({say.runner, say.handle, say.address});
-  refresh_views(now);
-  push_orders(now, out);
+  const std::uint64_t stamp = views_.stamp();
+  views_.update(say.runner, view_of(found->second, now));
+  push_views_since(stamp, now, out);
 }
 
 void ControlNode::maintain_runners(Instant now, ControlOutput &out) {
@@ -163,13 +168,11 @@
   pace_ = std::min(options_.platform_pace / 4,
                    pace_ + options_.platform_pace * static_cast<double>(now - pace_at_) / 1e9);
   pace_at_ = now;
-  std::map<std::string, const RunnerSeen *> seen;
-  for (const RunnerSeen &runner : platform_.runners) seen[runner.id] = &runner;
-  std::set<std::string> draining;
-  for (const WorkerSeen &worker : platform_.workers)
-    if (worker.is_draining) draining.insert(worker.id);
-  std::set<std::string> worker_ids;
-  for (const WorkerSeen &worker : platform_.workers) worker_ids.insert(worker.id);
+  const auto &seen = listed_;
+  const auto is_draining = [this](const std::string &worker) {
+    const auto found = workers_.find(worker);
+    return found != workers_.end() && found->second->is_draining;
+  };
 
   PutRunners put;
   std::vector<const RunnerRecord *> unstarted;
@@ -179,8 +182,7 @@
   for (const auto &[pilot, session] : sessions_) {
     if (now - session.last_pulse > options_.pilot_silence) continue;
     for (const auto &[service, want] : session.wants) {
-      const auto ranked = rank_nodes(registry_.roster().pilots, service, stevedore_salt);
-      if (ranked.empty() || ranked[0] != pilot) continue;
+      if (owner_of_service(service) != pilot) continue;
       wants[service] = &want;
       idle.insert(want.idle.begin(), want.idle.end());
       retire.insert(want.retire.begin(), want.retire.end());
@@ -201,7 +203,7 @@
       note.absent = 0;
     }
     const bool is_lost = found == seen.end() && note.was_listed && note.started_at < platform_at_;
-    const bool is_unwanted = !worker_ids.contains(record.worker) && !note.was_listed &&
+    const bool is_unwanted = !workers_.contains(record.worker) && !note.was_listed &&
                              now - note.started_at > seconds(10) && note.started_at != 0;
     const bool is_unlisted = found == seen.end() && !note.was_listed && !handle.empty() &&
                              now - std::max(note.known_since, note.started_at) > options_.unlisted_most;
@@ -230,7 +232,7 @@
       }
       continue;
     }
-    const bool must_leave = retire.contains(id) || draining.contains(record.worker) ||
+    const bool must_leave = retire.contains(id) || is_draining(record.worker) ||
                             (found != seen.end() && found->second->phase == RunnerPhase::stopping) ||
                             charter_->service_named(record.service) == nullptr;
     if (must_leave) {
@@ -271,8 +273,7 @@
       target = std::clamp<std::size_t>(want->second->runners, static_cast<std::size_t>(service->least),
                                        static_cast<std::size_t>(service->most));
     const bool is_booting = std::any_of(list.begin(), list.end(), [this](const RunnerRecord *record) {
-      return std::none_of(views_.begin(), views_.end(),
-                          [&](const RunnerView &view) { return view.id == record->id; });
+      return !views_.contains(record->id);
     });
     if (list.size() > target && !(list.size() == target + 1 && is_booting && target > 0)) {
       const auto leaving = elect_leaving(list, target);
--- a/packages/control/status.cpp
+++ b/packages/control/status.cpp
@@ -84,23 +84,20 @@
                                       {"replica", ranked.size() < 2 ? "" : std::to_string(ranked[1])}};
     }
     for (const Service &service : charter_->services) {
-      const auto ranked = rank_nodes(registry_.roster().pilots, service.name, stevedore_salt);
-      Json item = {{"stevedore", ranked.empty() ? "" : std::to_string(ranked[0])},
-                   {"runners", Json::array()}};
+      const NodeId owner = top_ranked_node(registry_.roster().pilots, service.name, stevedore_salt);
+      Json item = {{"stevedore", owner == 0 ? "" : std::to_string(owner)}, {"runners", Json::array()}};
       std::size_t ready = 0, wanted = static_cast<std::size_t>(service.least);
       for (const auto &[id, record] : registry_.runners()) {
         if (record.service != service.name) continue;
-        const bool is_ready =
-            std::any_of(views_.begin(), views_.end(),
-                        [&runner = id](const RunnerView &view) { return view.id == runner; });
+        const bool is_ready = views_.contains(id);
         ready += is_ready && !record.is_leaving ? 1 : 0;
         item["runners"].push_back({{"id", id},
                                    {"worker", record.worker},
                                    {"is_ready", is_ready},
                                    {"is_leaving", record.is_leaving}});
       }
-      if (!ranked.empty()) {
-        const auto session = sessions_.find(ranked[0]);
+      if (owner != 0) {
+        const auto session = sessions_.find(owner);
         if (session != sessions_.end()) {
           const auto want = session->second.wants.find(service.name);
           if (want != session->second.wants.end()) {
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -125,11 +125,12 @@
          !purser_.is_handing_over(now);
 }
 
-NodeId Pilot::owner_of(const std::string &name, std::uint64_t salt) const {
-  const auto ranked = rank_nodes(roster_.pilots, name, salt);
-  return ranked.empty() ? 0 : ranked[0];
+NodeId Pilot::owner_of_service(const std::string &service) {
+  return service_owners_.owner_of(service, roster_);
 }
 
+NodeId Pilot::owner_of_tenant(const std::string &tenant) { return tenant_owners_.owner_of(tenant, roster_); }
+
 const Tenant *Pilot::declared(const std::string &tenant) const {
   return in_force_.charter ? in_force_.charter->tenant_named(tenant) : nullptr;
 }
@@ -226,7 +227,7 @@
   } else if (const auto *slot = std::get_if<SlotSay>(&signal)) {
     handle(envelope.from, *slot, now, out);
   } else if (const auto *freed = std::get_if<SlotFreed>(&signal)) {
-    if (owner_of(freed->service, stevedore_salt) == envelope.from)
+    if (owner_of_service(freed->service) == envelope.from)
       std::erase_if(freeing_, [&](const Freeing &item) {
         return item.free.errand == freed->errand && item.free.attempt == freed->attempt;
       });
@@ -327,7 +328,8 @@
                                    orders.runners_stamp > runners_stamp_ && orders.term == runners_term_));
   if (takes_runners) {
     if (orders.since_stamp == 0) runners_.clear();
-    for (const std::string &gone : orders.gone) runners_.erase(gone);
+    for (const std::string &service : orders.changed_services)
+      std::erase_if(runners_, [&](const auto &item) { return item.second.service == service; });
     for (const RunnerView &runner : orders.runners) runners_[runner.id] = runner;
     runners_stamp_ = orders.runners_stamp;
     runners_term_ = orders.term;
@@ -341,8 +343,12 @@
   if (orders.roster.epoch > roster_.epoch) {
     roster_ = orders.roster;
     is_switched = true;
-    for (auto &[id, errand] : afloat_) errand.asked_at = 0;
-    for (auto &[tenant, till] : tills_) till.asked_at = 0;
+    for (auto &[id, errand] : afloat_) errand.retry.restart();
+    for (auto &[tenant, till] : tills_) {
+      till.asked_at = 0;
+      if (till.pending) till.pending->retry.restart();
+    }
+    for (Freeing &item : freeing_) item.retry.restart();
   }
   settled_ = std::max(settled_, orders.settled);
   purser_.set_roster(roster_, orders.settled, now, out.mail);
@@ -477,9 +483,11 @@
     return;
   }
   case Step::claim:
+    errand.retry = Backoff(options_.claim_again, options_.claim_again_most);
     ask_claim(errand, now, out);
     return;
   case Step::berth:
+    errand.retry = Backoff(options_.berth_again, options_.berth_again_most);
     ask_berth(errand, now, out);
     return;
   case Step::carry:
@@ -497,15 +505,15 @@
 }
 
 void Pilot::ask_claim(Afloat &errand, Instant now, PilotOutput &out) {
-  errand.asked_at = now;
+  errand.retry.sent(now);
   errand.has_claimed = true;
   note(errand, now, "asks the control group for its claim");
   send_leader(ClaimAsk{errand.bill.claim_key, errand.bill.id, errand.bill.claim_digest}, out);
 }
 
 void Pilot::ask_berth(Afloat &errand, Instant now, PilotOutput &out) {
-  errand.asked_at = now;
-  const NodeId owner = owner_of(errand.bill.service, stevedore_salt);
+  errand.retry.sent(now);
+  const NodeId owner = owner_of_service(errand.bill.service);
   if (owner == 0) return;
   SlotAsk ask;
   ask.errand = errand.bill.id;
@@ -567,7 +575,7 @@
 void Pilot::handle(NodeId from, const SlotSay &say, Instant now, PilotOutput &out) {
   const auto found = afloat_.find(say.errand);
   const auto state = static_cast<SlotState>(say.state);
-  const bool is_owner = owner_of(say.service, stevedore_salt) == from;
+  const bool is_owner = owner_of_service(say.service) == from;
   const bool is_wanted = found != afloat_.end() &&
                          found->second.bill.steps[found->second.at] == Step::berth && is_owner &&
                          found->second.attempt == say.attempt;
@@ -585,7 +593,10 @@
     return;
   }
   Afloat &errand = found->second;
-  if (state == SlotState::not_mine) return;
+  if (state == SlotState::not_mine) {
+    errand.retry.answered(now, options_.berth_again);
+    return;
+  }
   if (state == SlotState::refused) {
     if (errand.tries > 0 && errand.first_fate)
       finish(say.errand, *errand.first_fate, say.retry_after, now, out, nullptr, say.why);
@@ -605,7 +616,7 @@
     free_slot(errand, SlotEnd::unused, now, out);
     ++errand.attempt;
     errand.is_granted = false;
-    errand.asked_at = 0;
+    errand.retry.restart();
     return;
   }
   ++errand.at;
@@ -700,9 +711,11 @@
                 static_cast<std::uint8_t>(end), errand.attempt};
   if (end == SlotEnd::lost)
     lost_.push_back({errand.bill.id, errand.bill.service, errand.runner, errand.attempt, now + seconds(60)});
-  const NodeId owner = owner_of(errand.bill.service, stevedore_salt);
+  const NodeId owner = owner_of_service(errand.bill.service);
   if (owner != 0) out.mail.push_back({owner, {}, free});
-  freeing_.push_back({std::move(free), now + options_.free_again, now + seconds(60)});
+  Backoff retry(options_.free_again, options_.free_again_most);
+  retry.sent(now);
+  freeing_.push_back({std::move(free), retry, now + seconds(60)});
 }
 
 void Pilot::close_claim(const Afloat &errand, ClosedAs as, const CallEnd *end, Instant now,
@@ -723,7 +736,9 @@
     }
   }
   send_leader(close, out);
-  closing_.push_back({std::move(close), now + options_.claim_again, now + seconds(120)});
+  Backoff retry(options_.claim_again, options_.claim_again_most);
+  retry.sent(now);
+  closing_.push_back({std::move(close), retry, now + seconds(120)});
 }
 
 void Pilot::finish(const std::string &id, Fate fate, Span retry_after, Instant now, PilotOutput &out,
@@ -926,20 +941,22 @@
 
 void Pilot::ask_permit(std::uint32_t tenant, Instant now, PilotOutput &out) {
   Till &till = tills_[tenant];
-  const Span again_after = till.pending ? till.pending->again_after : options_.permit_again;
-  if (till.asked_at != 0 && now - till.asked_at < again_after) return;
-  const NodeId owner = owner_of(till.name, purser_salt);
+  if (till.pending ? !till.pending->retry.is_due(now)
+                   : till.asked_at != 0 && now - till.asked_at < options_.permit_again)
+    return;
+  const NodeId owner = owner_of_tenant(till.name);
   if (owner == 0) return;
   // Tokens granted to an ask this old would be dead on arrival, so it is given up for a new one.
-  if (till.pending && now - till.pending->first_sent_at >= options_.purser.life) till.pending.reset();
-  if (till.pending)
-    till.pending->again_after = std::min(till.pending->again_after * 2, options_.permit_again_most);
-  else
-    till.pending = PendingAsk{next_ask_++, now, options_.permit_again};
+  if (till.pending && now - till.pending->sent_at.front() >= options_.purser.life) till.pending.reset();
+  if (!till.pending)
+    till.pending = PendingAsk{next_ask_++, {}, Backoff(options_.permit_again, options_.permit_again_most)};
+  till.pending->sent_at.push_back(now);
+  till.pending->retry.sent(now);
   PermitAsk ask;
   ask.tenant = till.name;
   ask.epoch = roster_.epoch;
   ask.ask = till.pending->number;
+  ask.attempt = static_cast<std::uint32_t>(till.pending->sent_at.size() - 1);
   ask.want = tokens_wanted(till);
   ask.returns = take_report(till, tenant, now);
   till.asked_at = now;
@@ -955,7 +972,7 @@
   Till &till = found->second;
   const bool is_asked = till.pending && till.pending->number == say.ask;
   if (!say.is_owner) {
-    if (is_asked) till.asked_at = now - till.pending->again_after + say.retry_after;
+    if (is_asked) till.pending->retry.answered(now, say.retry_after);
     return;
   }
   till.unanswered_since = 0;
@@ -970,7 +987,8 @@
     if (say.tokens > 0) end_permit(till, {say.permit, 0, say.tokens}, now);
     return;
   }
-  const Instant sent_at = till.pending->first_sent_at;
+  const auto &sent = till.pending->sent_at;
+  const Instant sent_at = say.attempt < sent.size() ? sent[say.attempt] : sent.front();
   till.pending.reset();
   till.asked_at = 0;
   if (say.tokens == 0) {
@@ -1037,7 +1055,7 @@
     report.tenant = till.name;
     report.epoch = roster_.epoch;
     report.returns = take_report(till, tenant, now);
-    if (const NodeId owner = owner_of(till.name, purser_salt); owner != 0 && !report.returns.empty())
+    if (const NodeId owner = owner_of_tenant(till.name); owner != 0 && !report.returns.empty())
       out.mail.push_back({owner, {}, report});
   }
 }
@@ -1118,22 +1136,22 @@
     } else if (step == Step::pay && now - errand.waiting_since > patience_of(errand)) {
       finish(id, is_denied(errand, now) ? Fate::over_quota : Fate::no_permit,
              come_back(tills_[tenant_index(errand.bill.tenant)], now), now, out);
-    } else if (step == Step::claim && now - errand.asked_at >= options_.claim_again) {
+    } else if (step == Step::claim && errand.retry.is_due(now)) {
       ask_claim(errand, now, out);
-    } else if (step == Step::berth && now - errand.asked_at >= options_.berth_again) {
+    } else if (step == Step::berth && errand.retry.is_due(now)) {
       ask_berth(errand, now, out);
     }
   }
   for (Freeing &item : freeing_) {
-    if (now < item.next_at) continue;
-    item.next_at = now + options_.free_again;
-    const NodeId owner = owner_of(item.free.service, stevedore_salt);
+    if (!item.retry.is_due(now)) continue;
+    item.retry.sent(now);
+    const NodeId owner = owner_of_service(item.free.service);
     if (owner != 0) out.mail.push_back({owner, {}, item.free});
   }
   std::erase_if(freeing_, [now](const Freeing &item) { return now > item.until; });
   for (Closing &item : closing_) {
-    if (now < item.next_at) continue;
-    item.next_at = now + options_.claim_again;
+    if (!item.retry.is_due(now)) continue;
+    item.retry.sent(now);
     send_leader(item.close, out);
   }
   std::erase_if(closing_, [now](const Closing &item) { return now > item.until; });
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -15,6 +15,7 @@
 #include "purser/purser.hpp"
 #include "rollcall/rollcall.hpp"
 #include "soundings/soundings.hpp"
+#include "tide/backoff.hpp"
 
 namespace wharf {
 
@@ -78,7 +79,7 @@
   Span duty = milliseconds(1200);
   Span leader_silence = milliseconds(600);
   /// How long an ask for tokens may be unanswered before it is sent again; twice as long after each time.
-  Span permit_again = milliseconds(100), permit_again_most = milliseconds(400);
+  Span permit_again = milliseconds(60), permit_again_most = milliseconds(240);
   Span permit_patience = milliseconds(400);
   /// The wait for a permit of a tenant that evidently keeps within its allowance.
   Span modest_patience = milliseconds(1500);
@@ -96,9 +97,10 @@
   /// half.
   double fallback_as_before = 0;
   Span fallback_whole = seconds(2);
-  Span claim_again = milliseconds(200);
-  Span berth_again = milliseconds(150);
-  Span free_again = milliseconds(200);
+  /// First pauses before what was not answered is sent again, and the longest of them.
+  Span claim_again = milliseconds(200), claim_again_most = milliseconds(800);
+  Span berth_again = milliseconds(150), berth_again_most = milliseconds(600);
+  Span free_again = milliseconds(200), free_again_most = milliseconds(3200);
   Span eviction_least = seconds(5);
   /// The largest answer, headers and all, that is kept for repeats.
   std::size_t record_most = 65536;
@@ -165,7 +167,9 @@
     std::string runner, avoid;
     std::size_t tries = 0, unreached = 0;
     std::uint32_t attempt = 0;
-    Instant asked_at = 0, waiting_since = 0, carried_at = 0;
+    Instant waiting_since = 0, carried_at = 0;
+    /// For the ask of the step that the errand is at.
+    Backoff retry;
     bool has_claimed = false, is_granted = false, is_carrying = false, has_gone = false;
     bool has_caller_left = false;
     std::optional<Fate> first_fate;
@@ -181,8 +185,9 @@
   /// An ask for tokens that has not been answered yet; sent again under its number.
   struct PendingAsk {
     std::uint64_t number = 0;
-    Instant first_sent_at = 0;
-    Span again_after = 0;
+    /// When each attempt was sent.
+    std::vector<Instant> sent_at;
+    Backoff retry;
   };
   struct Till {
     std::string name;
@@ -207,11 +212,13 @@
   };
   struct Freeing {
     SlotFree free;
-    Instant next_at = 0, until = 0;
+    Backoff retry;
+    Instant until = 0;
   };
   struct Closing {
     CloseAsk close;
-    Instant next_at = 0, until = 0;
+    Backoff retry;
+    Instant until = 0;
   };
 
   void handle(NodeId from, const Orders &orders, Instant now, PilotOutput &out);
@@ -277,7 +284,8 @@
   std::vector<PermitReturn> take_report(Till &till, std::uint32_t tenant, Instant now);
   const Tenant *declared(const std::string &tenant) const;
   double capacity_of(const std::string &tenant) const;
-  NodeId owner_of(const std::string &name, std::uint64_t salt) const;
+  NodeId owner_of_service(const std::string &service);
+  NodeId owner_of_tenant(const std::string &tenant);
   void send_pulse(Instant now, PilotOutput &out);
   void send_leader(const Signal &signal, PilotOutput &out);
   void count(const std::string &name) { ++counters_[name]; }
@@ -318,7 +326,9 @@
   };
   std::vector<LostSlot> lost_;
   Roster roster_;
+  OwnerCache service_owners_{stevedore_salt}, tenant_owners_{purser_salt};
   Epoch settled_ = 0;
+  /// Runners of the services that this node owns.
   std::map<std::string, RunnerView> runners_;
   std::uint64_t runners_stamp_ = 0, runners_term_ = 0;
   NodeId leader_ = 0;
--- a/packages/purser/purser.cpp
+++ b/packages/purser/purser.cpp
@@ -8,8 +8,7 @@
 Purser::Purser(NodeId self, PurserOptions options) : self_(self), options_(options) {}
 
 NodeId Purser::owner_in(const std::vector<NodeId> &pilots, const std::string &tenant) const {
-  const auto ranked = rank_nodes(pilots, tenant, purser_salt);
-  return ranked.empty() ? 0 : ranked[0];
+  return top_ranked_node(pilots, tenant, purser_salt);
 }
 
 NodeId Purser::replica_in(const std::vector<NodeId> &pilots, const std::string &tenant) const {
@@ -92,8 +91,8 @@
         const bool is_unbroken = was_owner_since(old.epoch, tenant);
         if (ledger.post == Post::ready && is_unbroken) {
           ++ledger.sequence;
-          ledger.copied_at = 0;
-          ledger.is_followed = false;
+          ledger.resend.restart();
+          ledger.is_followed = ledger.is_whole_acked = false;
         } else if (ledger.post != Post::awaiting || !is_unbroken) {
           ledger.has_copy =
               ledger.post != Post::ready && ledger.post != Post::awaiting && is_copy_whole(tenant, ledger);
@@ -128,7 +127,7 @@
   ledger.handover_to = owner;
   ledger.handover_epoch = roster_.epoch;
   ledger.handover_until = now + seconds(6);
-  ledger.copied_at = now;
+  ledger.handed_over_at = now;
   out.push_back({owner, {}, copy_of(tenant, ledger, now, true)});
 }
 
@@ -173,8 +172,7 @@
   }
   ledger.post = Post::ready;
   ++ledger.sequence;
-  ledger.acked = 0;
-  ledger.copied_at = 0;
+  ledger.resend = Backoff(options_.copy_again, options_.copy_again_most);
   forget_owner_state(ledger);
 }
 
@@ -182,7 +180,8 @@
   ledger.answers.clear();
   ledger.unacked.clear();
   ledger.granted_asks.clear();
-  ledger.is_followed = false;
+  ledger.whole_sequence = 0;
+  ledger.is_followed = ledger.is_whole_acked = false;
 }
 
 void Purser::charge(Ledger &ledger, std::uint32_t tokens, Instant expires) const {
@@ -192,7 +191,7 @@
     entry->tokens += tokens;
     return;
   }
-  ledger.charges.push_back({0, 0, tokens, 0, 0, until, false, false});
+  ledger.charges.push_back({0, 0, tokens, 0, 0, until, false, false, 0});
 }
 
 void Purser::tick(Instant now, Outbox &out) {
@@ -205,11 +204,11 @@
           now - ledger.settled_at >= options_.handover_patience)
         begin(tenant, ledger, now, out);
     }
-    if (ledger.post == Post::ready && ledger.sequence > ledger.acked)
+    if (ledger.post == Post::ready && (!ledger.is_whole_acked || !ledger.unacked.empty()))
       resend_unacked(tenant, ledger, now, out);
     if (ledger.handover_to != 0 && now < ledger.handover_until &&
-        now - ledger.copied_at >= options_.copy_again) {
-      ledger.copied_at = now;
+        now - ledger.handed_over_at >= options_.copy_again) {
+      ledger.handed_over_at = now;
       out.push_back({ledger.handover_to, {}, copy_of(tenant, ledger, now, true)});
     }
   }
@@ -217,9 +216,8 @@
 
 void Purser::send_copy(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out) {
   const NodeId replica = replica_in(roster_.pilots, tenant);
-  ledger.copied_at = now;
   if (replica == 0) {
-    ledger.acked = ledger.sequence;
+    ledger.is_whole_acked = true;
     ledger.unacked.clear();
     release(ledger, out);
     return;
@@ -231,8 +229,8 @@
   out.push_back({replica, {}, copy_of(tenant, ledger, now, false)});
 }
 
-void Purser::send_charges_after(std::uint64_t base, const std::string &tenant, Ledger &ledger, Instant now,
-                                Outbox &out) {
+void Purser::send_charges_from(std::uint64_t sequence, const std::string &tenant, Ledger &ledger, Instant now,
+                               Outbox &out) {
   LedgerCopy copy;
   copy.tenant = tenant;
   copy.epoch = roster_.epoch;
@@ -240,10 +238,8 @@
   copy.next_permit = ledger.next_permit;
   copy.tokens = ledger.tokens;
   copy.is_delta = true;
-  copy.base = base;
-  for (const UnackedCharge &charge : ledger.unacked)
-    if (charge.sequence > base) copy.charges.push_back(charge_of(charge.entry, now));
-  ledger.copied_at = now;
+  for (auto charge = ledger.unacked.lower_bound(sequence); charge != ledger.unacked.end(); ++charge)
+    copy.charges.push_back(charge_of(charge->second, now));
   out.push_back({replica_in(roster_.pilots, tenant), {}, std::move(copy)});
 }
 
@@ -252,26 +248,32 @@
   if (replica_in(roster_.pilots, tenant) == 0 || !ledger.is_followed || is_whole_due)
     send_copy(tenant, ledger, now, out);
   else
-    send_charges_after(ledger.sequence - 1, tenant, ledger, now, out);
+    send_charges_from(oldest_repeated(ledger), tenant, ledger, now, out);
+}
+
+std::uint64_t Purser::oldest_repeated(const Ledger &ledger) const {
+  auto oldest = ledger.unacked.end();
+  for (std::size_t count = 0; count < options_.charges_repeated && oldest != ledger.unacked.begin(); ++count)
+    --oldest;
+  return oldest->first;
 }
 
 void Purser::resend_unacked(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out) {
-  ledger.resend_after = std::max(ledger.resend_after, options_.copy_again);
-  if (now - ledger.copied_at < ledger.resend_after) return;
-  // A link that is merely slow must not get more to carry each time.
-  ledger.resend_after = std::min(ledger.resend_after * 2, options_.copy_again_most);
-  const bool is_complete = ledger.is_followed && ledger.unacked.size() == ledger.sequence - ledger.acked;
-  if (is_complete)
-    send_charges_after(ledger.acked, tenant, ledger, now, out);
+  if (!ledger.resend.is_due(now)) return;
+  ledger.resend.sent(now);
+  if (ledger.is_whole_acked)
+    send_charges_from(0, tenant, ledger, now, out);
   else
     send_copy(tenant, ledger, now, out);
 }
 
 void Purser::release(Ledger &ledger, Outbox &out) {
-  while (!ledger.answers.empty() && ledger.answers.front().sequence <= ledger.acked) {
-    out.push_back({ledger.answers.front().to, {}, ledger.answers.front().say});
-    ledger.answers.pop_front();
-  }
+  if (!ledger.is_whole_acked) return;
+  std::erase_if(ledger.answers, [&](const Answer &answer) {
+    if (ledger.unacked.contains(answer.sequence)) return false;
+    out.push_back({answer.to, {}, answer.say});
+    return true;
+  });
 }
 
 LedgerCopy Purser::copy_of(const std::string &tenant, const Ledger &ledger, Instant now,
@@ -288,13 +290,13 @@
 }
 
 Charge Purser::charge_of(const Entry &entry, Instant now) {
-  return {entry.permit, entry.node,          entry.tokens,  entry.granted,
-          entry.gone,   entry.expires - now, entry.is_open, entry.is_final};
+  return {entry.permit,        entry.node,    entry.tokens,   entry.granted, entry.gone,
+          entry.expires - now, entry.is_open, entry.is_final, entry.sequence};
 }
 
 Purser::Entry Purser::entry_of(const Charge &charge, Instant now) {
-  return {charge.permit, charge.node,      charge.tokens,  charge.granted,
-          charge.gone,   now + charge.age, charge.is_open, charge.is_final};
+  return {charge.permit,    charge.node,    charge.tokens,   charge.granted, charge.gone,
+          now + charge.age, charge.is_open, charge.is_final, charge.sequence};
 }
 
 void Purser::refill(const Allowance &allowance, Ledger &ledger, Instant now) {
@@ -312,7 +314,7 @@
     entry.tokens -= newly;
     entry.gone = gone;
     const Instant expires = now + options_.quota_window;
-    if (newly > 0) closed.push_back({0, 0, newly, 0, 0, expires, false, false});
+    if (newly > 0) closed.push_back({0, 0, newly, 0, 0, expires, false, false, 0});
   }
   if (item.is_final && !entry.is_final) {
     const std::uint32_t unspent =
@@ -339,7 +341,7 @@
     const bool is_unseen = (item.permit >> 28) < ledger.blind_before && item.spent > item.gone;
     if (!is_unseen) continue;
     ledger.charges.push_back({item.permit, from, item.spent - item.gone, item.spent, item.gone,
-                              now + options_.life + options_.quota_window, true, true});
+                              now + options_.life + options_.quota_window, true, true, 0});
   }
   std::erase_if(ledger.charges,
                 [](const Entry &entry) { return entry.tokens == 0 && (!entry.is_open || entry.is_final); });
@@ -359,6 +361,7 @@
   PermitSay say;
   say.tenant = ask.tenant;
   say.ask = ask.ask;
+  say.attempt = ask.attempt;
   const auto found = ledgers_.find(ask.tenant);
   const auto allowance = allowances_.find(ask.tenant);
   if (found == ledgers_.end() || allowance == allowances_.end() || found->second.post != Post::ready ||
@@ -398,10 +401,12 @@
   say.permit = (roster_.epoch << 28) | (++ledger.next_permit & 0xfffffff);
   say.tokens = granted;
   say.window = options_.window;
-  ledger.charges.push_back(
-      {say.permit, from, granted, granted, 0, now + options_.life + options_.quota_window, true, false});
+  // Only the first of those that the replica is to acknowledge sets the time.
+  if (ledger.unacked.empty()) ledger.resend.answered(now, options_.copy_again);
   ++ledger.sequence;
-  ledger.unacked.push_back({ledger.sequence, ledger.charges.back()});
+  ledger.charges.push_back({say.permit, from, granted, granted, 0,
+                            now + options_.life + options_.quota_window, true, false, ledger.sequence});
+  ledger.unacked[ledger.sequence] = ledger.charges.back();
   ledger.answers.push_back({ledger.sequence, from, say});
   ledger.granted_asks[from] = {ask.ask, ledger.sequence, say, now};
   send_charge(ask.tenant, ledger, now, out);
@@ -410,51 +415,64 @@
 bool Purser::answer_again(const Ledger &ledger, NodeId from, const PermitAsk &ask, Outbox &out) const {
   const auto granted = ledger.granted_asks.find(from);
   if (granted == ledger.granted_asks.end() || granted->second.ask != ask.ask) return false;
-  const bool is_released = granted->second.sequence <= ledger.acked;
-  if (is_released) out.push_back({from, {}, granted->second.say});
+  if (!ledger.unacked.contains(granted->second.sequence)) out.push_back({from, {}, granted->second.say});
   return true;
 }
 
-bool Purser::apply_delta(Ledger &ledger, const LedgerCopy &copy, Instant now) const {
-  const bool is_known = ledger.has_copy && copy.epoch == ledger.copy_epoch;
-  if (!is_known || ledger.sequence < copy.base || copy.charges.size() != copy.sequence - copy.base)
-    return false;
+void Purser::add_charges(Ledger &ledger, const LedgerCopy &copy, Instant now, LedgerAck &ack) {
   std::erase_if(ledger.charges, [now](const Entry &entry) { return entry.expires <= now; });
-  for (std::size_t at = ledger.sequence - copy.base; at < copy.charges.size(); ++at)
-    ledger.charges.push_back(entry_of(copy.charges[at], now));
-  return true;
+  for (const Charge &charge : copy.charges) {
+    ack.charges.push_back(charge.sequence);
+    const bool is_held = charge.sequence <= ledger.whole_sequence ||
+                         std::any_of(ledger.charges.rbegin(), ledger.charges.rend(),
+                                     [&](const Entry &entry) { return entry.sequence == charge.sequence; });
+    if (!is_held) ledger.charges.push_back(entry_of(charge, now));
+  }
+}
+
+void Purser::take_whole(Ledger &ledger, const LedgerCopy &copy, Instant now) {
+  std::erase_if(ledger.charges, [&](const Entry &entry) { return entry.sequence <= copy.sequence; });
+  for (const Charge &charge : copy.charges) ledger.charges.push_back(entry_of(charge, now));
+  ledger.whole_sequence = copy.sequence;
 }
 
 void Purser::handle(NodeId from, const LedgerCopy &copy, Instant now, Outbox &out) {
   Ledger &ledger = ledgers_[copy.tenant];
-  LedgerAck ack{copy.tenant, copy.epoch, copy.sequence, false};
+  LedgerAck ack{copy.tenant, copy.epoch, copy.is_delta ? 0 : copy.sequence, {}, false};
   if (ledger.post == Post::ready) {
     if (copy.is_handover) out.push_back({from, {}, ack});
     return;
   }
+  const bool is_same_epoch = ledger.has_copy && copy.epoch == ledger.copy_epoch;
   if (copy.is_handover) {
     if (ledger.post != Post::awaiting || ledger.has_copy || !is_direct_word(copy, from)) return;
-    out.push_back({from, {}, ack});
+    ledger.charges.clear();
   } else {
     if (ledger.post == Post::awaiting || copy.epoch < roster_.epoch) return;
-    const bool is_older =
-        ledger.has_copy && (copy.epoch < ledger.copy_epoch ||
-                            (copy.epoch == ledger.copy_epoch && copy.sequence < ledger.sequence));
-    if (is_older) return;
-    ack.needs_whole = copy.is_delta && !apply_delta(ledger, copy, now);
-    if (ack.needs_whole) ack.sequence = 0;
-    out.push_back({from, {}, ack});
-    if (ack.needs_whole) return;
+    if (ledger.has_copy && copy.epoch < ledger.copy_epoch) return;
+    if (!copy.is_delta && is_same_epoch && copy.sequence < ledger.whole_sequence) return;
+    ack.needs_whole = copy.is_delta && !is_same_epoch;
+  }
+  if (ack.needs_whole) {
+    out.push_back({from, {}, std::move(ack)});
+    return;
   }
+  if (!is_same_epoch) {
+    ledger.charges.clear();
+    ledger.sequence = 0;
+  }
+  if (copy.is_delta)
+    add_charges(ledger, copy, now, ack);
+  else
+    take_whole(ledger, copy, now);
+  out.push_back({from, {}, std::move(ack)});
   ledger.copy_epoch = copy.epoch;
   ledger.has_copy = true;
+  ledger.next_permit = std::max(ledger.next_permit, copy.next_permit);
+  if (copy.sequence < ledger.sequence) return;
   ledger.sequence = copy.sequence;
-  ledger.next_permit = copy.next_permit;
   ledger.tokens = copy.tokens;
   ledger.refilled_at = now;
-  if (copy.is_delta) return;
-  ledger.charges.clear();
-  for (const Charge &charge : copy.charges) ledger.charges.push_back(entry_of(charge, now));
 }
 
 void Purser::handle(NodeId from, const LedgerAck &ack, Instant now, Outbox &out) {
@@ -466,14 +484,15 @@
       replica_in(roster_.pilots, ack.tenant) != from)
     return;
   if (ack.needs_whole) {
-    // Deltas under way behind the one that was lost are refused as well; one whole ledger answers them all.
+    // All charges that are under way are refused likewise; one whole ledger answers them all.
+    ledger.is_whole_acked = false;
     if (now - ledger.whole_at >= options_.copy_again) send_copy(ack.tenant, ledger, now, out);
     return;
   }
-  if (ack.sequence > ledger.acked) ledger.resend_after = options_.copy_again;
-  ledger.acked = std::max(ledger.acked, ack.sequence);
-  while (!ledger.unacked.empty() && ledger.unacked.front().sequence <= ledger.acked)
-    ledger.unacked.pop_front();
+  ledger.is_whole_acked = ledger.is_whole_acked || ack.sequence > 0;
+  ledger.unacked.erase(ledger.unacked.begin(), ledger.unacked.upper_bound(ack.sequence));
+  for (std::uint64_t sequence : ack.charges) ledger.unacked.erase(sequence);
+  ledger.resend.answered(now, options_.copy_again);
   release(ledger, out);
 }
 
--- a/packages/purser/purser.hpp
+++ b/packages/purser/purser.hpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "signals/signals.hpp"
+#include "tide/backoff.hpp"
 
 namespace wharf {
 
@@ -22,6 +23,8 @@
   Span copy_again = milliseconds(80), copy_again_most = milliseconds(640);
   /// How often a replica gets the whole ledger; between, only each new charge.
   Span copy_whole = seconds(2);
+  /// Unacknowledged charges that go along with each new one, so that a lost message delays none of them.
+  std::size_t charges_repeated = 8;
   double permit_share = 0.10;
   /// What all nodes together may spend of base a second while an owner is silent, and for how long a
   /// successor takes it that they did.
@@ -72,17 +75,13 @@
     std::uint32_t tokens = 0, granted = 0, gone = 0;
     Instant expires = 0;
     bool is_open = false, is_final = false;
+    std::uint64_t sequence = 0;
   };
   struct Answer {
     std::uint64_t sequence = 0;
     NodeId to = 0;
     PermitSay say;
   };
-  /// A charge that the replica has not acknowledged yet.
-  struct UnackedCharge {
-    std::uint64_t sequence = 0;
-    Entry entry;
-  };
   /// The last ask of a node that was granted, to be answered alike when it is sent again.
   struct GrantedAsk {
     std::uint64_t ask = 0, sequence = 0;
@@ -94,18 +93,21 @@
     double tokens = 0;
     Instant refilled_at = 0;
     std::deque<Entry> charges;
-    std::uint64_t sequence = 0, acked = 0, next_permit = 0;
+    std::uint64_t sequence = 0, next_permit = 0;
+    /// At a replica: up to where the ledger was sent whole.
+    std::uint64_t whole_sequence = 0;
     Epoch copy_epoch = 0;
     bool has_copy = false;
     /// Permits of earlier epochs may be out that this ledger has never seen.
     Epoch blind_before = 0;
-    Instant settled_at = 0, copied_at = 0, whole_at = 0;
+    Instant settled_at = 0, handed_over_at = 0, whole_at = 0;
     std::deque<Answer> answers;
-    /// Charges after `acked`, the oldest first; complete while `is_followed`.
-    std::deque<UnackedCharge> unacked;
-    /// True once the replica of this epoch was sent the whole ledger, so that new charges alone will do.
-    bool is_followed = false;
-    Span resend_after = 0;
+    /// Charges that the replica has not acknowledged yet, by sequence number.
+    std::map<std::uint64_t, Entry> unacked;
+    /// Whether the replica of this epoch was sent the whole ledger, so that new charges alone will do, and
+    /// whether it has acknowledged one.
+    bool is_followed = false, is_whole_acked = false;
+    Backoff resend;
     std::map<NodeId, GrantedAsk> granted_asks;
     NodeId handover_to = 0;
     Epoch handover_epoch = 0;
@@ -136,18 +138,23 @@
   void start_unknown(const Allowance &allowance, Ledger &ledger, Instant now);
   /// Sends the replica the whole ledger.
   void send_copy(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out);
-  /// Sends the charges after a sequence number alone; earlier ones may still be on their way.
-  void send_charges_after(std::uint64_t base, const std::string &tenant, Ledger &ledger, Instant now,
-                          Outbox &out);
-  /// Sends the newest charge alone, now and then the whole ledger.
+  /// Sends the replica unacknowledged charges from a sequence number on.
+  void send_charges_from(std::uint64_t sequence, const std::string &tenant, Ledger &ledger, Instant now,
+                         Outbox &out);
+  /// The first of the unacknowledged charges that go along with the newest.
+  std::uint64_t oldest_repeated(const Ledger &ledger) const;
+  /// Sends the newest charges, now and then the whole ledger.
   void send_charge(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out);
   /// Sends again what the replica has not acknowledged for too long.
   void resend_unacked(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out);
   /// Answers an ask that was granted before as it was then; false when it was not.
   bool answer_again(const Ledger &ledger, NodeId from, const PermitAsk &ask, Outbox &out) const;
-  /// Applies the charges of a delta that this replica lacks; false when earlier ones are missing here.
-  bool apply_delta(Ledger &ledger, const LedgerCopy &copy, Instant now) const;
-  void release(Ledger &ledger, Outbox &out);
+  /// Adds single charges to this replica's ledger, each once, and names them in the acknowledgement.
+  static void add_charges(Ledger &ledger, const LedgerCopy &copy, Instant now, LedgerAck &ack);
+  /// Takes a ledger that was sent whole; charges that were added to it before it came are kept.
+  static void take_whole(Ledger &ledger, const LedgerCopy &copy, Instant now);
+  /// Sends the answers whose charges the replica holds.
+  static void release(Ledger &ledger, Outbox &out);
   /// Forgets what only the owner of an epoch keeps.
   static void forget_owner_state(Ledger &ledger);
 
--- a/packages/signals/signals.cpp
+++ b/packages/signals/signals.cpp
@@ -56,6 +56,21 @@
   return ranked;
 }
 
+NodeId top_ranked_node(const std::vector<NodeId> &nodes, std::string_view name, std::uint64_t salt) {
+  std::pair<std::uint64_t, NodeId> best;
+  for (NodeId node : nodes)
+    best = std::max(best, {stable_hash(name.data(), name.size(), node ^ (salt << 56)), node});
+  return best.second;
+}
+
+NodeId OwnerCache::owner_of(const std::string &name, const Roster &roster) {
+  if (roster.epoch != epoch_) owners_.clear();
+  epoch_ = roster.epoch;
+  const auto [found, is_new] = owners_.try_emplace(name, 0);
+  if (is_new) found->second = top_ranked_node(roster.pilots, name, salt_);
+  return found->second;
+}
+
 std::string_view signal_name_at(std::size_t kind) {
   static constexpr std::array<std::string_view, std::variant_size_v<Signal>> names{"Muster",
                                                                                    "FoundAsk",
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -186,6 +187,21 @@
 
 /// Ranks nodes for a name by highest random weight; the first is its owner, the second its replica.
 std::vector<NodeId> rank_nodes(const std::vector<NodeId> &nodes, std::string_view name, std::uint64_t salt);
+/// The first of that ranking, or 0 where there is no node, without ranking the others.
+NodeId top_ranked_node(const std::vector<NodeId> &nodes, std::string_view name, std::uint64_t salt);
+
+/// The owners of names in one node set, each worked out once.
+class OwnerCache {
+public:
+  explicit OwnerCache(std::uint64_t salt) : salt_(salt) {}
+  /// The owner of a name in the node set of an epoch; asked with another epoch, it forgets the one before.
+  NodeId owner_of(const std::string &name, const Roster &roster);
+
+private:
+  std::uint64_t salt_;
+  Epoch epoch_ = 0;
+  std::unordered_map<std::string, NodeId> owners_;
+};
 constexpr std::uint64_t purser_salt = 11, stevedore_salt = 23;
 
 /// What a pilot measured of one tenant's errands under one rule since it last told.
@@ -232,12 +248,13 @@
   std::vector<RunnerView> runners;
   /// False when the pilot has this epoch's roster already and only the epoch is told.
   bool has_roster = true;
-  /// When not 0, `runners` are only those that changed since this stamp, and `gone` those that went.
+  /// When not 0, `runners` are only those of the services that changed since this stamp, which are named in
+  /// `changed_services`. Either way only services that the node owns are told.
   std::uint64_t since_stamp = 0;
-  std::vector<std::string> gone;
+  std::vector<std::string> changed_services;
   Version manifest_base = 0;
   WHARF_CARRY(manifest_base, sent_at, age, term, version, has_manifest, manifest, roster, settled, quiet,
-              runners_stamp, has_runners, runners, has_roster, since_stamp, gone)
+              runners_stamp, has_runners, runners, has_roster, since_stamp, changed_services)
 };
 
 struct NotLeader {
@@ -304,9 +321,11 @@
   std::string tenant;
   Epoch epoch = 0;
   std::uint64_t ask = 0;
+  /// How often this ask was sent before.
+  std::uint32_t attempt = 0;
   std::uint32_t want = 0;
   std::vector<PermitReturn> returns;
-  WHARF_CARRY(tenant, epoch, ask, want, returns)
+  WHARF_CARRY(tenant, epoch, ask, attempt, want, returns)
 };
 struct PermitSay {
   std::string tenant;
@@ -314,7 +333,9 @@
   std::uint32_t tokens = 0;
   Span window = 0, retry_after = 0;
   bool is_owner = true;
-  WHARF_CARRY(tenant, ask, permit, tokens, window, retry_after, is_owner)
+  /// The attempt that was granted: the tokens' life begins when that was sent.
+  std::uint32_t attempt = 0;
+  WHARF_CARRY(tenant, ask, permit, tokens, window, retry_after, is_owner, attempt)
 };
 
 /// One charge a purser keeps until it is older than the quota window.
@@ -324,7 +345,9 @@
   std::uint32_t tokens = 0, granted = 0, gone = 0;
   Span age = 0;
   bool is_open = true, is_final = false;
-  WHARF_CARRY(permit, node, tokens, granted, gone, age, is_open, is_final)
+  /// The ledger's sequence number of the grant it comes from; 0 where several were put together.
+  std::uint64_t sequence = 0;
+  WHARF_CARRY(permit, node, tokens, granted, gone, age, is_open, is_final, sequence)
 };
 /// A tenant's ledger as it goes to a replica or a successor.
 struct LedgerCopy {
@@ -334,19 +357,20 @@
   double tokens = 0;
   std::vector<Charge> charges;
   bool is_handover = false;
-  /// True when `charges` holds one charge for each sequence number after `base` and nothing else.
+  /// True when `charges` holds single charges to be added to the ledger that was sent whole before, in any
+  /// order.
   bool is_delta = false;
-  std::uint64_t base = 0;
-  WHARF_CARRY(tenant, epoch, sequence, next_permit, tokens, charges, is_handover, is_delta, base)
+  WHARF_CARRY(tenant, epoch, sequence, next_permit, tokens, charges, is_handover, is_delta)
 };
-/// What a replica holds of a ledger.
+/// What a replica holds of a ledger: of a whole one all up to `sequence`, else just the charges named.
 struct LedgerAck {
   std::string tenant;
   Epoch epoch = 0;
   std::uint64_t sequence = 0;
-  /// True when charges before those sent are missing here, so that only the whole ledger helps.
+  std::vector<std::uint64_t> charges;
+  /// True when the replica has no ledger to add charges to.
   bool needs_whole = false;
-  WHARF_CARRY(tenant, epoch, sequence, needs_whole)
+  WHARF_CARRY(tenant, epoch, sequence, charges, needs_whole)
 };
 
 struct SlotAsk {
