--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -12,17 +12,28 @@
   const Outcome outcome = outcome_of(fate);
   return "errands_" + std::string(outcome.reason);
 }
+/// The shortest aim of the rules that lead to each service, in milliseconds; services without one are left
+/// out.
+using AimsByService = std::unordered_map<std::string_view, std::uint32_t>;
+
+AimsByService shortest_aims(const Compass &compass) {
+  AimsByService aims;
+  for (const Rule &rule : compass.rules()) {
+    if (rule.aim_ms == 0) continue;
+    for (const Target &target : rule.targets) {
+      const auto [found, is_new] = aims.try_emplace(target.service, rule.aim_ms);
+      if (!is_new) found->second = std::min(found->second, rule.aim_ms);
+    }
+  }
+  return aims;
+}
+
 /// Sets how long a runner of a service is worth keeping, and whether slots are kept spare, from what starts
 /// and memory cost beside the worth of a call that comes too late for its aim.
-void weigh_starts(const Charter &charter, const Service &service, BerthPlan &plan) {
-  const Limits &limits = charter.limits;
+void weigh_starts(const Limits &limits, const Service &service, const AimsByService &aims, BerthPlan &plan) {
   if (limits.memory_price == 0 || service.boot_ms == 0) return;
-  std::uint32_t aim_ms = 0;
-  for (const Rule &rule : charter.compass.rules()) {
-    const bool leads_here = std::any_of(rule.targets.begin(), rule.targets.end(),
-                                        [&](const Target &target) { return target.service == service.name; });
-    if (leads_here && rule.aim_ms > 0) aim_ms = aim_ms == 0 ? rule.aim_ms : std::min(aim_ms, rule.aim_ms);
-  }
+  const auto aim = aims.find(service.name);
+  const std::uint32_t aim_ms = aim == aims.end() ? 0 : aim->second;
   constexpr double late_share = 0.6, calls_late = 2;
   plan.is_priced = true;
   plan.wait_well = milliseconds(aim_ms) * 3 / 10;
@@ -381,6 +392,7 @@
     allowances[tenant.name] = {static_cast<double>(tenant.base), static_cast<double>(tenant.burst)};
   purser_.set_allowances(std::move(allowances), now);
   std::map<std::string, BerthPlan> plans;
+  const AimsByService aims = shortest_aims(charter->compass);
   for (const Service &service : charter->services) {
     BerthPlan plan;
     plan.slots = static_cast<std::uint32_t>(service.slots);
@@ -392,7 +404,7 @@
     plan.wait_most = milliseconds(charter->limits.wait_most_ms);
     plan.boot = milliseconds(service.boot_ms);
     plan.is_self_bounding = service.self_bounding;
-    weigh_starts(*charter, service, plan);
+    weigh_starts(charter->limits, service, aims, plan);
     plans[service.name] = plan;
   }
   stevedore_.set_plans(std::move(plans), now, out.mail);
