Let only machines near the best in link and processor own tenants and services

Cause: an owner is a hub; its traffic grows with the whole deployment. On the grown sites 59 of 67 (85 of 93) nodes have 2 Mbit/s and a quarter of the others' processor; the owner of a much asked service or tenant was over its link, its lease ran out, and it was kept as an owner as its late reports still came. Ruled out: processor (2 to 4 percent of a core of 6.2). Change: nodes report link and processor; the node set names owner candidates, those with at least an eighth of the best in both, where four or more are left; all nodes where machines are alike, as on the small sites. Test: machines_with_far_less_than_the_best_own_nothing_while_enough_others_do.

--- a/packages/berth/berth.cpp
+++ b/packages/berth/berth.cpp
@@ -16,7 +16,7 @@
   for (const PastRoster &past : roster_.past) {
     if (past.epoch < epoch) continue;
     if (past.epoch == epoch) is_found = true;
-    if (owner_in(past.pilots, service) != self_) return false;
+    if (owner_in(past.owners(), service) != self_) return false;
   }
   return is_found;
 }
@@ -86,7 +86,7 @@
 void Stevedore::set_plans(std::map<std::string, BerthPlan> plans, Instant now, Outbox &out) {
   plans_ = std::move(plans);
   for (const auto &[service, plan] : plans_) {
-    if (roster_.epoch == 0 || berths_.contains(service) || owner_in(roster_.pilots, service) != self_)
+    if (roster_.epoch == 0 || berths_.contains(service) || owner_in(roster_.owners(), service) != self_)
       continue;
     begin(service, now);
   }
@@ -108,7 +108,7 @@
     roster_ = roster;
     for (auto berth = berths_.begin(); berth != berths_.end();) {
       const bool is_kept =
-          owner_in(roster_.pilots, berth->first) == self_ && was_owner_since(old_epoch, berth->first);
+          owner_in(roster_.owners(), berth->first) == self_ && was_owner_since(old_epoch, berth->first);
       if (is_kept) {
         ++berth;
         continue;
@@ -127,7 +127,7 @@
     }
     std::erase_if(former_, [now](const auto &item) { return now - item.second.lost_at > seconds(60); });
     for (const auto &[service, plan] : plans_)
-      if (owner_in(roster_.pilots, service) == self_ && !berths_.contains(service)) begin(service, now);
+      if (owner_in(roster_.owners(), service) == self_ && !berths_.contains(service)) begin(service, now);
   }
   settled_ = std::max(settled_, settled);
   tick(now, out);
@@ -144,7 +144,7 @@
   bool is_direct = false;
   for (std::size_t at = 0; at < roster_.past.size(); ++at) {
     const Epoch next = at + 1 < roster_.past.size() ? roster_.past[at + 1].epoch : roster_.epoch;
-    if (next == epoch && owner_in(roster_.past[at].pilots, service) == self_ &&
+    if (next == epoch && owner_in(roster_.past[at].owners(), service) == self_ &&
         roster_.past[at].epoch >= found->second.berth.since)
       is_direct =
           roster_.past[at].epoch == found->second.until || was_owner_since(found->second.until, service);
@@ -435,7 +435,7 @@
     berth.hulls[held.runner].taken[held.errand] = {from, now + held.left, now, held.attempt};
     berth.granted[held.errand] = held.runner;
   }
-  if (!roster_.past.empty() && owner_in(roster_.past.back().pilots, say.service) == from) {
+  if (!roster_.past.empty() && owner_in(roster_.past.back().owners(), say.service) == from) {
     for (const HeldSlot &held : say.berth_held) {
       berth.hulls[held.runner].taken[held.errand] = {held.pilot, now + held.left, now, held.attempt};
       berth.granted[held.errand] = held.runner;
--- a/packages/bosun/options.cpp
+++ b/packages/bosun/options.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdlib>
 #include <fstream>
 #include <map>
 #include <sstream>
@@ -13,6 +14,14 @@
 
 namespace {
 bool is_any(std::string_view) { return true; }
+bool is_decimal_or_none(std::string_view text) {
+  if (text.empty()) return true;
+  const std::string whole(text);
+  char *end = nullptr;
+  const double value = std::strtod(whole.c_str(), &end);
+  return *end == '\0' && value >= 0 && value <= 1e6;
+}
+
 bool is_word(std::string_view text) {
   return !text.empty() && text.size() <= 32 &&
          std::all_of(text.begin(), text.end(), [](unsigned char letter) {
@@ -65,7 +74,8 @@
   const bool is_control_only = name == "data" || name == "platform" || name == "operator_token" ||
                                name == "pace" || name == "may_found" || name == "in_memory" ||
                                name == "replica";
-  return kind == ProgramKind::harbourd ? name != "readiness" : !is_control_only;
+  const bool is_edge_only = name == "readiness" || name == "link_mbps" || name == "cpu_share";
+  return kind == ProgramKind::harbourd ? !is_edge_only : !is_control_only;
 }
 
 struct Known {
@@ -86,6 +96,10 @@
   return split_address(text, ip, port) && port > 0;
 }
 
+std::uint32_t thousandths_of(const std::string &decimal) {
+  return decimal.empty() ? 0 : static_cast<std::uint32_t>(std::strtod(decimal.c_str(), nullptr) * 1000);
+}
+
 std::vector<std::string> ProcessOptions::seed_list() const {
   std::vector<std::string> list = split_commas(seeds);
   for (std::string &seed : list)
--- a/packages/bosun/options.hpp
+++ b/packages/bosun/options.hpp
@@ -16,6 +16,8 @@
   TEXT(http, "", is_address, "Address the HTTP side listens on, ip:port.")                                   \
   TEXT(readiness, "", is_address_or_none, "Address that says whether this process is ready; pilotd only.")   \
   TEXT(name, "", is_any, "This machine's name, as its platform knows it.")                                   \
+  TEXT(link_mbps, "", is_decimal_or_none, "Width of this machine's link in Mbit/s; pilotd only.")            \
+  TEXT(cpu_share, "", is_decimal_or_none, "Share of a core that this process may use; pilotd only.")         \
   TEXT(zone, "a", is_word, "Zone this machine is in.")                                                       \
   TEXT(seeds, "", is_seeds, "One or three addresses of other processes, separated by commas.")               \
   TEXT(data, "", is_any, "Data folder; harbourd only.")                                                      \
@@ -52,5 +54,7 @@
 std::variant<Launch, EndNow> read_launch(ProgramKind kind, int count, const char *const *words);
 
 bool is_address(std::string_view text);
+/// A decimal text times 1,000; 0 for an empty one.
+std::uint32_t thousandths_of(const std::string &decimal);
 
 } // namespace wharf
--- a/packages/control/control_node.hpp
+++ b/packages/control/control_node.hpp
@@ -100,6 +100,10 @@
   Span duty = milliseconds(1200);
   Span drift = milliseconds(100);
   Span pilot_silence = milliseconds(1100);
+  /// A node owns tenants and services unless the best link, or processor, is more than this many times its
+  /// own; all nodes do where fewer than `owners_least` would be left.
+  std::uint32_t owner_capacity_ratio = 8;
+  std::size_t owners_least = 4;
   /// How long the pilots wanted must have stayed the same before they become the roster, and how long that
   /// may be put off while they come and go.
   Span enrol_gather = milliseconds(300), enrol_most = milliseconds(900);
@@ -183,6 +187,7 @@
     Instant offered_until = 0;
     bool is_leaving = false;
     std::string address;
+    NodeCapacity capacity;
     std::map<std::string, Want> wants;
   };
   struct Proposal {
@@ -305,6 +310,14 @@
   /// Hands the lead to a voter that stays, once this process is leaving.
   void maintain_handover(Instant now, ControlOutput &out);
   void maintain_roster(Instant now, ControlOutput &out);
+  /// Those of a node set that are to own tenants and services; empty for all of them. An owner is a hub: what
+  /// it sends grows with the whole deployment, so a machine that has but a fraction of the best ones' link or
+  /// processor is left out while enough others are there.
+  std::vector<NodeId> owner_candidates(const std::vector<NodeId> &pilots) const;
+  /// Those that were candidates in the node set in force, while not all have reported to this leader.
+  std::vector<NodeId> earlier_candidates(const std::vector<NodeId> &pilots) const;
+  /// Those whose machines are not far below the best; all must have reported.
+  std::vector<NodeId> nodes_of_capacity(const std::vector<NodeId> &pilots) const;
   void maintain_runners(Instant now, ControlOutput &out);
   void refresh_views(Instant now);
   /// What nodes are to be told of a runner, or nothing when they are not to know of it.
--- a/packages/control/node_leases.cpp
+++ b/packages/control/node_leases.cpp
@@ -86,6 +86,7 @@
   session.epoch = std::max(session.epoch, pulse.epoch);
   session.stamp = pulse.runners_term == raft_.term() ? pulse.runners_stamp : 0;
   session.is_leaving = pulse.is_leaving;
+  session.capacity = pulse.capacity;
   const auto before = std::move(session.wants);
   session.wants.clear();
   for (const Want &want : pulse.wants) {
--- a/packages/control/placement_epochs.cpp
+++ b/packages/control/placement_epochs.cpp
@@ -32,10 +32,47 @@
   std::vector<std::string> addresses;
   addresses.reserve(wanted.size());
   for (NodeId pilot : wanted) addresses.push_back(address_of_pilot(pilot));
-  if (!propose(PutRoster{std::move(wanted), std::move(addresses)}, now, out))
+  std::vector<NodeId> candidates = owner_candidates(wanted);
+  if (!propose(PutRoster{std::move(wanted), std::move(addresses), std::move(candidates)}, now, out))
     is_roster_proposed_ = false;
   else
     out.lines.push_back("roster of " + std::to_string(count) + " pilots");
 }
 
+std::vector<NodeId> ControlNode::owner_candidates(const std::vector<NodeId> &pilots) const {
+  const bool is_all_reported =
+      std::all_of(pilots.begin(), pilots.end(), [this](NodeId pilot) { return sessions_.contains(pilot); });
+  std::vector<NodeId> candidates = is_all_reported ? nodes_of_capacity(pilots) : earlier_candidates(pilots);
+  const bool has_enough = candidates.size() >= options_.owners_least && candidates.size() < pilots.size();
+  return has_enough ? candidates : std::vector<NodeId>{};
+}
+
+std::vector<NodeId> ControlNode::earlier_candidates(const std::vector<NodeId> &pilots) const {
+  const std::vector<NodeId> &earlier = registry_.roster().owner_candidates;
+  std::vector<NodeId> candidates;
+  std::copy_if(pilots.begin(), pilots.end(), std::back_inserter(candidates), [&](NodeId pilot) {
+    return std::find(earlier.begin(), earlier.end(), pilot) != earlier.end();
+  });
+  return candidates;
+}
+
+std::vector<NodeId> ControlNode::nodes_of_capacity(const std::vector<NodeId> &pilots) const {
+  NodeCapacity best;
+  for (NodeId pilot : pilots) {
+    const NodeCapacity &capacity = sessions_.at(pilot).capacity;
+    best.link_kbps = std::max(best.link_kbps, capacity.link_kbps);
+    best.cpu_permille = std::max(best.cpu_permille, capacity.cpu_permille);
+  }
+  const auto is_enough = [this](std::uint32_t own, std::uint32_t most) {
+    return own == 0 || std::uint64_t{own} * options_.owner_capacity_ratio >= most;
+  };
+  std::vector<NodeId> list;
+  for (NodeId pilot : pilots) {
+    const NodeCapacity &capacity = sessions_.at(pilot).capacity;
+    if (is_enough(capacity.link_kbps, best.link_kbps) && is_enough(capacity.cpu_permille, best.cpu_permille))
+      list.push_back(pilot);
+  }
+  return list;
+}
+
 } // namespace wharf
--- a/packages/control/registry.cpp
+++ b/packages/control/registry.cpp
@@ -147,13 +147,15 @@
 
 Applied Registry::apply_one(const PutRoster &command) {
   if (roster_.epoch != 0) {
-    roster_.past.push_back({roster_.epoch, roster_.pilots, roster_.addresses, roster_.taken_ms});
+    roster_.past.push_back(
+        {roster_.epoch, roster_.pilots, roster_.addresses, roster_.taken_ms, roster_.owner_candidates});
     if (roster_.past.size() > past_kept) roster_.past.erase(roster_.past.begin());
   }
   roster_.is_first = roster_.epoch == 0;
   ++roster_.epoch;
   roster_.pilots = command.pilots;
   roster_.addresses = command.addresses;
+  roster_.owner_candidates = command.owner_candidates;
   roster_.taken_ms = clock_ms_;
   return {};
 }
--- a/packages/control/registry.hpp
+++ b/packages/control/registry.hpp
@@ -34,7 +34,11 @@
 struct PutRoster {
   std::vector<NodeId> pilots;
   std::vector<std::string> addresses;
-  WHARF_CARRY(pilots, addresses)
+  std::vector<NodeId> owner_candidates{};
+  template <typename Archive> void serialize(Archive &archive, unsigned version) {
+    wharf::carry(archive, pilots, addresses);
+    if (version >= 1) wharf::carry(archive, owner_candidates);
+  }
 };
 /// A runner as the group has decided on it.
 struct RunnerRecord {
@@ -154,3 +158,5 @@
 };
 
 } // namespace wharf
+
+BOOST_CLASS_VERSION(wharf::PutRoster, 1)
--- a/packages/control/status.cpp
+++ b/packages/control/status.cpp
@@ -79,12 +79,12 @@
   }
   if (charter_) {
     for (const Tenant &tenant : charter_->tenants) {
-      const auto ranked = rank_nodes(registry_.roster().pilots, tenant.name, purser_salt);
+      const auto ranked = rank_nodes(registry_.roster().owners(), tenant.name, purser_salt);
       root["pursers"][tenant.name] = {{"owner", ranked.empty() ? "" : std::to_string(ranked[0])},
                                       {"replica", ranked.size() < 2 ? "" : std::to_string(ranked[1])}};
     }
     for (const Service &service : charter_->services) {
-      const NodeId owner = top_ranked_node(registry_.roster().pilots, service.name, stevedore_salt);
+      const NodeId owner = top_ranked_node(registry_.roster().owners(), service.name, stevedore_salt);
       Json item = {{"stevedore", owner == 0 ? "" : std::to_string(owner)}, {"runners", Json::array()}};
       std::size_t ready = 0, wanted = static_cast<std::size_t>(service.least);
       for (const auto &[id, record] : registry_.runners()) {
--- a/packages/helm/pilot_helm.cpp
+++ b/packages/helm/pilot_helm.cpp
@@ -51,8 +51,9 @@
 
 PilotHelm::~PilotHelm() = default;
 
-PilotHelmOptions pilot_helm_options(const ProcessOptions &) {
+PilotHelmOptions pilot_helm_options(const ProcessOptions &options) {
   PilotHelmOptions made;
+  made.pilot.capacity = {thousandths_of(options.link_mbps), thousandths_of(options.cpu_share)};
   made.pilot.purser.life = seconds(1);
   made.pilot.purser.fallback_taken = milliseconds(1500);
   made.pilot.purser.start_slack = 0.08;
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -268,6 +268,7 @@
   pulse.runners_stamp = runners_stamp_;
   pulse.runners_term = runners_term_;
   pulse.is_leaving = is_leaving_;
+  pulse.capacity = options_.capacity;
   pulse.wants = stevedore_.wants(now);
   pulse.up_for = now - born_;
   const auto note_replaced = [&](const std::vector<NodeId> &pilots,
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -66,6 +66,8 @@
 };
 
 struct PilotOptions {
+  /// What this machine has, as the leader is told.
+  NodeCapacity capacity;
   Span pulse = milliseconds(250);
   Span pulse_least = milliseconds(30);
   /// A living pilot that has not answered directly for this long is reached through another.
--- a/packages/purser/purser.cpp
+++ b/packages/purser/purser.cpp
@@ -34,7 +34,7 @@
   for (const auto &[tenant, allowance] : allowances) {
     Ledger &ledger = ledgers_[tenant];
     const bool is_new = !allowances_.contains(tenant);
-    const bool is_owner = roster_.epoch != 0 && owner_in(roster_.pilots, tenant) == self_;
+    const bool is_owner = roster_.epoch != 0 && owner_in(roster_.owners(), tenant) == self_;
     if (is_new && is_owner && ledger.post == Post::none) {
       ledger.post = Post::awaiting;
       ledger.settled_at = settled_ >= roster_.epoch ? settled_at_ : 0;
@@ -61,9 +61,9 @@
     if (past.epoch < ledger.copy_epoch) continue;
     if (past.epoch == ledger.copy_epoch) {
       is_found = true;
-      owner = owner_in(past.pilots, tenant);
+      owner = owner_in(past.owners(), tenant);
     }
-    if (!is_found || owner_in(past.pilots, tenant) != owner || replica_in(past.pilots, tenant) != self_)
+    if (!is_found || owner_in(past.owners(), tenant) != owner || replica_in(past.owners(), tenant) != self_)
       return false;
   }
   return is_found;
@@ -74,7 +74,7 @@
   for (const PastRoster &past : roster_.past) {
     if (past.epoch < epoch) continue;
     if (past.epoch == epoch) is_found = true;
-    if (owner_in(past.pilots, tenant) != self_) return false;
+    if (owner_in(past.owners(), tenant) != self_) return false;
   }
   return is_found;
 }
@@ -84,7 +84,7 @@
     const Roster old = roster_;
     roster_ = roster;
     for (auto &[tenant, ledger] : ledgers_) {
-      const NodeId owner = owner_in(roster_.pilots, tenant);
+      const NodeId owner = owner_in(roster_.owners(), tenant);
       if (ledger.handover_to != owner) ledger.handover_to = 0;
       if (owner == self_) {
         ledger.handover_to = 0;
@@ -112,7 +112,7 @@
         hand_over(tenant, ledger, owner, now, out);
       }
       if (was_owner) ledger.has_copy = false;
-      ledger.post = replica_in(roster_.pilots, tenant) == self_ ? Post::replica : Post::none;
+      ledger.post = replica_in(roster_.owners(), tenant) == self_ ? Post::replica : Post::none;
     }
   }
   if (settled > settled_) {
@@ -137,11 +137,11 @@
   for (const PastRoster &past : roster_.past) {
     if (past.epoch < copy.epoch)
       before = &past;
-    else if (owner_in(past.pilots, copy.tenant) != self_)
+    else if (owner_in(past.owners(), copy.tenant) != self_)
       return false;
   }
   if (before == nullptr || before->epoch + 1 != copy.epoch) return false;
-  return owner_in(before->pilots, copy.tenant) == from || replica_in(before->pilots, copy.tenant) == from;
+  return owner_in(before->owners(), copy.tenant) == from || replica_in(before->owners(), copy.tenant) == from;
 }
 
 void Purser::start_unknown(const Allowance &allowance, Ledger &ledger, Instant now) {
@@ -215,7 +215,7 @@
 }
 
 void Purser::send_copy(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out) {
-  const NodeId replica = replica_in(roster_.pilots, tenant);
+  const NodeId replica = replica_in(roster_.owners(), tenant);
   if (replica == 0) {
     ledger.is_whole_acked = true;
     ledger.unacked.clear();
@@ -240,12 +240,12 @@
   copy.is_delta = true;
   for (auto charge = ledger.unacked.lower_bound(sequence); charge != ledger.unacked.end(); ++charge)
     copy.charges.push_back(charge_of(charge->second, now));
-  out.push_back({replica_in(roster_.pilots, tenant), {}, std::move(copy)});
+  out.push_back({replica_in(roster_.owners(), tenant), {}, std::move(copy)});
 }
 
 void Purser::send_charge(const std::string &tenant, Ledger &ledger, Instant now, Outbox &out) {
   const bool is_whole_due = now - ledger.whole_at >= options_.copy_whole;
-  if (replica_in(roster_.pilots, tenant) == 0 || !ledger.is_followed || is_whole_due)
+  if (replica_in(roster_.owners(), tenant) == 0 || !ledger.is_followed || is_whole_due)
     send_copy(tenant, ledger, now, out);
   else
     send_charges_from(oldest_repeated(ledger), tenant, ledger, now, out);
@@ -481,7 +481,7 @@
   Ledger &ledger = found->second;
   if (ledger.handover_to == from && ack.epoch == ledger.handover_epoch) ledger.handover_to = 0;
   if (ledger.post != Post::ready || ack.epoch != roster_.epoch ||
-      replica_in(roster_.pilots, ack.tenant) != from)
+      replica_in(roster_.owners(), ack.tenant) != from)
     return;
   if (ack.needs_whole) {
     // All charges that are under way are refused likewise; one whole ledger answers them all.
--- a/packages/signals/signals.cpp
+++ b/packages/signals/signals.cpp
@@ -67,7 +67,7 @@
   if (roster.epoch != epoch_) owners_.clear();
   epoch_ = roster.epoch;
   const auto [found, is_new] = owners_.try_emplace(name, 0);
-  if (is_new) found->second = top_ranked_node(roster.pilots, name, salt_);
+  if (is_new) found->second = top_ranked_node(roster.owners(), name, salt_);
   return found->second;
 }
 
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include <boost/serialization/version.hpp>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -163,6 +164,12 @@
   WHARF_CARRY(id, service, address, worker, zone, seal_key, is_leaving, is_booting, booting_for, handle)
 };
 
+/// What a node's machine has; 0 where that is not known.
+struct NodeCapacity {
+  std::uint32_t link_kbps = 0, cpu_permille = 0;
+  WHARF_CARRY(link_kbps, cpu_permille)
+};
+
 /// An earlier roster, kept so that a successor can tell whether its copy is whole.
 struct PastRoster {
   Epoch epoch = 0;
@@ -170,7 +177,13 @@
   std::vector<std::string> addresses;
   /// When it was taken, by the group's own clock.
   std::int64_t taken_ms = 0;
-  WHARF_CARRY(epoch, pilots, addresses, taken_ms)
+  /// The pilots that own tenants and services; empty where all do.
+  std::vector<NodeId> owner_candidates{};
+  const std::vector<NodeId> &owners() const { return owner_candidates.empty() ? pilots : owner_candidates; }
+  template <typename Archive> void serialize(Archive &archive, unsigned version) {
+    wharf::carry(archive, epoch, pilots, addresses, taken_ms);
+    if (version >= 1) wharf::carry(archive, owner_candidates);
+  }
 };
 
 /// Who serves as purser and stevedore, by epoch.
@@ -182,7 +195,13 @@
   /// Where each pilot listens, in the order of `pilots`.
   std::vector<std::string> addresses;
   std::int64_t taken_ms = 0;
-  WHARF_CARRY(epoch, pilots, past, is_first, addresses, taken_ms)
+  /// The pilots that own tenants and services; empty where all do.
+  std::vector<NodeId> owner_candidates;
+  const std::vector<NodeId> &owners() const { return owner_candidates.empty() ? pilots : owner_candidates; }
+  template <typename Archive> void serialize(Archive &archive, unsigned version) {
+    wharf::carry(archive, epoch, pilots, past, is_first, addresses, taken_ms);
+    if (version >= 1) wharf::carry(archive, owner_candidates);
+  }
 };
 
 /// Ranks nodes for a name by highest random weight; the first is its owner, the second its replica.
@@ -226,8 +245,9 @@
   std::vector<NodeId> replaces;
   Span up_for = 0;
   std::vector<Sounding> soundings;
+  NodeCapacity capacity;
   WHARF_CARRY(sent_at, version, epoch, runners_stamp, runners_term, is_leaving, wants, replaces, up_for,
-              soundings)
+              soundings, capacity)
 };
 
 /// The leader's answer: a freshness permit and whatever is newer than the pilot has.
@@ -478,3 +498,6 @@
 std::uint32_t checksum(std::string_view bytes, std::uint32_t seed = 0);
 
 } // namespace wharf
+
+BOOST_CLASS_VERSION(wharf::PastRoster, 1)
+BOOST_CLASS_VERSION(wharf::Roster, 1)
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -441,6 +441,33 @@
   CHECK(rank_nodes(yard.control->registry().roster().pilots, "s", stevedore_salt)[0] == told[0]);
 }
 
+TEST(Recovery, machines_with_far_less_than_the_best_own_nothing_while_enough_others_do) {
+  struct Case {
+    std::size_t wide, narrow, candidates;
+  };
+  for (const Case &one : {Case{5, 20, 5}, Case{20, 0, 0}, Case{3, 20, 0}, Case{0, 9, 0}}) {
+    Yarded yard;
+    for (int round = 0; round < 12; ++round) {
+      for (std::size_t at = 0; at < one.wide + one.narrow; ++at) {
+        const NodeId id = 500 + at;
+        Pulse pulse;
+        pulse.sent_at = yard.now;
+        pulse.epoch = yard.control->registry().roster().epoch;
+        pulse.capacity = at < one.wide ? NodeCapacity{100'000, 260} : NodeCapacity{2'000, 62};
+        ControlOutput out;
+        yard.control->receive({id, "p" + std::to_string(id), pulse}, yard.now, out);
+        yard.take(out);
+      }
+      yard.pass(milliseconds(100));
+    }
+    const Roster &roster = yard.control->registry().roster();
+    LONGS_EQUAL(one.wide + one.narrow, roster.pilots.size());
+    LONGS_EQUAL(one.candidates, roster.owner_candidates.size());
+    LONGS_EQUAL(one.candidates == 0 ? roster.pilots.size() : one.candidates, roster.owners().size());
+    for (NodeId id : roster.owner_candidates) CHECK(id < 500 + one.wide);
+  }
+}
+
 TEST(Recovery, views_are_told_by_service_and_whole_once_changes_are_forgotten) {
   RunnerViews views;
   CHECK(views.update("r1", view("r1")));
