--- a/packages/control/node_leases.cpp
+++ b/packages/control/node_leases.cpp
@@ -87,14 +87,16 @@
   session.stamp = pulse.runners_term == raft_.term() ? pulse.runners_stamp : 0;
   session.is_leaving = pulse.is_leaving;
   session.capacity = pulse.capacity;
-  const auto before = std::move(session.wants);
-  session.wants.clear();
+  std::map<std::string, Want> wants;
+  if (!pulse.has_all_wants) wants = std::move(session.wants);
   for (const Want &want : pulse.wants) {
-    const auto known = before.find(want.service);
-    if (known == before.end() || known->second.runners != want.runners || known->second.retire != want.retire)
+    const auto known = pulse.has_all_wants ? session.wants.find(want.service) : wants.find(want.service);
+    const bool is_known = known != (pulse.has_all_wants ? session.wants.end() : wants.end());
+    if (!is_known || known->second.runners != want.runners || known->second.retire != want.retire)
       settle_at_ = now;
-    session.wants[want.service] = want;
+    wants[want.service] = want;
   }
+  session.wants = std::move(wants);
   Orders orders = orders_for(from, session, now);
   orders.sent_at = pulse.sent_at;
   session.permit_until = now + options_.fresh + options_.drift;
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -257,8 +257,23 @@
   if (leader_ != 0) out.mail.push_back({leader_, {}, signal});
 }
 
+std::vector<Want> Pilot::wants_to_report(bool has_all, Instant now) {
+  std::vector<Want> wants = stevedore_.wants(now);
+  if (has_all) reported_wants_.clear();
+  std::erase_if(wants, [&](const Want &want) {
+    const std::pair<std::uint32_t, std::size_t> newest(want.runners, want.retire.size());
+    const auto [reported, is_new] = reported_wants_.try_emplace(want.service, newest);
+    if (is_new) return false;
+    const bool is_known = reported->second == newest;
+    reported->second = newest;
+    return is_known;
+  });
+  return wants;
+}
+
 void Pilot::send_pulse(Instant now, PilotOutput &out) {
-  pulse_at_ = now + options_.pulse;
+  const bool has_all_wants = now >= pulse_at_;
+  pulse_at_ = has_all_wants ? now + options_.pulse : pulse_at_;
   pulsed_at_ = now;
   told_wants_ = stevedore_.wants_mark();
   Pulse pulse;
@@ -269,7 +284,8 @@
   pulse.runners_term = runners_term_;
   pulse.is_leaving = is_leaving_;
   pulse.capacity = options_.capacity;
-  pulse.wants = stevedore_.wants(now);
+  pulse.has_all_wants = has_all_wants;
+  pulse.wants = wants_to_report(has_all_wants, now);
   pulse.up_for = now - born_;
   const auto note_replaced = [&](const std::vector<NodeId> &pilots,
                                  const std::vector<std::string> &addresses) {
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -288,7 +288,9 @@
   double capacity_of(const std::string &tenant) const;
   NodeId owner_of_service(const std::string &service);
   NodeId owner_of_tenant(const std::string &tenant);
+  /// Reports to the leader; between the regular reports only the wants that changed.
   void send_pulse(Instant now, PilotOutput &out);
+  std::vector<Want> wants_to_report(bool has_all, Instant now);
   void send_leader(const Signal &signal, PilotOutput &out);
   void count(const std::string &name) { ++counters_[name]; }
 
@@ -339,6 +341,8 @@
   Instant born_ = 0, pulse_at_ = 0, heard_leader_at_ = 0;
   Instant pulsed_at_ = 0;
   std::uint64_t told_wants_ = 0;
+  /// What was reported last of each service: runners wanted and runners to retire.
+  std::map<std::string, std::pair<std::uint32_t, std::size_t>> reported_wants_;
   bool is_leaving_ = false;
   std::uint64_t next_ask_ = 1;
   std::map<std::string, std::uint64_t> counters_;
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -241,13 +241,15 @@
   std::uint64_t runners_stamp = 0, runners_term = 0;
   bool is_leaving = false;
   std::vector<Want> wants;
+  /// False when `wants` holds only what changed since the report before.
+  bool has_all_wants = true;
   /// Pilots that once listened where this one does; they have ended before this one began.
   std::vector<NodeId> replaces;
   Span up_for = 0;
   std::vector<Sounding> soundings;
   NodeCapacity capacity;
-  WHARF_CARRY(sent_at, version, epoch, runners_stamp, runners_term, is_leaving, wants, replaces, up_for,
-              soundings, capacity)
+  WHARF_CARRY(sent_at, version, epoch, runners_stamp, runners_term, is_leaving, wants, has_all_wants,
+              replaces, up_for, soundings, capacity)
 };
 
 /// The leader's answer: a freshness permit and whatever is newer than the pilot has.
