Show the checker for removed services on seeds where its defect is met

Cause: a_removed_service_that_still_runs_is_caught needs one of 24 seeds in which a node with the stale lease meets a removed service; messages now come in another order, and the defect shows in about one seed of 40 (80 and 82 of the first 200). Change: the 24 seeds begin at 70 instead of 50; as many seeds, the same checker must trip with the defect and no checker without it.

--- a/tests/drydock_test.cpp
+++ b/tests/drydock_test.cpp
@@ -93,5 +93,5 @@
   trips("kill-all", Defect::lying_disk, 4, "raft");
 }
 TEST(Drydock, a_removed_service_that_still_runs_is_caught) {
-  trips("manifest-moves", Defect::stale_permit, 3, "removed-service-ran", 50);
+  trips("manifest-moves", Defect::stale_permit, 3, "removed-service-ran", 70);
 }
