Back off by option: daemons on narrow links ever more seldom, others at a fixed pace

Change: the longest pauses of asks for tokens and of resent charges are the first ones by default; pilot_helm_options keeps 240 and 640 ms, so the deployed programs are unchanged.

--- a/packages/helm/pilot_helm.cpp
+++ b/packages/helm/pilot_helm.cpp
@@ -55,6 +55,9 @@
   PilotHelmOptions made;
   made.pilot.capacity = {thousandths_of(options.link_mbps), thousandths_of(options.cpu_share)};
   made.pilot.purser.life = seconds(1);
+  // Links here may be narrow: what is late there must not be sent ever more often.
+  made.pilot.permit_again_most = milliseconds(240);
+  made.pilot.purser.copy_again_most = milliseconds(640);
   made.pilot.purser.fallback_taken = milliseconds(1500);
   made.pilot.purser.start_slack = 0.08;
   made.pilot.fallback_as_before = 1;
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -81,7 +81,7 @@
   Span duty = milliseconds(1200);
   Span leader_silence = milliseconds(600);
   /// How long an ask for tokens may be unanswered before it is sent again; twice as long after each time.
-  Span permit_again = milliseconds(60), permit_again_most = milliseconds(240);
+  Span permit_again = milliseconds(60), permit_again_most = milliseconds(60);
   Span permit_patience = milliseconds(400);
   /// The wait for a permit of a tenant that evidently keeps within its allowance.
   Span modest_patience = milliseconds(1500);
--- a/packages/purser/purser.hpp
+++ b/packages/purser/purser.hpp
@@ -19,8 +19,9 @@
   Span life = milliseconds(250);
   Span quota_window = seconds(5);
   Span handover_patience = milliseconds(300);
-  /// How long a replica may take to acknowledge before its part is sent again; twice as long after each time.
-  Span copy_again = milliseconds(80), copy_again_most = milliseconds(640);
+  /// How long a replica may take to acknowledge before its part is sent again; twice as long after each time,
+  /// up to the longest.
+  Span copy_again = milliseconds(80), copy_again_most = milliseconds(80);
   /// How often a replica gets the whole ledger; between, only each new charge.
   Span copy_whole = seconds(2);
   /// Unacknowledged charges that go along with each new one, so that a lost message delays none of them.
--- a/tests/purser_test.cpp
+++ b/tests/purser_test.cpp
@@ -145,7 +145,9 @@
 }
 
 TEST(Purser, what_a_replica_does_not_acknowledge_is_sent_again_ever_more_seldom) {
-  Purser purser = owner(ranked()[0]);
+  PurserOptions options;
+  options.copy_again_most = milliseconds(640);
+  Purser purser = owner(ranked()[0], options);
   Outbox out;
   purser.set_roster(roster(1, {ranked()}), 1, start, out);
   purser.step(9, ask(1, 1), start, out);
