Drop mail for a process that ended at this address instead of passing it on for ever

Ruled out: a group without a leader (leads 0.5 s after the fault, node set 0.5 s later). Change: such mail is dropped. Test: mail_for_a_process_that_ended_at_this_address_does_not_come_back_to_it fails before (1 sent), passes now.

--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -158,7 +158,9 @@
     Envelope inner;
     std::size_t used = 0;
     if (passed->to != self_.id) {
-      if (is_out_of_reach(passed->to, now)) return;
+      // A process that ended may still be known at the address that is ours now: its mail would come back for
+      // ever.
+      if (is_out_of_reach(passed->to, now) || rollcall_.address_of(passed->to) == self_.address) return;
       out.mail.push_back({passed->to, {}, *passed});
     } else if (unframe(passed->frame, inner, used) == FrameState::whole) {
       dispatch(inner, now, out);
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -468,6 +468,27 @@
   }
 }
 
+TEST(Recovery, mail_for_a_process_that_ended_at_this_address_does_not_come_back_to_it) {
+  PilotRig rig;
+  PilotOutput out;
+  Member ended;
+  ended.id = 77;
+  ended.address = PilotRig::make_self().address;
+  ended.role = static_cast<std::uint8_t>(Role::pilot);
+  Member other = ended;
+  other.id = 78;
+  other.address = "elsewhere";
+  rig.pilot.receive({rig_other, "q", Muster{{ended, other}, {}, {}}}, rig.now, out);
+  const auto passed_on = [&](NodeId to) {
+    out = {};
+    rig.pilot.receive({rig_other, "q", PassOn{to, "frame"}}, rig.now, out);
+    return std::count_if(out.mail.begin(), out.mail.end(),
+                         [](const Posted &posted) { return std::holds_alternative<PassOn>(posted.signal); });
+  };
+  LONGS_EQUAL(0, passed_on(ended.id));
+  LONGS_EQUAL(1, passed_on(other.id));
+}
+
 TEST(Recovery, views_are_told_by_service_and_whole_once_changes_are_forgotten) {
   RunnerViews views;
   CHECK(views.update("r1", view("r1")));
