Keep what an owner granted before the runners of a lost service are taken from it

Cause: since runners are told to the owner of their service only, an old owner gets a new node set together with a list that no longer holds the runners of the services it loses. It took the list first and so forgot the slots it had granted, then told its successor as former owner that none were taken; the successor granted them again: runners ran 5 to 7 of 4 slots. Change: node set and runners are taken in one step, lost services are set aside first. set_roster is divided along its steps, the 60 s for which a former owner remembers have a name. Test an_owner_whose_runners_are_told_to_its_successor_still_hands_over_the_slots_it_granted fails before (0 slots told) and passes after.

--- a/packages/berth/berth.cpp
+++ b/packages/berth/berth.cpp
@@ -5,6 +5,11 @@
 
 namespace wharf {
 
+namespace {
+/// How long an owner keeps what it knew of a service that went to another node, for its successors to ask.
+constexpr Span former_kept = seconds(60);
+} // namespace
+
 Stevedore::Stevedore(NodeId self, BerthOptions options) : self_(self), options_(options) {}
 
 NodeId Stevedore::owner_in(const std::vector<NodeId> &pilots, const std::string &service) const {
@@ -103,36 +108,57 @@
 }
 
 void Stevedore::set_roster(const Roster &roster, Epoch settled, Instant now, Outbox &out) {
-  if (roster.epoch > roster_.epoch) {
-    const Epoch old_epoch = roster_.epoch;
-    roster_ = roster;
-    for (auto berth = berths_.begin(); berth != berths_.end();) {
-      const bool is_kept =
-          owner_in(roster_.owners(), berth->first) == self_ && was_owner_since(old_epoch, berth->first);
-      if (is_kept) {
-        ++berth;
-        continue;
-      }
-      for (auto &[tenant, line] : berth->second.pending)
-        for (const Waiting &waiting : line) {
-          SlotSay say;
-          say.errand = waiting.ask.errand;
-          say.service = berth->first;
-          say.epoch = roster_.epoch;
-          say.state = static_cast<std::uint8_t>(SlotState::not_mine);
-          out.push_back({waiting.pilot, {}, say});
-        }
-      former_[berth->first] = {old_epoch, now, std::move(berth->second)};
-      berth = berths_.erase(berth);
-    }
-    std::erase_if(former_, [now](const auto &item) { return now - item.second.lost_at > seconds(60); });
-    for (const auto &[service, plan] : plans_)
-      if (owner_in(roster_.owners(), service) == self_ && !berths_.contains(service)) begin(service, now);
-  }
+  const bool is_new = roster.epoch > roster_.epoch;
+  if (is_new) hand_over_lost_services(roster, now, out);
   settled_ = std::max(settled_, settled);
+  if (is_new) begin_owned_services(now);
   tick(now, out);
 }
 
+void Stevedore::set_roster_and_runners(const Roster &roster, Epoch settled,
+                                       const std::vector<RunnerView> &runners, Instant now, Outbox &out) {
+  const bool is_new = roster.epoch > roster_.epoch;
+  if (is_new) hand_over_lost_services(roster, now, out);
+  settled_ = std::max(settled_, settled);
+  replace_runners(runners, now);
+  if (is_new) begin_owned_services(now);
+  tick(now, out);
+}
+
+void Stevedore::hand_over_lost_services(const Roster &roster, Instant now, Outbox &out) {
+  const Epoch old_epoch = roster_.epoch;
+  roster_ = roster;
+  for (auto berth = berths_.begin(); berth != berths_.end();) {
+    const bool is_kept =
+        owner_in(roster_.owners(), berth->first) == self_ && was_owner_since(old_epoch, berth->first);
+    if (is_kept) {
+      ++berth;
+      continue;
+    }
+    send_waiting_elsewhere(berth->first, berth->second, out);
+    former_[berth->first] = {old_epoch, now, std::move(berth->second)};
+    berth = berths_.erase(berth);
+  }
+  std::erase_if(former_, [now](const auto &item) { return now - item.second.lost_at > former_kept; });
+}
+
+void Stevedore::send_waiting_elsewhere(const std::string &service, const Berth &berth, Outbox &out) const {
+  for (const auto &[tenant, line] : berth.pending)
+    for (const Waiting &waiting : line) {
+      SlotSay say;
+      say.errand = waiting.ask.errand;
+      say.service = service;
+      say.epoch = roster_.epoch;
+      say.state = static_cast<std::uint8_t>(SlotState::not_mine);
+      out.push_back({waiting.pilot, {}, say});
+    }
+}
+
+void Stevedore::begin_owned_services(Instant now) {
+  for (const auto &[service, plan] : plans_)
+    if (owner_in(roster_.owners(), service) == self_ && !berths_.contains(service)) begin(service, now);
+}
+
 void Stevedore::describe_former(const std::string &service, Epoch epoch, Instant now,
                                 InventorySay &say) const {
   const auto found = former_.find(service);
@@ -159,6 +185,11 @@
 }
 
 void Stevedore::set_runners(const std::vector<RunnerView> &runners, Instant now, Outbox &out) {
+  replace_runners(runners, now);
+  tick(now, out);
+}
+
+void Stevedore::replace_runners(const std::vector<RunnerView> &runners, Instant now) {
   runners_ = runners;
   std::map<std::string, std::set<std::string>> seen;
   for (const RunnerView &runner : runners) {
@@ -183,7 +214,6 @@
       hull = berth.hulls.erase(hull);
     }
   }
-  tick(now, out);
 }
 
 std::size_t Stevedore::pending(const std::string &service) const {
--- a/packages/berth/berth.hpp
+++ b/packages/berth/berth.hpp
@@ -58,6 +58,11 @@
   void set_plans(std::map<std::string, BerthPlan> plans, Instant now, Outbox &out);
   void set_roster(const Roster &roster, Epoch settled, Instant now, Outbox &out);
   void set_runners(const std::vector<RunnerView> &runners, Instant now, Outbox &out);
+  /// Takes a node set and the runners that were told with it. Runners are told to owners only, so the ones of
+  /// a service that goes to another node are missing from the list: what this node granted of them is kept
+  /// for its successor first.
+  void set_roster_and_runners(const Roster &roster, Epoch settled, const std::vector<RunnerView> &runners,
+                              Instant now, Outbox &out);
   void set_fresh_until(Instant until) { fresh_until_ = until; }
   void step(NodeId from, const Signal &signal, Instant now, Outbox &out);
   void tick(Instant now, Outbox &out);
@@ -129,6 +134,11 @@
   void handle(NodeId from, const SlotFree &free, Instant now, Outbox &out);
   void handle(NodeId from, const InventorySay &say, Instant now, Outbox &out);
   void begin(const std::string &service, Instant now);
+  /// Takes a newer node set; services that it gives to other nodes are kept aside for their new owners.
+  void hand_over_lost_services(const Roster &roster, Instant now, Outbox &out);
+  void send_waiting_elsewhere(const std::string &service, const Berth &berth, Outbox &out) const;
+  void begin_owned_services(Instant now);
+  void replace_runners(const std::vector<RunnerView> &runners, Instant now);
   void finish_learning(const std::string &service, Berth &berth, Instant now);
   void serve(const std::string &service, Berth &berth, Instant now, Outbox &out);
   Hull *free_hull(Berth &berth, const BerthPlan &plan, const SlotAsk &ask, Instant now, std::string &id);
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -384,10 +384,12 @@
   purser_.set_roster(roster_, orders.settled, now, out.mail);
   if (takes_runners) {
     std::vector<RunnerView> views;
+    views.reserve(runners_.size());
     for (const auto &[id, runner] : runners_) views.push_back(runner);
-    stevedore_.set_runners(views, now, out.mail);
+    stevedore_.set_roster_and_runners(roster_, orders.settled, views, now, out.mail);
+  } else {
+    stevedore_.set_roster(roster_, orders.settled, now, out.mail);
   }
-  stevedore_.set_roster(roster_, orders.settled, now, out.mail);
   if (is_switched) send_pulse(now, out);
 }
 
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -441,6 +441,46 @@
   CHECK(rank_nodes(yard.control->registry().roster().pilots, "s", stevedore_salt)[0] == told[0]);
 }
 
+TEST(Recovery, an_owner_whose_runners_are_told_to_its_successor_still_hands_over_the_slots_it_granted) {
+  PilotRig rig;
+  PilotOutput out;
+  Orders owned = rig.orders(2, "first-key-00000000");
+  owned.roster.epoch = 2;
+  owned.roster.pilots = {rig_self};
+  owned.roster.past = {{1, {rig_self, rig_other}, {}}};
+  owned.settled = 2;
+  owned.has_runners = true;
+  owned.runners_stamp = 1;
+  RunnerView runner = view("r1");
+  runner.service = rig.service;
+  owned.runners = {runner};
+  rig.pilot.receive({rig_leader, "h", owned}, rig.now, out);
+  rig.now += seconds(1);
+  owned.sent_at = rig.now;
+  rig.pilot.receive({rig_leader, "h", owned}, rig.now, out);
+  SlotAsk ask = slot_ask("e");
+  ask.service = rig.service;
+  rig.pilot.receive({rig_other, "q", ask}, rig.now, out);
+  Orders lost = rig.orders(2, "first-key-00000000");
+  lost.roster.epoch = 3;
+  lost.roster.pilots = {rig_self, rig_other};
+  lost.roster.past = {{2, {rig_self}, {}}};
+  lost.settled = 3;
+  lost.has_runners = true;
+  lost.runners_stamp = 2;
+  rig.pilot.receive({rig_leader, "h", lost}, rig.now, out);
+  out = {};
+  rig.pilot.receive({rig_other, "q", InventoryAsk{rig.service, 3}}, rig.now, out);
+  const InventorySay *say = nullptr;
+  for (const Posted &posted : out.mail)
+    if (const auto *found = std::get_if<InventorySay>(&posted.signal)) say = found;
+  CHECK(say != nullptr);
+  CHECK(say->is_former_owner);
+  LONGS_EQUAL(1, say->berth_held.size());
+  STRCMP_EQUAL("e", say->berth_held[0].errand.c_str());
+  STRCMP_EQUAL("r1", say->berth_held[0].runner.c_str());
+}
+
 TEST(Recovery, machines_with_far_less_than_the_best_own_nothing_while_enough_others_do) {
   struct Case {
     std::size_t wide, narrow, candidates;
