Keep owners on wide machines though a new leader has not heard all nodes

Cause: where some node had not reported to a new leader when it made its node set, the owners of the node set before were kept as candidates; after a fault of the whole core these have ended and come back under new names, so none was left and all nodes became owners, for as long as the node set stood. Change: nodes that have reported are judged by their machine, the others keep the part that they had; owners are chosen anew once all have reported and others would do better. Tests narrow_machines_own_nothing_though_a_new_leader_has_not_heard_all_nodes and owners_are_chosen_anew_once_all_nodes_have_told_what_their_machines_have fail before, pass after.

--- a/packages/control/control_node.hpp
+++ b/packages/control/control_node.hpp
@@ -314,10 +314,15 @@
   /// it sends grows with the whole deployment, so a machine that has but a fraction of the best ones' link or
   /// processor is left out while enough others are there.
   std::vector<NodeId> owner_candidates(const std::vector<NodeId> &pilots) const;
-  /// Those that were candidates in the node set in force, while not all have reported to this leader.
-  std::vector<NodeId> earlier_candidates(const std::vector<NodeId> &pilots) const;
-  /// Those whose machines are not far below the best; all must have reported.
+  /// Those whose machines are not far below the best; nodes that have not reported to this leader yet keep
+  /// the part that they had.
   std::vector<NodeId> nodes_of_capacity(const std::vector<NodeId> &pilots) const;
+  /// The best link and the best processor among those that have reported.
+  NodeCapacity best_capacity(const std::vector<NodeId> &pilots) const;
+  bool is_all_reported(const std::vector<NodeId> &pilots) const;
+  /// True when all have reported and others than those of the node set in force are to own tenants and
+  /// services.
+  bool has_better_owners(const std::vector<NodeId> &pilots) const;
   void maintain_runners(Instant now, ControlOutput &out);
   void refresh_views(Instant now);
   /// What nodes are to be told of a runner, or nothing when they are not to know of it.
--- a/packages/control/placement_epochs.cpp
+++ b/packages/control/placement_epochs.cpp
@@ -16,7 +16,7 @@
     for (NodeId pilot : roster.pilots)
       if (!sessions_.contains(pilot) && !ended_.contains(pilot)) wanted.push_back(pilot);
   std::sort(wanted.begin(), wanted.end());
-  if (wanted == roster.pilots || wanted.empty()) {
+  if (wanted.empty() || (wanted == roster.pilots && !has_better_owners(wanted))) {
     roster_differs_since_ = 0;
     return;
   }
@@ -39,38 +39,47 @@
     out.lines.push_back("roster of " + std::to_string(count) + " pilots");
 }
 
+bool ControlNode::has_better_owners(const std::vector<NodeId> &pilots) const {
+  return is_all_reported(pilots) && owner_candidates(pilots) != registry_.roster().owner_candidates;
+}
+
+bool ControlNode::is_all_reported(const std::vector<NodeId> &pilots) const {
+  return std::all_of(pilots.begin(), pilots.end(),
+                     [this](NodeId pilot) { return sessions_.contains(pilot); });
+}
+
 std::vector<NodeId> ControlNode::owner_candidates(const std::vector<NodeId> &pilots) const {
-  const bool is_all_reported =
-      std::all_of(pilots.begin(), pilots.end(), [this](NodeId pilot) { return sessions_.contains(pilot); });
-  std::vector<NodeId> candidates = is_all_reported ? nodes_of_capacity(pilots) : earlier_candidates(pilots);
+  std::vector<NodeId> candidates = nodes_of_capacity(pilots);
   const bool has_enough = candidates.size() >= options_.owners_least && candidates.size() < pilots.size();
   return has_enough ? candidates : std::vector<NodeId>{};
 }
 
-std::vector<NodeId> ControlNode::earlier_candidates(const std::vector<NodeId> &pilots) const {
-  const std::vector<NodeId> &earlier = registry_.roster().owner_candidates;
-  std::vector<NodeId> candidates;
-  std::copy_if(pilots.begin(), pilots.end(), std::back_inserter(candidates), [&](NodeId pilot) {
-    return std::find(earlier.begin(), earlier.end(), pilot) != earlier.end();
-  });
-  return candidates;
-}
-
-std::vector<NodeId> ControlNode::nodes_of_capacity(const std::vector<NodeId> &pilots) const {
+NodeCapacity ControlNode::best_capacity(const std::vector<NodeId> &pilots) const {
   NodeCapacity best;
   for (NodeId pilot : pilots) {
-    const NodeCapacity &capacity = sessions_.at(pilot).capacity;
-    best.link_kbps = std::max(best.link_kbps, capacity.link_kbps);
-    best.cpu_permille = std::max(best.cpu_permille, capacity.cpu_permille);
+    const auto session = sessions_.find(pilot);
+    if (session == sessions_.end()) continue;
+    best.link_kbps = std::max(best.link_kbps, session->second.capacity.link_kbps);
+    best.cpu_permille = std::max(best.cpu_permille, session->second.capacity.cpu_permille);
   }
+  return best;
+}
+
+std::vector<NodeId> ControlNode::nodes_of_capacity(const std::vector<NodeId> &pilots) const {
+  const NodeCapacity best = best_capacity(pilots);
   const auto is_enough = [this](std::uint32_t own, std::uint32_t most) {
     return own == 0 || std::uint64_t{own} * options_.owner_capacity_ratio >= most;
   };
+  const std::vector<NodeId> &earlier = registry_.roster().owner_candidates;
   std::vector<NodeId> list;
   for (NodeId pilot : pilots) {
-    const NodeCapacity &capacity = sessions_.at(pilot).capacity;
-    if (is_enough(capacity.link_kbps, best.link_kbps) && is_enough(capacity.cpu_permille, best.cpu_permille))
-      list.push_back(pilot);
+    const auto session = sessions_.find(pilot);
+    // A node that has not reported to this leader yet keeps the part that it had.
+    const bool is_fit = session == sessions_.end()
+                            ? std::find(earlier.begin(), earlier.end(), pilot) != earlier.end()
+                            : is_enough(session->second.capacity.link_kbps, best.link_kbps) &&
+                                  is_enough(session->second.capacity.cpu_permille, best.cpu_permille);
+    if (is_fit) list.push_back(pilot);
   }
   return list;
 }
--- a/tests/control_group_rig.hpp
+++ b/tests/control_group_rig.hpp
@@ -125,6 +125,16 @@
     for (int round = 0; round < 600 && leader().empty(); ++round) pass(milliseconds(10));
     return leader();
   }
+  /// Hands the leader a message from outside the group; returns what it sends at once.
+  std::vector<Posted> send_to_leader(const Envelope &envelope) {
+    Machine &machine = machines.at(leader());
+    ControlOutput out;
+    machine.node->receive(envelope, now, out);
+    const std::vector<Posted> sent(out.mail.begin(), out.mail.end());
+    take(machine, std::move(out));
+    deliver();
+    return sent;
+  }
   std::size_t voters() const {
     std::size_t count = 0;
     for (const Replica &replica : machines.at(leader()).node->raft().replicas())
--- a/tests/worst_days_test.cpp
+++ b/tests/worst_days_test.cpp
@@ -17,6 +17,53 @@
 }
 } // namespace
 
+namespace {
+/// Edge nodes that report to the leader of a control group.
+struct ReportingNodes {
+  struct Node {
+    NodeId id = 0;
+    std::string address;
+    NodeCapacity capacity;
+    std::vector<NodeId> replaces;
+    bool is_silent = false;
+    /// The node set it was told of, and whether the last answer brought a lease.
+    Epoch epoch = 0;
+    bool has_lease = false;
+  };
+  ControlGroupRig &rig;
+  std::vector<Node> nodes;
+
+  static constexpr NodeCapacity wide{100'000, 320}, narrow{2'000, 120};
+  void add(NodeId id, NodeCapacity capacity) {
+    Node node;
+    node.id = id;
+    node.address = "e" + std::to_string(id);
+    node.capacity = capacity;
+    nodes.push_back(node);
+  }
+  void report(Node &node) {
+    Pulse pulse;
+    pulse.sent_at = rig.now;
+    pulse.epoch = node.epoch;
+    pulse.capacity = node.capacity;
+    pulse.replaces = node.replaces;
+    for (const Posted &posted : rig.send_to_leader({node.id, node.address, pulse})) {
+      const auto *orders = std::get_if<Orders>(&posted.signal);
+      if (orders == nullptr || posted.to != node.id) continue;
+      node.epoch = std::max(node.epoch, orders->roster.epoch);
+      node.has_lease = orders->sent_at != 0;
+    }
+  }
+  void report_for(Span span) {
+    for (const Instant until = rig.now + span; rig.now < until; rig.pass(milliseconds(100)))
+      for (Node &node : nodes)
+        if (!node.is_silent) report(node);
+  }
+  const Roster &roster() const { return rig.machines.at(rig.leader()).node->registry().roster(); }
+};
+
+} // namespace
+
 TEST_GROUP(WorstDays){};
 
 TEST(WorstDays, a_leader_that_is_cut_off_neither_confirms_nor_refuses_nor_reads) {
@@ -209,3 +256,44 @@
   LONGS_EQUAL(503, say->status);
   CHECK(rig.machines.contains(say->leader_http) && say->leader_http != "diskless");
 }
+
+TEST(WorstDays, narrow_machines_own_nothing_though_a_new_leader_has_not_heard_all_nodes) {
+  ControlGroupRig rig;
+  rig.options.must_wait_roster = false;
+  for (int at = 0; at < 3; ++at) rig.seeds.push_back("m" + std::to_string(at));
+  for (const std::string &seed : rig.seeds) rig.add(seed);
+  rig.pass(seconds(6));
+  ReportingNodes edge{rig, {}};
+  for (NodeId id = 1; id <= 25; ++id)
+    edge.add(500 + id, id <= 5 ? ReportingNodes::wide : ReportingNodes::narrow);
+  edge.report_for(seconds(3));
+  LONGS_EQUAL(25, edge.roster().pilots.size());
+  LONGS_EQUAL(5, edge.roster().owner_candidates.size());
+  for (const std::string &seed : rig.seeds) rig.restart(seed);
+  rig.wait_leader();
+  for (std::size_t at = 0; at < 5; ++at) {
+    edge.nodes[at].replaces = {edge.nodes[at].id};
+    edge.nodes[at].id += 100;
+  }
+  edge.nodes.back().is_silent = true;
+  const Epoch before = edge.roster().epoch;
+  edge.report_for(milliseconds(800));
+  CHECK(edge.roster().epoch > before);
+  LONGS_EQUAL(5, edge.roster().owner_candidates.size());
+  for (NodeId id : edge.roster().owner_candidates) CHECK(id > 600);
+}
+
+TEST(WorstDays, owners_are_chosen_anew_once_all_nodes_have_told_what_their_machines_have) {
+  ControlGroupRig rig(3);
+  ReportingNodes edge{rig, {}};
+  for (NodeId id = 1; id <= 25; ++id) edge.add(500 + id, {});
+  edge.report_for(seconds(3));
+  LONGS_EQUAL(0, edge.roster().owner_candidates.size());
+  for (std::size_t at = 0; at < edge.nodes.size(); ++at)
+    edge.nodes[at].capacity = at < 5 ? ReportingNodes::wide : ReportingNodes::narrow;
+  edge.report_for(seconds(3));
+  LONGS_EQUAL(5, edge.roster().owner_candidates.size());
+  const Epoch chosen = edge.roster().epoch;
+  edge.report_for(seconds(3));
+  LONGS_EQUAL(chosen, edge.roster().epoch);
+}
