Give no names to a node whose reports come too late for it to keep its lease

Ruled out: judging by the leader's clock: the two clocks have no common zero; the node itself knows whether its lease held. Change: a report says whether the lease ran out before it was sent; a node that says so for as long as silence may last owns nothing until 10 s after the last such report. It gets no lease before it knows that node set, so that its successors need not wait for its late reports. When half of the nodes or more are late, it is the leader that is, and none is passed over. Figures: tests a_node_whose_reports_come_too_late_for_a_lease_owns_nothing_and_holds_up_no_successor fails before, passes after; when_most_nodes_are_late_none_of_them_is_passed_over holds it.

--- a/packages/control/control_node.hpp
+++ b/packages/control/control_node.hpp
@@ -107,6 +107,8 @@
   /// How long the pilots wanted must have stayed the same before they become the roster, and how long that
   /// may be put off while they come and go.
   Span enrol_gather = milliseconds(300), enrol_most = milliseconds(900);
+  /// How long a node whose reports came too late to keep its lease owns nothing after the last such report.
+  Span late_node_rest = seconds(10);
   Span voter_silence = seconds(3);
   Span learner_silence = seconds(15);
   /// How long after a manifest was sent to a node it is taken to be still on its way there: this, and the
@@ -188,6 +190,10 @@
     bool is_leaving = false;
     std::string address;
     NodeCapacity capacity;
+    /// Since when its reports have said that its lease ran out; 0 when the last one did not.
+    Instant lost_lease_since = 0;
+    /// Until when it owns nothing, as its reports came too late for a lease.
+    Instant is_late_until = 0;
     std::map<std::string, Want> wants;
   };
   struct Proposal {
@@ -237,6 +243,10 @@
   /// no more leases then, so that nodes look for the other at once and are not taken for lost by it.
   bool is_in_doubt(Instant now) const;
   void answer_pulse(const Envelope &envelope, const Pulse &pulse, Instant now, ControlOutput &out);
+  /// Notes whether a node's reports come too late for it to keep its lease.
+  void note_lateness(NodeSession &session, const Pulse &pulse, Instant now) const;
+  /// True when late nodes are the fewer; else it is rather this leader that is late.
+  bool are_few_late(Instant now) const;
   /// How long ago all pilots of earlier rosters had provably ended; 0 when some may still act.
   Span quiet_for(Instant now) const;
   /// The rosters whose owners may still act: the newest and those it took the place of a short while ago, by
--- a/packages/control/node_leases.cpp
+++ b/packages/control/node_leases.cpp
@@ -87,6 +87,7 @@
   session.stamp = pulse.runners_term == raft_.term() ? pulse.runners_stamp : 0;
   session.is_leaving = pulse.is_leaving;
   session.capacity = pulse.capacity;
+  note_lateness(session, pulse, now);
   std::map<std::string, Want> wants;
   if (!pulse.has_all_wants) wants = std::move(session.wants);
   for (const Want &want : pulse.wants) {
@@ -98,13 +99,34 @@
   }
   session.wants = std::move(wants);
   Orders orders = orders_for(from, session, now);
-  orders.sent_at = pulse.sent_at;
-  session.permit_until = now + options_.fresh + options_.drift;
-  session.duty_until = now + options_.duty + options_.drift;
+  // A late node is to know that it owns nothing before it gets a lease again, or its successors would wait
+  // for it.
+  const bool must_learn = now < session.is_late_until && pulse.epoch < registry_.roster().epoch;
+  if (!must_learn) {
+    orders.sent_at = pulse.sent_at;
+    session.permit_until = now + options_.fresh + options_.drift;
+    session.duty_until = now + options_.duty + options_.drift;
+  }
   out.mail.push_back({from, {}, std::move(orders)});
   settle_writes(now, out);
 }
 
+void ControlNode::note_lateness(NodeSession &session, const Pulse &pulse, Instant now) const {
+  if (!pulse.has_lost_lease) {
+    session.lost_lease_since = 0;
+    return;
+  }
+  if (session.lost_lease_since == 0) session.lost_lease_since = now;
+  if (now - session.lost_lease_since >= options_.pilot_silence)
+    session.is_late_until = now + options_.late_node_rest;
+}
+
+bool ControlNode::are_few_late(Instant now) const {
+  const auto late = std::count_if(sessions_.begin(), sessions_.end(),
+                                  [now](const auto &item) { return now < item.second.is_late_until; });
+  return static_cast<std::size_t>(late) * 2 < sessions_.size();
+}
+
 Version ControlNode::settled_version(Instant now) const {
   if (!is_leading() || now < floor_) return 0;
   Version lowest = registry_.version();
--- a/packages/control/placement_epochs.cpp
+++ b/packages/control/placement_epochs.cpp
@@ -10,8 +10,13 @@
   const Roster &roster = registry_.roster();
   if (options_.must_wait_roster && now < duty_floor_ && roster.epoch != 0 && !is_all_known()) return;
   std::vector<NodeId> wanted;
-  for (const auto &[pilot, session] : sessions_)
-    if (!session.is_leaving && now - session.last_pulse < options_.pilot_silence) wanted.push_back(pilot);
+  // When most nodes are late, it is this leader that is.
+  const bool must_pass_over_late = are_few_late(now);
+  for (const auto &[pilot, session] : sessions_) {
+    const bool is_heard = now - session.last_pulse < options_.pilot_silence;
+    const bool is_late = must_pass_over_late && now < session.is_late_until;
+    if (is_heard && !is_late && !session.is_leaving) wanted.push_back(pilot);
+  }
   if (now - raft_.led_since() < options_.pilot_silence)
     for (NodeId pilot : roster.pilots)
       if (!sessions_.contains(pilot) && !ended_.contains(pilot)) wanted.push_back(pilot);
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -286,6 +286,7 @@
   pulse.runners_term = runners_term_;
   pulse.is_leaving = is_leaving_;
   pulse.capacity = options_.capacity;
+  pulse.has_lost_lease = fresh_until_ != 0 && !is_fresh(now);
   pulse.has_all_wants = has_all_wants;
   pulse.wants = wants_to_report(has_all_wants, now);
   pulse.up_for = now - born_;
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -248,8 +248,10 @@
   Span up_for = 0;
   std::vector<Sounding> soundings;
   NodeCapacity capacity;
+  /// The node had a lease, and it ran out before this was sent.
+  bool has_lost_lease = false;
   WHARF_CARRY(sent_at, version, epoch, runners_stamp, runners_term, is_leaving, wants, has_all_wants,
-              replaces, up_for, soundings, capacity)
+              replaces, up_for, soundings, capacity, has_lost_lease)
 };
 
 /// The leader's answer: a freshness permit and whatever is newer than the pilot has.
--- a/tests/worst_days_test.cpp
+++ b/tests/worst_days_test.cpp
@@ -25,7 +25,7 @@
     std::string address;
     NodeCapacity capacity;
     std::vector<NodeId> replaces;
-    bool is_silent = false;
+    bool is_silent = false, has_lost_lease = false;
     /// The node set it was told of, and whether the last answer brought a lease.
     Epoch epoch = 0;
     bool has_lease = false;
@@ -47,6 +47,7 @@
     pulse.epoch = node.epoch;
     pulse.capacity = node.capacity;
     pulse.replaces = node.replaces;
+    pulse.has_lost_lease = node.has_lost_lease;
     for (const Posted &posted : rig.send_to_leader({node.id, node.address, pulse})) {
       const auto *orders = std::get_if<Orders>(&posted.signal);
       if (orders == nullptr || posted.to != node.id) continue;
@@ -297,3 +298,38 @@
   edge.report_for(seconds(3));
   LONGS_EQUAL(chosen, edge.roster().epoch);
 }
+
+TEST(WorstDays, a_node_whose_reports_come_too_late_for_a_lease_owns_nothing_and_holds_up_no_successor) {
+  ControlGroupRig rig(3);
+  ReportingNodes edge{rig, {}};
+  for (NodeId id = 1; id <= 9; ++id) edge.add(500 + id, {});
+  edge.report_for(seconds(3));
+  LONGS_EQUAL(9, edge.roster().pilots.size());
+  ReportingNodes::Node &late = edge.nodes.front();
+  late.has_lost_lease = true;
+  edge.report_for(milliseconds(500));
+  LONGS_EQUAL(9, edge.roster().pilots.size());
+  const Epoch old_epoch = late.epoch;
+  edge.report_for(seconds(2));
+  LONGS_EQUAL(8, edge.roster().pilots.size());
+  late.epoch = old_epoch;
+  edge.report(late);
+  CHECK(!late.has_lease);
+  edge.report(late);
+  CHECK(late.has_lease);
+  late.has_lost_lease = false;
+  edge.report_for(seconds(5));
+  LONGS_EQUAL(8, edge.roster().pilots.size());
+  edge.report_for(seconds(8));
+  LONGS_EQUAL(9, edge.roster().pilots.size());
+}
+
+TEST(WorstDays, when_most_nodes_are_late_none_of_them_is_passed_over) {
+  ControlGroupRig rig(3);
+  ReportingNodes edge{rig, {}};
+  for (NodeId id = 1; id <= 9; ++id) edge.add(500 + id, {});
+  edge.report_for(seconds(3));
+  for (std::size_t at = 0; at < 5; ++at) edge.nodes[at].has_lost_lease = true;
+  edge.report_for(seconds(3));
+  LONGS_EQUAL(9, edge.roster().pilots.size());
+}
