Divide owners of services into slots, succession and a scaler of its own

Change: ServiceScaler works out how many runners a service should have, as a pure state machine of its own; succession.cpp holds what happens as a service goes from one owner to the next; BerthPlan is ServicePlan.

--- a/packages/berth/berth.cpp
+++ b/packages/berth/berth.cpp
@@ -1,55 +1,11 @@
 #include "berth/berth.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace wharf {
 
-namespace {
-/// How long an owner keeps what it knew of a service that went to another node, for its successors to ask.
-constexpr Span former_kept = seconds(60);
-} // namespace
-
 Stevedore::Stevedore(NodeId self, BerthOptions options) : self_(self), options_(options) {}
 
-NodeId Stevedore::owner_in(const std::vector<NodeId> &pilots, const std::string &service) const {
-  return top_ranked_node(pilots, service, stevedore_salt);
-}
-
-bool Stevedore::was_owner_since(Epoch epoch, const std::string &service) const {
-  bool is_found = false;
-  for (const PastRoster &past : roster_.past) {
-    if (past.epoch < epoch) continue;
-    if (past.epoch == epoch) is_found = true;
-    if (owner_in(past.owners(), service) != self_) return false;
-  }
-  return is_found;
-}
-
-void Stevedore::begin(const std::string &service, Instant now) {
-  Berth &berth = berths_[service];
-  berth = Berth{};
-  berth.since = roster_.epoch;
-  const auto plan = plans_.find(service);
-  berth.boot_guess = plan != plans_.end() && plan->second.boot > 0 ? plan->second.boot : options_.boot_guess;
-  berth.expected.insert(roster_.pilots.begin(), roster_.pilots.end());
-  if (!roster_.past.empty())
-    berth.expected.insert(roster_.past.back().pilots.begin(), roster_.past.back().pilots.end());
-  for (const RunnerView &runner : runners_) {
-    if (runner.service != service) continue;
-    take_view(berth.hulls[runner.id], runner, now);
-  }
-  keep_found(berth, now);
-}
-
-void Stevedore::keep_found(Berth &berth, Instant now) const {
-  const auto found = static_cast<std::uint32_t>(std::count_if(
-      berth.hulls.begin(), berth.hulls.end(), [](const auto &item) { return !item.second.is_leaving; }));
-  if (berth.levels.size() < found) berth.levels.resize(found);
-  for (std::uint32_t at = 0; at < found; ++at) berth.levels[at].needed_at = now;
-  berth.target = std::max(berth.target, found);
-}
-
 void Stevedore::take_view(Hull &hull, const RunnerView &runner, Instant now) {
   const bool is_new = hull.address.empty();
   hull.is_leaving = runner.is_leaving;
@@ -88,7 +44,7 @@
   serve(service, found->second, now, out);
 }
 
-void Stevedore::set_plans(std::map<std::string, BerthPlan> plans, Instant now, Outbox &out) {
+void Stevedore::set_plans(std::map<std::string, ServicePlan> plans, Instant now, Outbox &out) {
   plans_ = std::move(plans);
   for (const auto &[service, plan] : plans_) {
     if (roster_.epoch == 0 || berths_.contains(service) || owner_in(roster_.owners(), service) != self_)
@@ -107,83 +63,6 @@
   tick(now, out);
 }
 
-void Stevedore::set_roster(const Roster &roster, Epoch settled, Instant now, Outbox &out) {
-  const bool is_new = roster.epoch > roster_.epoch;
-  if (is_new) hand_over_lost_services(roster, now, out);
-  settled_ = std::max(settled_, settled);
-  if (is_new) begin_owned_services(now);
-  tick(now, out);
-}
-
-void Stevedore::set_roster_and_runners(const Roster &roster, Epoch settled,
-                                       const std::vector<RunnerView> &runners, Instant now, Outbox &out) {
-  const bool is_new = roster.epoch > roster_.epoch;
-  if (is_new) hand_over_lost_services(roster, now, out);
-  settled_ = std::max(settled_, settled);
-  replace_runners(runners, now);
-  if (is_new) begin_owned_services(now);
-  tick(now, out);
-}
-
-void Stevedore::hand_over_lost_services(const Roster &roster, Instant now, Outbox &out) {
-  const Epoch old_epoch = roster_.epoch;
-  roster_ = roster;
-  for (auto berth = berths_.begin(); berth != berths_.end();) {
-    const bool is_kept =
-        owner_in(roster_.owners(), berth->first) == self_ && was_owner_since(old_epoch, berth->first);
-    if (is_kept) {
-      ++berth;
-      continue;
-    }
-    send_waiting_elsewhere(berth->first, berth->second, out);
-    former_[berth->first] = {old_epoch, now, std::move(berth->second)};
-    berth = berths_.erase(berth);
-  }
-  std::erase_if(former_, [now](const auto &item) { return now - item.second.lost_at > former_kept; });
-}
-
-void Stevedore::send_waiting_elsewhere(const std::string &service, const Berth &berth, Outbox &out) const {
-  for (const auto &[tenant, line] : berth.pending)
-    for (const Waiting &waiting : line) {
-      SlotSay say;
-      say.errand = waiting.ask.errand;
-      say.service = service;
-      say.epoch = roster_.epoch;
-      say.state = static_cast<std::uint8_t>(SlotState::not_mine);
-      out.push_back({waiting.pilot, {}, say});
-    }
-}
-
-void Stevedore::begin_owned_services(Instant now) {
-  for (const auto &[service, plan] : plans_)
-    if (owner_in(roster_.owners(), service) == self_ && !berths_.contains(service)) begin(service, now);
-}
-
-void Stevedore::describe_former(const std::string &service, Epoch epoch, Instant now,
-                                InventorySay &say) const {
-  const auto found = former_.find(service);
-  if (found == former_.end()) return;
-  if (found->second.berth.is_learning) {
-    for (const auto &[id, hull] : found->second.berth.hulls) say.doubtful.push_back(id);
-    return;
-  }
-  bool is_direct = false;
-  for (std::size_t at = 0; at < roster_.past.size(); ++at) {
-    const Epoch next = at + 1 < roster_.past.size() ? roster_.past[at + 1].epoch : roster_.epoch;
-    if (next == epoch && owner_in(roster_.past[at].owners(), service) == self_ &&
-        roster_.past[at].epoch >= found->second.berth.since)
-      is_direct =
-          roster_.past[at].epoch == found->second.until || was_owner_since(found->second.until, service);
-  }
-  if (!is_direct) return;
-  say.is_former_owner = true;
-  for (const auto &[id, hull] : found->second.berth.hulls) {
-    for (const auto &[errand, slot] : hull.taken)
-      say.berth_held.push_back({errand, id, slot.pilot, slot.attempt, slot.deadline - now});
-    if (hull.must_retire) say.doubtful.push_back(id);
-  }
-}
-
 void Stevedore::set_runners(const std::vector<RunnerView> &runners, Instant now, Outbox &out) {
   replace_runners(runners, now);
   tick(now, out);
@@ -197,9 +76,9 @@
     const auto found = berths_.find(runner.service);
     if (found == berths_.end()) continue;
     Berth &berth = found->second;
-    if (!berth.hulls.contains(runner.id) && berth.short_since != 0) {
-      berth.boot_guess = (berth.boot_guess * 3 + (now - berth.short_since)) / 4;
-      berth.short_since = 0;
+    if (!berth.hulls.contains(runner.id) && berth.scaler.short_since() != 0) {
+      berth.boot_guess = (berth.boot_guess * 3 + (now - berth.scaler.short_since())) / 4;
+      berth.scaler.runner_came();
     }
     take_view(berth.hulls[runner.id], runner, now);
   }
@@ -229,7 +108,12 @@
   return 0;
 }
 
-std::uint32_t Stevedore::taken(const Berth &berth) const {
+std::uint32_t Stevedore::usable_runners(const Berth &berth) {
+  const auto is_usable = [](const auto &item) { return !item.second.is_leaving && !item.second.must_retire; };
+  return static_cast<std::uint32_t>(std::count_if(berth.hulls.begin(), berth.hulls.end(), is_usable));
+}
+
+std::uint32_t Stevedore::taken(const Berth &berth) {
   std::size_t count = 0;
   for (const auto &[id, hull] : berth.hulls) count += hull.taken.size();
   return static_cast<std::uint32_t>(count);
@@ -256,10 +140,8 @@
   out.push_back({pilot, {}, say});
 }
 
-Span Stevedore::hopeless_for(const Berth &berth, const BerthPlan &plan, const SlotAsk &ask) const {
-  std::uint32_t usable = 0;
-  for (const auto &[id, hull] : berth.hulls)
-    if (!hull.is_leaving && !hull.must_retire) ++usable;
+Span Stevedore::hopeless_for(const Berth &berth, const ServicePlan &plan, const SlotAsk &ask) const {
+  const std::uint32_t usable = usable_runners(berth);
   if (usable == 0) return berth.boot_guess > ask.patience ? berth.boot_guess : 0;
   const auto ahead = static_cast<Span>(berth.pending_count);
   const Span lanes = static_cast<Span>(std::max(usable, plan.least)) * plan.slots;
@@ -267,7 +149,7 @@
   return expected > ask.patience ? expected : 0;
 }
 
-void Stevedore::make_room(Berth &berth, const BerthPlan &plan, const std::string &tenant, Outbox &out) {
+void Stevedore::make_room(Berth &berth, const ServicePlan &plan, const std::string &tenant, Outbox &out) {
   if (berth.pending_count < plan.pending_most) return;
   auto longest = berth.pending.end();
   for (auto line = berth.pending.begin(); line != berth.pending.end(); ++line)
@@ -322,9 +204,7 @@
     berth.seconds_budget = std::min(options_.second_most, berth.seconds_budget + options_.second_share);
   }
   if (const Span wait = berth.is_learning ? 0 : hopeless_for(berth, plan->second, ask); wait > 0) {
-    if (berth.levels.empty()) berth.levels.resize(1);
-    berth.levels[0].needed_at = now;
-    berth.target = std::max(berth.target, 1u);
+    berth.scaler.keep(1, now);
     refuse(ask, from, wait, "no-runner-in-time", out);
     return;
   }
@@ -340,7 +220,7 @@
   rescale(berth, plan->second, now);
 }
 
-Stevedore::Hull *Stevedore::free_hull(Berth &berth, const BerthPlan &plan, const SlotAsk &ask, Instant now,
+Stevedore::Hull *Stevedore::free_hull(Berth &berth, const ServicePlan &plan, const SlotAsk &ask, Instant now,
                                       std::string &id) {
   Hull *best = nullptr;
   std::pair<bool, std::size_t> best_rank;
@@ -457,60 +337,11 @@
   serve(free.service, berth, now, out);
 }
 
-void Stevedore::handle(NodeId from, const InventorySay &say, Instant now, Outbox &out) {
-  const auto found = berths_.find(say.service);
-  if (found == berths_.end() || !found->second.is_learning || say.epoch < found->second.since) return;
-  Berth &berth = found->second;
-  for (const HeldSlot &held : say.held) {
-    berth.hulls[held.runner].taken[held.errand] = {from, now + held.left, now, held.attempt};
-    berth.granted[held.errand] = held.runner;
-  }
-  if (!roster_.past.empty() && owner_in(roster_.past.back().owners(), say.service) == from) {
-    for (const HeldSlot &held : say.berth_held) {
-      berth.hulls[held.runner].taken[held.errand] = {held.pilot, now + held.left, now, held.attempt};
-      berth.granted[held.errand] = held.runner;
-    }
-    for (const std::string &runner : say.doubtful) berth.hulls[runner].must_retire = true;
-    berth.is_inherited = say.is_former_owner;
-  }
-  berth.heard.insert(from);
-  tick(now, out);
-}
-
-void Stevedore::finish_learning(const std::string &service, Berth &berth, Instant now) {
-  const BerthPlan &plan = plans_.at(service);
-  berth.is_learning = false;
-  keep_found(berth, now);
-  const bool is_whole =
-      std::includes(berth.heard.begin(), berth.heard.end(), berth.expected.begin(), berth.expected.end());
-  if (roster_.is_first || berth.is_inherited || is_whole || plan.is_self_bounding) return;
-  for (auto &[id, hull] : berth.hulls) {
-    hull.unknown =
-        hull.taken.size() < plan.slots ? plan.slots - static_cast<std::uint32_t>(hull.taken.size()) : 0;
-    hull.rests_until = now;
-    hull.must_retire = true;
-  }
-}
-
 void Stevedore::tick(Instant now, Outbox &out) {
   for (auto &[service, berth] : berths_) {
     const auto plan = plans_.find(service);
     if (plan == plans_.end()) continue;
-    if (berth.is_learning) {
-      if (now - berth.asked_at >= options_.inventory_again || berth.asked_at == 0) {
-        berth.asked_at = now;
-        for (NodeId pilot : berth.expected)
-          if (!berth.heard.contains(pilot)) out.push_back({pilot, {}, InventoryAsk{service, roster_.epoch}});
-      }
-      const bool is_bounding = plan->second.is_self_bounding;
-      if ((settled_ >= berth.since || is_bounding) && berth.settled_at == 0) berth.settled_at = now;
-      const Span patience = is_bounding ? options_.inventory_brief : options_.inventory_patience;
-      const bool is_whole =
-          roster_.is_first || berth.is_inherited ||
-          std::includes(berth.heard.begin(), berth.heard.end(), berth.expected.begin(), berth.expected.end());
-      if (berth.settled_at != 0 && (is_whole || now - berth.settled_at >= patience))
-        finish_learning(service, berth, now);
-    }
+    if (berth.is_learning) learn(service, berth, plan->second, now, out);
     for (auto &[id, hull] : berth.hulls) {
       for (auto slot = hull.taken.begin(); slot != hull.taken.end();) {
         const Span grace = slot->second.is_doubtful ? 0 : options_.free_grace;
@@ -529,54 +360,13 @@
   }
 }
 
-void Stevedore::rescale(Berth &berth, const BerthPlan &plan, Instant now) {
-  const auto demand = static_cast<std::uint32_t>(taken(berth) + berth.pending_count);
-  std::uint32_t need = (demand + plan.slots - 1) / plan.slots;
-  if (plan.is_priced) need = priced_need(berth, plan, demand, now);
-  if (!plan.is_priced && demand * 5 >= need * plan.slots * 4 && demand > 0) ++need;
-  if (plan.least > 0 && !plan.is_self_bounding) need = std::max(need, 2u);
-  need = std::clamp(need, plan.least, plan.most);
-  if (need > berth.target && berth.short_since == 0) berth.short_since = now;
-  if (berth.levels.size() < need) berth.levels.resize(need);
-  for (std::uint32_t at = berth.needed; at < need; ++at) {
-    Level &level = berth.levels[at];
-    if (level.needed_at == 0) continue;
-    const Span gap = now - level.needed_at;
-    level.gap = level.gap == 0 ? gap : (level.gap * 3 + gap) / 4;
-  }
-  berth.needed = need;
-  for (std::uint32_t at = 0; at < need; ++at) berth.levels[at].needed_at = now;
-  std::uint32_t kept = need;
-  for (auto at = static_cast<std::uint32_t>(berth.levels.size()); at > need; --at) {
-    const Level &level = berth.levels[at - 1];
-    if (level.needed_at == 0 || now - level.needed_at >= keep_for(level, plan)) continue;
-    kept = at;
-    break;
-  }
-  berth.target = std::clamp(std::min(kept, std::max(berth.target, need)), plan.least, plan.most);
-}
-
-std::uint32_t Stevedore::priced_need(Berth &berth, const BerthPlan &plan, std::uint32_t demand,
-                                     Instant now) const {
-  const double passed =
-      static_cast<double>(now - berth.averaged_at) / static_cast<double>(options_.demand_over);
-  berth.demand += (berth.demand_last - berth.demand) * (1 - std::exp(-std::min(passed, 50.0)));
-  berth.averaged_at = now;
-  berth.demand_last = demand;
-  const auto slots = static_cast<double>(plan.slots);
-  const double spare = plan.must_spare ? options_.spare_deviations * std::sqrt(berth.demand) : 0;
-  auto need = static_cast<std::uint32_t>(std::ceil((berth.demand + spare) / slots - 0.05));
-  std::uint32_t usable = 0;
-  for (const auto &[id, hull] : berth.hulls) usable += !hull.is_leaving && !hull.must_retire ? 1 : 0;
-  const auto lanes = static_cast<Span>(std::max(1u, usable) * plan.slots);
-  const Span wait = static_cast<Span>(berth.pending_count) * berth.serve_guess / lanes;
-  if (wait > plan.wait_well) need = std::max(need, (demand + plan.slots - 1) / plan.slots);
-  return demand > 0 ? std::max(need, 1u) : need;
+void Stevedore::rescale(Berth &berth, const ServicePlan &plan, Instant now) {
+  berth.scaler.update(plan, load_of(berth), now);
 }
 
-Span Stevedore::keep_for(const Level &level, const BerthPlan &plan) const {
-  if (!plan.is_priced || level.gap == 0) return plan.idle;
-  return level.gap <= plan.idle ? std::max(plan.idle, level.gap * 3) : plan.idle / 4;
+ServiceLoad Stevedore::load_of(const Berth &berth) {
+  return {taken(berth), static_cast<std::uint32_t>(berth.pending_count), usable_runners(berth),
+          berth.serve_guess};
 }
 
 std::uint64_t Stevedore::wants_mark() const {
@@ -584,7 +374,7 @@
   for (const auto &[service, berth] : berths_) {
     std::uint64_t doubtful = 0;
     for (const auto &[id, hull] : berth.hulls) doubtful += hull.must_retire && !hull.is_leaving ? 1 : 0;
-    mark = Dice(mark ^ (berth.target * 1000003ull + doubtful)).next();
+    mark = Dice(mark ^ (berth.scaler.target() * 1000003ull + doubtful)).next();
   }
   return mark;
 }
@@ -596,7 +386,7 @@
     if (!plans_.contains(service)) continue;
     Want want;
     want.service = service;
-    want.runners = berth.target;
+    want.runners = berth.scaler.target();
     want.epoch = berth.since;
     want.pending = static_cast<std::uint32_t>(berth.pending_count);
     want.taken = taken(berth);
--- a/packages/berth/berth.hpp
+++ b/packages/berth/berth.hpp
@@ -4,27 +4,11 @@
 #include <set>
 #include <string>
 
+#include "berth/service_scaler.hpp"
 #include "signals/signals.hpp"
 
 namespace wharf {
 
-/// What a stevedore must know of a service from the manifest in force.
-struct BerthPlan {
-  std::uint32_t slots = 1, least = 0, most = 1, worth = 1, pending_most = 256;
-  Span idle = seconds(30), wait_most = seconds(30);
-  /// What a start is known to take; 0 when nothing is known.
-  Span boot = 0;
-  /// True where `idle` follows from prices; then levels that are needed often are kept longer, others less.
-  bool is_priced = false;
-  /// Where priced: how long errands may wait for a slot before more runners are worth starting.
-  Span wait_well = 0;
-  /// A start takes longer than callers like to wait, so some slots are kept free.
-  bool must_spare = true;
-  /// Runners refuse what is above their slots themselves, so a slot in doubt is freed, not its runner ended.
-  bool is_self_bounding = false;
-  bool operator==(const BerthPlan &) const = default;
-};
-
 struct BerthOptions {
   Span inventory_patience = milliseconds(500);
   /// The same for self-bounding services, whose slots in doubt are no danger.
@@ -37,10 +21,7 @@
   Span boot_guess = milliseconds(1500);
   /// How often a starting runner is asked whether it listens yet.
   Span knock_again = milliseconds(40);
-  /// The time over which a priced service's demand is averaged, and how many of its own deviations are kept
-  /// free above that average where a start is slow.
-  Span demand_over = seconds(1);
-  double spare_deviations = 1.3;
+  ScalerOptions scaler;
   /// Calls in a row that a self-bounding runner may lose before it is ended.
   std::uint32_t lost_most = 5;
 };
@@ -55,7 +36,7 @@
 class Stevedore {
 public:
   Stevedore(NodeId self, BerthOptions options);
-  void set_plans(std::map<std::string, BerthPlan> plans, Instant now, Outbox &out);
+  void set_plans(std::map<std::string, ServicePlan> plans, Instant now, Outbox &out);
   void set_roster(const Roster &roster, Epoch settled, Instant now, Outbox &out);
   void set_runners(const std::vector<RunnerView> &runners, Instant now, Outbox &out);
   /// Takes a node set and the runners that were told with it. Runners are told to owners only, so the ones of
@@ -99,10 +80,6 @@
     Instant rests_until = 0;
     std::uint32_t strikes = 0;
   };
-  struct Level {
-    Instant needed_at = 0;
-    Span gap = 0;
-  };
   struct Waiting {
     SlotAsk ask;
     NodeId pilot = 0;
@@ -120,13 +97,7 @@
     std::deque<std::string> turns;
     std::size_t pending_count = 0;
     double seconds_budget = 1;
-    std::uint32_t target = 0, needed = 0;
-    /// For each number of runners: when that many were last needed, and how long it usually is until they are
-    /// again.
-    std::vector<Level> levels;
-    Instant short_since = 0, averaged_at = 0;
-    double demand = 0;
-    std::uint32_t demand_last = 0;
+    ServiceScaler scaler;
     Span serve_guess = milliseconds(50), boot_guess = 0;
   };
 
@@ -139,29 +110,30 @@
   void send_waiting_elsewhere(const std::string &service, const Berth &berth, Outbox &out) const;
   void begin_owned_services(Instant now);
   void replace_runners(const std::vector<RunnerView> &runners, Instant now);
+  /// Asks the nodes for slots they hold and ends the learning once enough have answered or patience is over.
+  void learn(const std::string &service, Berth &berth, const ServicePlan &plan, Instant now, Outbox &out);
+  static bool has_heard_all(const Berth &berth);
   void finish_learning(const std::string &service, Berth &berth, Instant now);
   void serve(const std::string &service, Berth &berth, Instant now, Outbox &out);
-  Hull *free_hull(Berth &berth, const BerthPlan &plan, const SlotAsk &ask, Instant now, std::string &id);
+  Hull *free_hull(Berth &berth, const ServicePlan &plan, const SlotAsk &ask, Instant now, std::string &id);
   /// Takes the runners that are there as needed a moment ago, as a successor does not know how many are.
-  void keep_found(Berth &berth, Instant now) const;
+  static void keep_found(Berth &berth, Instant now);
   void take_view(Hull &hull, const RunnerView &runner, Instant now);
   SlotSay held_say(const SlotAsk &ask, Berth &berth, const std::string &runner) const;
   void refuse(const SlotAsk &ask, NodeId pilot, Span retry_after, std::string why, Outbox &out);
   void grant(Berth &berth, Waiting waiting, const std::string &runner, Instant now, Outbox &out);
-  void make_room(Berth &berth, const BerthPlan &plan, const std::string &tenant, Outbox &out);
-  /// Runners a priced service needs, by its averaged demand and by how long errands would wait.
-  std::uint32_t priced_need(Berth &berth, const BerthPlan &plan, std::uint32_t demand, Instant now) const;
-  /// How long a level that is not needed is kept.
-  Span keep_for(const Level &level, const BerthPlan &plan) const;
-  void rescale(Berth &berth, const BerthPlan &plan, Instant now);
-  Span hopeless_for(const Berth &berth, const BerthPlan &plan, const SlotAsk &ask) const;
-  std::uint32_t taken(const Berth &berth) const;
+  void make_room(Berth &berth, const ServicePlan &plan, const std::string &tenant, Outbox &out);
+  static void rescale(Berth &berth, const ServicePlan &plan, Instant now);
+  static ServiceLoad load_of(const Berth &berth);
+  Span hopeless_for(const Berth &berth, const ServicePlan &plan, const SlotAsk &ask) const;
+  static std::uint32_t taken(const Berth &berth);
+  static std::uint32_t usable_runners(const Berth &berth);
   NodeId owner_in(const std::vector<NodeId> &pilots, const std::string &service) const;
   bool was_owner_since(Epoch epoch, const std::string &service) const;
 
   NodeId self_;
   BerthOptions options_;
-  std::map<std::string, BerthPlan> plans_;
+  std::map<std::string, ServicePlan> plans_;
   std::map<std::string, Berth> berths_;
   struct Former {
     Epoch until = 0;
--- /dev/null
+++ b/packages/berth/service_scaler.hpp
@@ -0,0 +1,67 @@
+#pragma once
+// How many runners a service should have, by the load that its owner sees.
+#include <cstdint>
+#include <vector>
+
+#include "berth/service_plan.hpp"
+
+namespace wharf {
+
+struct ScalerOptions {
+  /// The time over which a priced service's demand is averaged, and how many of its own deviations are kept
+  /// free above that average where a start is slow.
+  Span demand_over = seconds(1);
+  double spare_deviations = 1.3;
+};
+
+/// What a service's owner sees of its load at one moment.
+struct ServiceLoad {
+  std::uint32_t taken_slots = 0, pending = 0, usable_runners = 0;
+  /// What a request is expected to occupy a slot for.
+  Span serve_time = 0;
+};
+
+/// Works out the number of runners of one service; a pure state machine. It raises the number at once and
+/// lowers it only after a level (the n-th runner) has not been needed for the plan's idle time. It knows no
+/// runners and starts none.
+class ServiceScaler {
+public:
+  ServiceScaler() = default;
+  explicit ServiceScaler(ScalerOptions options) : options_(options) {}
+
+  /// The number of runners to have.
+  std::uint32_t target() const { return target_; }
+  /// Takes this many runners as needed now, as a successor that finds them does not know how many are.
+  void keep(std::uint32_t runners, Instant now);
+  /// Takes the load of the moment into account.
+  void update(const ServicePlan &plan, const ServiceLoad &load, Instant now);
+  /// Since when more runners have been needed than were the target; 0 when none are missing.
+  Instant short_since() const { return short_since_; }
+  /// A runner that was missing has come.
+  void runner_came() { short_since_ = 0; }
+
+private:
+  /// For a number of runners: when that many were last needed, and how long it usually is until they are
+  /// again.
+  struct Level {
+    Instant needed_at = 0;
+    Span gap = 0;
+  };
+  std::uint32_t needed_runners(const ServicePlan &plan, const ServiceLoad &load, Instant now);
+  /// Runners a priced service needs, by its averaged demand and by how long requests would wait.
+  std::uint32_t priced_runners(const ServicePlan &plan, const ServiceLoad &load, Instant now);
+  void note_needed(std::uint32_t need, Instant now);
+  /// The highest level that is needed now or was so not long ago.
+  std::uint32_t kept_level(std::uint32_t need, const ServicePlan &plan, Instant now) const;
+  /// How long a level that is not needed is kept.
+  static Span keep_for(const Level &level, const ServicePlan &plan);
+
+  ScalerOptions options_;
+  std::uint32_t target_ = 0, needed_ = 0;
+  std::vector<Level> levels_;
+  Instant short_since_ = 0, averaged_at_ = 0;
+  double average_demand_ = 0;
+  std::uint32_t last_demand_ = 0;
+};
+
+} // namespace wharf
--- /dev/null
+++ b/packages/berth/succession.cpp
@@ -0,0 +1,180 @@
+// How a service goes from one owner to the next: who owns it, what a former owner tells and what a new one
+// learns before it grants slots.
+#include <algorithm>
+
+#include "berth/berth.hpp"
+
+namespace wharf {
+
+namespace {
+/// How long an owner keeps what it knew of a service that went to another node, for its successors to ask.
+constexpr Span former_kept = seconds(60);
+} // namespace
+
+NodeId Stevedore::owner_in(const std::vector<NodeId> &pilots, const std::string &service) const {
+  return top_ranked_node(pilots, service, stevedore_salt);
+}
+
+bool Stevedore::was_owner_since(Epoch epoch, const std::string &service) const {
+  bool is_found = false;
+  for (const PastRoster &past : roster_.past) {
+    if (past.epoch < epoch) continue;
+    if (past.epoch == epoch) is_found = true;
+    if (owner_in(past.owners(), service) != self_) return false;
+  }
+  return is_found;
+}
+
+void Stevedore::begin(const std::string &service, Instant now) {
+  Berth &berth = berths_[service];
+  berth = Berth{};
+  berth.scaler = ServiceScaler(options_.scaler);
+  berth.since = roster_.epoch;
+  const auto plan = plans_.find(service);
+  berth.boot_guess = plan != plans_.end() && plan->second.boot > 0 ? plan->second.boot : options_.boot_guess;
+  berth.expected.insert(roster_.pilots.begin(), roster_.pilots.end());
+  if (!roster_.past.empty())
+    berth.expected.insert(roster_.past.back().pilots.begin(), roster_.past.back().pilots.end());
+  for (const RunnerView &runner : runners_) {
+    if (runner.service != service) continue;
+    take_view(berth.hulls[runner.id], runner, now);
+  }
+  keep_found(berth, now);
+}
+
+void Stevedore::keep_found(Berth &berth, Instant now) {
+  const auto found = static_cast<std::uint32_t>(std::count_if(
+      berth.hulls.begin(), berth.hulls.end(), [](const auto &item) { return !item.second.is_leaving; }));
+  berth.scaler.keep(found, now);
+}
+
+void Stevedore::set_roster(const Roster &roster, Epoch settled, Instant now, Outbox &out) {
+  const bool is_new = roster.epoch > roster_.epoch;
+  if (is_new) hand_over_lost_services(roster, now, out);
+  settled_ = std::max(settled_, settled);
+  if (is_new) begin_owned_services(now);
+  tick(now, out);
+}
+
+void Stevedore::set_roster_and_runners(const Roster &roster, Epoch settled,
+                                       const std::vector<RunnerView> &runners, Instant now, Outbox &out) {
+  const bool is_new = roster.epoch > roster_.epoch;
+  if (is_new) hand_over_lost_services(roster, now, out);
+  settled_ = std::max(settled_, settled);
+  replace_runners(runners, now);
+  if (is_new) begin_owned_services(now);
+  tick(now, out);
+}
+
+void Stevedore::hand_over_lost_services(const Roster &roster, Instant now, Outbox &out) {
+  const Epoch old_epoch = roster_.epoch;
+  roster_ = roster;
+  for (auto berth = berths_.begin(); berth != berths_.end();) {
+    const bool is_kept =
+        owner_in(roster_.owners(), berth->first) == self_ && was_owner_since(old_epoch, berth->first);
+    if (is_kept) {
+      ++berth;
+      continue;
+    }
+    send_waiting_elsewhere(berth->first, berth->second, out);
+    former_[berth->first] = {old_epoch, now, std::move(berth->second)};
+    berth = berths_.erase(berth);
+  }
+  std::erase_if(former_, [now](const auto &item) { return now - item.second.lost_at > former_kept; });
+}
+
+void Stevedore::send_waiting_elsewhere(const std::string &service, const Berth &berth, Outbox &out) const {
+  for (const auto &[tenant, line] : berth.pending)
+    for (const Waiting &waiting : line) {
+      SlotSay say;
+      say.errand = waiting.ask.errand;
+      say.service = service;
+      say.epoch = roster_.epoch;
+      say.state = static_cast<std::uint8_t>(SlotState::not_mine);
+      out.push_back({waiting.pilot, {}, say});
+    }
+}
+
+void Stevedore::begin_owned_services(Instant now) {
+  for (const auto &[service, plan] : plans_)
+    if (owner_in(roster_.owners(), service) == self_ && !berths_.contains(service)) begin(service, now);
+}
+
+void Stevedore::describe_former(const std::string &service, Epoch epoch, Instant now,
+                                InventorySay &say) const {
+  const auto found = former_.find(service);
+  if (found == former_.end()) return;
+  if (found->second.berth.is_learning) {
+    for (const auto &[id, hull] : found->second.berth.hulls) say.doubtful.push_back(id);
+    return;
+  }
+  bool is_direct = false;
+  for (std::size_t at = 0; at < roster_.past.size(); ++at) {
+    const Epoch next = at + 1 < roster_.past.size() ? roster_.past[at + 1].epoch : roster_.epoch;
+    if (next == epoch && owner_in(roster_.past[at].owners(), service) == self_ &&
+        roster_.past[at].epoch >= found->second.berth.since)
+      is_direct =
+          roster_.past[at].epoch == found->second.until || was_owner_since(found->second.until, service);
+  }
+  if (!is_direct) return;
+  say.is_former_owner = true;
+  for (const auto &[id, hull] : found->second.berth.hulls) {
+    for (const auto &[errand, slot] : hull.taken)
+      say.berth_held.push_back({errand, id, slot.pilot, slot.attempt, slot.deadline - now});
+    if (hull.must_retire) say.doubtful.push_back(id);
+  }
+}
+
+void Stevedore::handle(NodeId from, const InventorySay &say, Instant now, Outbox &out) {
+  const auto found = berths_.find(say.service);
+  if (found == berths_.end() || !found->second.is_learning || say.epoch < found->second.since) return;
+  Berth &berth = found->second;
+  for (const HeldSlot &held : say.held) {
+    berth.hulls[held.runner].taken[held.errand] = {from, now + held.left, now, held.attempt};
+    berth.granted[held.errand] = held.runner;
+  }
+  if (!roster_.past.empty() && owner_in(roster_.past.back().owners(), say.service) == from) {
+    for (const HeldSlot &held : say.berth_held) {
+      berth.hulls[held.runner].taken[held.errand] = {held.pilot, now + held.left, now, held.attempt};
+      berth.granted[held.errand] = held.runner;
+    }
+    for (const std::string &runner : say.doubtful) berth.hulls[runner].must_retire = true;
+    berth.is_inherited = say.is_former_owner;
+  }
+  berth.heard.insert(from);
+  tick(now, out);
+}
+
+void Stevedore::learn(const std::string &service, Berth &berth, const ServicePlan &plan, Instant now,
+                      Outbox &out) {
+  if (now - berth.asked_at >= options_.inventory_again || berth.asked_at == 0) {
+    berth.asked_at = now;
+    for (NodeId pilot : berth.expected)
+      if (!berth.heard.contains(pilot)) out.push_back({pilot, {}, InventoryAsk{service, roster_.epoch}});
+  }
+  const bool is_settled = settled_ >= berth.since || plan.is_self_bounding;
+  if (is_settled && berth.settled_at == 0) berth.settled_at = now;
+  if (berth.settled_at == 0) return;
+  const Span patience = plan.is_self_bounding ? options_.inventory_brief : options_.inventory_patience;
+  const bool is_known = roster_.is_first || berth.is_inherited || has_heard_all(berth);
+  if (is_known || now - berth.settled_at >= patience) finish_learning(service, berth, now);
+}
+
+bool Stevedore::has_heard_all(const Berth &berth) {
+  return std::includes(berth.heard.begin(), berth.heard.end(), berth.expected.begin(), berth.expected.end());
+}
+
+void Stevedore::finish_learning(const std::string &service, Berth &berth, Instant now) {
+  const ServicePlan &plan = plans_.at(service);
+  berth.is_learning = false;
+  keep_found(berth, now);
+  if (roster_.is_first || berth.is_inherited || has_heard_all(berth) || plan.is_self_bounding) return;
+  for (auto &[id, hull] : berth.hulls) {
+    hull.unknown =
+        hull.taken.size() < plan.slots ? plan.slots - static_cast<std::uint32_t>(hull.taken.size()) : 0;
+    hull.rests_until = now;
+    hull.must_retire = true;
+  }
+}
+
+} // namespace wharf
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -30,7 +30,8 @@
 
 /// Sets how long a runner of a service is worth keeping, and whether slots are kept spare, from what starts
 /// and memory cost beside the worth of a call that comes too late for its aim.
-void weigh_starts(const Limits &limits, const Service &service, const AimsByService &aims, BerthPlan &plan) {
+void weigh_starts(const Limits &limits, const Service &service, const AimsByService &aims,
+                  ServicePlan &plan) {
   if (limits.memory_price == 0 || service.boot_ms == 0) return;
   const auto aim = aims.find(service.name);
   const std::uint32_t aim_ms = aim == aims.end() ? 0 : aim->second;
@@ -413,10 +414,10 @@
   for (const Tenant &tenant : charter->tenants)
     allowances[tenant.name] = {static_cast<double>(tenant.base), static_cast<double>(tenant.burst)};
   purser_.set_allowances(std::move(allowances), now);
-  std::map<std::string, BerthPlan> plans;
+  std::map<std::string, ServicePlan> plans;
   const AimsByService aims = shortest_aims(charter->compass);
   for (const Service &service : charter->services) {
-    BerthPlan plan;
+    ServicePlan plan;
     plan.slots = static_cast<std::uint32_t>(service.slots);
     plan.least = static_cast<std::uint32_t>(service.least);
     plan.most = static_cast<std::uint32_t>(service.most);
--- a/programs/hollow/main.cpp
+++ b/programs/hollow/main.cpp
@@ -219,8 +219,8 @@
   Stevedore stevedore(1, BerthOptions{});
   Outbox out;
   stevedore.set_fresh_until(seconds(10'000));
-  std::map<std::string, BerthPlan> plans;
-  BerthPlan plan;
+  std::map<std::string, ServicePlan> plans;
+  ServicePlan plan;
   plan.is_priced = plan.is_self_bounding = true;
   for (std::size_t at = 0; at < services; ++at) plans["f" + std::to_string(at)] = plan;
   Roster roster;
--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -35,7 +35,7 @@
     Outbox out;
     const Instant now = seconds(10);
     stevedore.set_fresh_until(now + seconds(20));
-    stevedore.set_plans({{"s", BerthPlan{}}}, now, out);
+    stevedore.set_plans({{"s", ServicePlan{}}}, now, out);
     RunnerView runner;
     runner.id = "r1";
     runner.service = "s";
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -10,8 +10,8 @@
 namespace {
 constexpr Instant start = seconds(100);
 
-BerthPlan priced_plan() {
-  BerthPlan plan;
+ServicePlan priced_plan() {
+  ServicePlan plan;
   plan.slots = 2;
   plan.most = 50;
   plan.idle = seconds(2);
@@ -46,7 +46,7 @@
 struct Berthed {
   Stevedore stevedore{rig_self, BerthOptions{}};
   Outbox out;
-  explicit Berthed(std::vector<RunnerView> runners, BerthPlan plan = priced_plan()) {
+  explicit Berthed(std::vector<RunnerView> runners, ServicePlan plan = priced_plan()) {
     stevedore.set_fresh_until(start + seconds(1000));
     stevedore.set_plans({{"s", plan}}, start, out);
     stevedore.set_runners(runners, start, out);
--- a/tests/slots_test.cpp
+++ b/tests/slots_test.cpp
@@ -28,7 +28,7 @@
     Outbox out;
     const Instant now = seconds(10);
     stevedore.set_fresh_until(now + seconds(2));
-    stevedore.set_plans({{"s", BerthPlan{}}}, now, out);
+    stevedore.set_plans({{"s", ServicePlan{}}}, now, out);
     Roster roster;
     roster.epoch = 1;
     roster.pilots = {rig_self};
