Ask each node once for the slots of all services that a new owner takes over

Cause: a new owner asked each node about each service, again every 100 ms until it was told, and went through all its services at each answer. A core that comes back after a fault takes over 1,030 services on 93 nodes: 97,000 questions, as many answers; an owner sent 4.2 MB of questions and 8.3 MB of mail passed on for others that did not answer in time, ticked 59 times in 5 s (300 to 500 usual), fell silent, was removed and added five times. Change: one question a node for all services that it has not told of, by number, repeated under its number and ever more seldom; the answer names only services of which the node has something.

--- a/packages/berth/berth.cpp
+++ b/packages/berth/berth.cpp
@@ -338,10 +338,11 @@
 }
 
 void Stevedore::tick(Instant now, Outbox &out) {
+  ask_inventories(now, out);
   for (auto &[service, berth] : berths_) {
     const auto plan = plans_.find(service);
     if (plan == plans_.end()) continue;
-    if (berth.is_learning) learn(service, berth, plan->second, now, out);
+    if (berth.is_learning) learn(service, berth, plan->second, now);
     for (auto &[id, hull] : berth.hulls) {
       for (auto slot = hull.taken.begin(); slot != hull.taken.end();) {
         const Span grace = slot->second.is_doubtful ? 0 : options_.free_grace;
--- a/packages/berth/berth.hpp
+++ b/packages/berth/berth.hpp
@@ -6,6 +6,7 @@
 
 #include "berth/service_scaler.hpp"
 #include "signals/signals.hpp"
+#include "tide/backoff.hpp"
 
 namespace wharf {
 
@@ -13,7 +14,11 @@
   Span inventory_patience = milliseconds(500);
   /// The same for self-bounding services, whose slots in doubt are no danger.
   Span inventory_brief = milliseconds(60);
-  Span inventory_again = milliseconds(100);
+  /// How long a node may take to answer before it is asked again; twice as long after each time, up to the
+  /// longest.
+  Span inventory_again = milliseconds(100), inventory_again_most = milliseconds(800);
+  /// Services that one question names at most.
+  std::size_t inventory_services = 500;
   Span free_grace = seconds(1);
   Span unreached_rest = milliseconds(500);
   double second_share = 0.15;
@@ -54,8 +59,8 @@
   /// What the leader should settle for the services owned here.
   std::vector<Want> wants(Instant now) const;
 
-  /// Adds what this node knew of a service as its owner before `epoch`, when that is whole.
-  void describe_former(const std::string &service, Epoch epoch, Instant now, InventorySay &say) const;
+  /// Adds what this node knew of an inventory's service as its owner before `epoch`, when that is whole.
+  void describe_former(Epoch epoch, Instant now, ServiceInventory &inventory) const;
   /// Changes whenever what should be settled for the services owned here changes.
   std::uint64_t wants_mark() const;
   std::size_t pending(const std::string &service) const;
@@ -88,7 +93,7 @@
   struct Berth {
     Epoch since = 0;
     bool is_learning = true;
-    Instant settled_at = 0, asked_at = 0;
+    Instant settled_at = 0;
     std::set<NodeId> heard, expected;
     bool is_inherited = false;
     std::map<std::string, Hull> hulls;
@@ -110,8 +115,13 @@
   void send_waiting_elsewhere(const std::string &service, const Berth &berth, Outbox &out) const;
   void begin_owned_services(Instant now);
   void replace_runners(const std::vector<RunnerView> &runners, Instant now);
-  /// Asks the nodes for slots they hold and ends the learning once enough have answered or patience is over.
-  void learn(const std::string &service, Berth &berth, const ServicePlan &plan, Instant now, Outbox &out);
+  /// Ends the learning once enough nodes have answered or patience is over.
+  void learn(const std::string &service, Berth &berth, const ServicePlan &plan, Instant now);
+  /// Asks each node, in one message, for all services that it has not told of yet.
+  void ask_inventories(Instant now, Outbox &out);
+  void begin_inventory_rounds();
+  /// Takes what a node told of one service into account.
+  void take_inventory(NodeId from, const ServiceInventory &inventory, Instant now);
   static bool has_heard_all(const Berth &berth);
   void finish_learning(const std::string &service, Berth &berth, Instant now);
   void serve(const std::string &service, Berth &berth, Instant now, Outbox &out);
@@ -141,6 +151,14 @@
     Berth berth;
   };
   std::map<std::string, Former> former_;
+  /// A question to a node that it has not answered yet.
+  struct InventoryRound {
+    std::uint64_t number = 0;
+    std::vector<std::string> services;
+    Backoff retry;
+  };
+  std::map<NodeId, InventoryRound> inventory_rounds_;
+  std::uint64_t inventory_number_ = 0;
   std::vector<RunnerView> runners_;
   Roster roster_;
   Epoch settled_ = 0;
--- a/packages/berth/succession.cpp
+++ b/packages/berth/succession.cpp
@@ -69,6 +69,7 @@
 void Stevedore::hand_over_lost_services(const Roster &roster, Instant now, Outbox &out) {
   const Epoch old_epoch = roster_.epoch;
   roster_ = roster;
+  inventory_rounds_.clear();
   for (auto berth = berths_.begin(); berth != berths_.end();) {
     const bool is_kept =
         owner_in(roster_.owners(), berth->first) == self_ && was_owner_since(old_epoch, berth->first);
@@ -100,8 +101,8 @@
     if (owner_in(roster_.owners(), service) == self_ && !berths_.contains(service)) begin(service, now);
 }
 
-void Stevedore::describe_former(const std::string &service, Epoch epoch, Instant now,
-                                InventorySay &say) const {
+void Stevedore::describe_former(Epoch epoch, Instant now, ServiceInventory &say) const {
+  const std::string &service = say.service;
   const auto found = former_.find(service);
   if (found == former_.end()) return;
   if (found->second.berth.is_learning) {
@@ -126,32 +127,66 @@
 }
 
 void Stevedore::handle(NodeId from, const InventorySay &say, Instant now, Outbox &out) {
-  const auto found = berths_.find(say.service);
-  if (found == berths_.end() || !found->second.is_learning || say.epoch < found->second.since) return;
+  const auto round = inventory_rounds_.find(from);
+  if (round == inventory_rounds_.end() || round->second.number != say.number || say.epoch != roster_.epoch)
+    return;
+  for (const ServiceInventory &inventory : say.services) take_inventory(from, inventory, now);
+  for (const std::string &service : round->second.services) {
+    const auto found = berths_.find(service);
+    if (found != berths_.end()) found->second.heard.insert(from);
+  }
+  inventory_rounds_.erase(round);
+  tick(now, out);
+}
+
+void Stevedore::take_inventory(NodeId from, const ServiceInventory &inventory, Instant now) {
+  const auto found = berths_.find(inventory.service);
+  if (found == berths_.end() || !found->second.is_learning) return;
   Berth &berth = found->second;
-  for (const HeldSlot &held : say.held) {
+  for (const HeldSlot &held : inventory.held) {
     berth.hulls[held.runner].taken[held.errand] = {from, now + held.left, now, held.attempt};
     berth.granted[held.errand] = held.runner;
   }
-  if (!roster_.past.empty() && owner_in(roster_.past.back().owners(), say.service) == from) {
-    for (const HeldSlot &held : say.berth_held) {
-      berth.hulls[held.runner].taken[held.errand] = {held.pilot, now + held.left, now, held.attempt};
-      berth.granted[held.errand] = held.runner;
-    }
-    for (const std::string &runner : say.doubtful) berth.hulls[runner].must_retire = true;
-    berth.is_inherited = say.is_former_owner;
+  if (roster_.past.empty() || owner_in(roster_.past.back().owners(), inventory.service) != from) return;
+  for (const HeldSlot &held : inventory.berth_held) {
+    berth.hulls[held.runner].taken[held.errand] = {held.pilot, now + held.left, now, held.attempt};
+    berth.granted[held.errand] = held.runner;
   }
-  berth.heard.insert(from);
-  tick(now, out);
+  for (const std::string &runner : inventory.doubtful) berth.hulls[runner].must_retire = true;
+  berth.is_inherited = inventory.is_former_owner;
 }
 
-void Stevedore::learn(const std::string &service, Berth &berth, const ServicePlan &plan, Instant now,
-                      Outbox &out) {
-  if (now - berth.asked_at >= options_.inventory_again || berth.asked_at == 0) {
-    berth.asked_at = now;
-    for (NodeId pilot : berth.expected)
-      if (!berth.heard.contains(pilot)) out.push_back({pilot, {}, InventoryAsk{service, roster_.epoch}});
+void Stevedore::ask_inventories(Instant now, Outbox &out) {
+  const bool is_any_learning =
+      std::any_of(berths_.begin(), berths_.end(), [](const auto &item) { return item.second.is_learning; });
+  if (!is_any_learning) {
+    inventory_rounds_.clear();
+    return;
+  }
+  begin_inventory_rounds();
+  for (auto &[node, round] : inventory_rounds_) {
+    if (!round.retry.is_due(now)) continue;
+    round.retry.sent(now);
+    out.push_back({node, {}, InventoryAsk{round.number, roster_.epoch, round.services}});
+  }
+}
+
+void Stevedore::begin_inventory_rounds() {
+  std::map<NodeId, std::vector<std::string>> untold;
+  for (const auto &[service, berth] : berths_) {
+    if (!berth.is_learning || !plans_.contains(service)) continue;
+    for (NodeId node : berth.expected) {
+      if (berth.heard.contains(node) || inventory_rounds_.contains(node)) continue;
+      std::vector<std::string> &services = untold[node];
+      if (services.size() < options_.inventory_services) services.push_back(service);
+    }
   }
+  for (auto &[node, services] : untold)
+    inventory_rounds_[node] = {++inventory_number_, std::move(services),
+                               Backoff(options_.inventory_again, options_.inventory_again_most)};
+}
+
+void Stevedore::learn(const std::string &service, Berth &berth, const ServicePlan &plan, Instant now) {
   const bool is_settled = settled_ >= berth.since || plan.is_self_bounding;
   if (is_settled && berth.settled_at == 0) berth.settled_at = now;
   if (berth.settled_at == 0) return;
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -822,17 +822,27 @@
 
 void Pilot::handle(NodeId from, const InventoryAsk &ask, Instant now, PilotOutput &out) {
   if (roster_.epoch < ask.epoch) return;
+  std::map<std::string_view, ServiceInventory> found;
+  for (const std::string &service : ask.services) found[service].service = service;
+  for (const auto &[id, errand] : afloat_) {
+    const auto inventory = found.find(errand.bill.service);
+    if (inventory == found.end() || !errand.is_carrying) continue;
+    inventory->second.held.push_back(
+        {id, errand.runner, self_.id, errand.attempt, errand.bill.deadline - now});
+  }
+  for (const LostSlot &lost : lost_) {
+    const auto inventory = found.find(lost.service);
+    if (inventory == found.end()) continue;
+    inventory->second.held.push_back({lost.errand, lost.runner, self_.id, lost.attempt, 0});
+  }
   InventorySay say;
-  say.service = ask.service;
+  say.number = ask.number;
   say.epoch = ask.epoch;
-  for (const auto &[id, errand] : afloat_)
-    if (errand.bill.service == ask.service && errand.is_carrying)
-      say.held.push_back({id, errand.runner, self_.id, errand.attempt, errand.bill.deadline - now});
-  for (const LostSlot &lost : lost_)
-    if (lost.service == ask.service)
-      say.held.push_back({lost.errand, lost.runner, self_.id, lost.attempt, 0});
-  stevedore_.describe_former(ask.service, ask.epoch, now, say);
-  out.mail.push_back({from, {}, say});
+  for (auto &[service, inventory] : found) {
+    stevedore_.describe_former(ask.epoch, now, inventory);
+    if (!inventory.is_empty()) say.services.push_back(std::move(inventory));
+  }
+  out.mail.push_back({from, {}, std::move(say)});
 }
 
 bool Pilot::is_modest(const Till &till, const Tenant &tenant) const {
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -436,19 +436,32 @@
   Span left = 0;
   WHARF_CARRY(errand, runner, pilot, attempt, left)
 };
+/// A new owner's question to a node: which slots of these services does it hold or know of? All services that
+/// the node has not told of yet go into one question; it keeps its number when it is sent again.
 struct InventoryAsk {
-  std::string service;
+  std::uint64_t number = 0;
   Epoch epoch = 0;
-  WHARF_CARRY(service, epoch)
+  std::vector<std::string> services;
+  WHARF_CARRY(number, epoch, services)
 };
-struct InventorySay {
+
+/// What a node knows of one service's slots.
+struct ServiceInventory {
   std::string service;
-  Epoch epoch = 0;
   std::vector<HeldSlot> held;
   bool is_former_owner = false;
   std::vector<HeldSlot> berth_held;
   std::vector<std::string> doubtful;
-  WHARF_CARRY(service, epoch, held, is_former_owner, berth_held, doubtful)
+  bool is_empty() const { return held.empty() && !is_former_owner && berth_held.empty() && doubtful.empty(); }
+  WHARF_CARRY(service, held, is_former_owner, berth_held, doubtful)
+};
+
+/// The answer; services of the question that it does not name have nothing at this node.
+struct InventorySay {
+  std::uint64_t number = 0;
+  Epoch epoch = 0;
+  std::vector<ServiceInventory> services;
+  WHARF_CARRY(number, epoch, services)
 };
 
 /// A whole frame for another pilot that its sender cannot reach itself; passed on once.
--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <map>
+
 #include "raft/raft.hpp"
 #include "rig.hpp"
 
@@ -46,9 +49,14 @@
     roster.past = {{1, {rig_other, rig_self}, {}}};
     stevedore.set_roster(roster, 2, now, out);
     InventorySay own, other;
-    own.service = other.service = "s";
     own.epoch = other.epoch = 2;
-    other.held = {{"held", "r1", rig_other, 0, seconds(30)}};
+    for (const Posted &posted : out)
+      if (const auto *asked = std::get_if<InventoryAsk>(&posted.signal))
+        (posted.to == rig_self ? own : other).number = asked->number;
+    ServiceInventory inventory;
+    inventory.service = "s";
+    inventory.held = {{"held", "r1", rig_other, 0, seconds(30)}};
+    other.services = {inventory};
     SlotAsk ask;
     ask.errand = "fresh";
     ask.service = "s";
@@ -74,6 +82,59 @@
   });
 }
 
+TEST(Orders, a_stevedore_asks_each_node_once_for_all_services_it_takes_over) {
+  constexpr std::size_t services = 130;
+  constexpr NodeId nodes = 90;
+  Stevedore stevedore(rig_self, BerthOptions{});
+  Outbox out;
+  Instant now = seconds(10);
+  stevedore.set_fresh_until(now + seconds(20));
+  std::map<std::string, ServicePlan> plans;
+  for (std::size_t at = 0; at < services; ++at) plans["s" + std::to_string(at)] = ServicePlan{};
+  stevedore.set_plans(plans, now, out);
+  Roster roster;
+  roster.epoch = 2;
+  for (NodeId id = 1; id <= nodes; ++id) roster.pilots.push_back(id);
+  roster.owner_candidates = {rig_self};
+  roster.past = {{1, roster.pilots, {}, 0, {rig_other}}};
+  stevedore.set_roster(roster, 2, now, out);
+  LONGS_EQUAL(nodes, out.size());
+  std::map<NodeId, std::uint64_t> numbers;
+  for (const Posted &posted : out) {
+    const auto &ask = std::get<InventoryAsk>(posted.signal);
+    LONGS_EQUAL(services, ask.services.size());
+    numbers[posted.to] = ask.number;
+  }
+  // Nobody answers: each is asked again under the same number, ever more seldom.
+  out.clear();
+  for (int step = 0; step < 45; ++step) stevedore.tick(now += milliseconds(10), out);
+  LONGS_EQUAL(2 * nodes, out.size());
+  for (const Posted &posted : out)
+    CHECK_EQUAL(numbers.at(posted.to), std::get<InventoryAsk>(posted.signal).number);
+  // A late answer to the first sending counts; one under another number does not.
+  SlotAsk wanted;
+  wanted.errand = "fresh";
+  wanted.service = "s7";
+  wanted.tenant = "t";
+  wanted.patience = seconds(10);
+  RunnerView runner;
+  runner.id = "r1";
+  runner.service = "s7";
+  stevedore.set_runners({runner}, now, out);
+  stevedore.step(rig_other, wanted, now, out);
+  const auto granted = [&out] {
+    return std::count_if(out.begin(), out.end(), [](const Posted &posted) {
+      const auto *say = std::get_if<SlotSay>(&posted.signal);
+      return say != nullptr && say->state == static_cast<std::uint8_t>(SlotState::granted);
+    });
+  };
+  for (const auto &[node, number] : numbers)
+    stevedore.step(node, InventorySay{number + 1000, 2, {}}, now, out);
+  LONGS_EQUAL(0, granted());
+  for (const auto &[node, number] : numbers) stevedore.step(node, InventorySay{number, 2, {}}, now, out);
+  LONGS_EQUAL(1, granted());
+}
+
 TEST(Orders, a_purser_that_takes_over_grants_no_more_than_it_was_handed) {
   const auto nodes = rank_nodes({1, 2, 3}, "t", purser_salt);
   every_order(4, [&](const std::vector<std::size_t> &order) {
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -470,15 +470,18 @@
   lost.runners_stamp = 2;
   rig.pilot.receive({rig_leader, "h", lost}, rig.now, out);
   out = {};
-  rig.pilot.receive({rig_other, "q", InventoryAsk{rig.service, 3}}, rig.now, out);
-  const InventorySay *say = nullptr;
+  rig.pilot.receive({rig_other, "q", InventoryAsk{1, 3, {rig.service}}}, rig.now, out);
+  const ServiceInventory *told = nullptr;
   for (const Posted &posted : out.mail)
-    if (const auto *found = std::get_if<InventorySay>(&posted.signal)) say = found;
-  CHECK(say != nullptr);
-  CHECK(say->is_former_owner);
-  LONGS_EQUAL(1, say->berth_held.size());
-  STRCMP_EQUAL("e", say->berth_held[0].errand.c_str());
-  STRCMP_EQUAL("r1", say->berth_held[0].runner.c_str());
+    if (const auto *say = std::get_if<InventorySay>(&posted.signal);
+        say != nullptr && say->services.size() == 1)
+      told = &say->services.front();
+  CHECK(told != nullptr);
+  STRCMP_EQUAL(rig.service.c_str(), told->service.c_str());
+  CHECK(told->is_former_owner);
+  LONGS_EQUAL(1, told->berth_held.size());
+  STRCMP_EQUAL("e", told->berth_held[0].errand.c_str());
+  STRCMP_EQUAL("r1", told->berth_held[0].runner.c_str());
 }
 
 TEST(Recovery, machines_with_far_less_than_the_best_own_nothing_while_enough_others_do) {
