Cut the core into two halves in a test: one at most confirms, neither reads old

The test cuts one to four of five away with the leader, asks every machine to write and to read, kills the leader before the halves meet, and compares all versions afterwards. No program is changed.

--- a/tests/control_group_rig.hpp
+++ b/tests/control_group_rig.hpp
@@ -20,6 +20,8 @@
     std::unique_ptr<ControlNode> node;
     std::vector<OperatorSay> answers;
     bool is_cut = false, is_frozen = false;
+    /// Machines reach those on their own side only; operators and edge nodes reach all.
+    int side = 0;
   };
   Instant now = seconds(10);
   std::vector<std::string> seeds;
@@ -191,7 +193,8 @@
       mail_.pop_front();
       const auto to = machines.find(parcel.to);
       if (to == machines.end() || !to->second.node) continue;
-      if (to->second.is_cut || to->second.is_frozen || machines.at(parcel.from).is_cut) continue;
+      const Machine &from = machines.at(parcel.from);
+      if (to->second.is_cut || to->second.is_frozen || from.is_cut || from.side != to->second.side) continue;
       ControlOutput out;
       to->second.node->receive(parcel.envelope, now, out);
       take(to->second, std::move(out));
--- a/tests/worst_days_test.cpp
+++ b/tests/worst_days_test.cpp
@@ -15,9 +15,7 @@
   request.write_id = mark;
   return request;
 }
-} // namespace
 
-namespace {
 /// Edge nodes that report to the leader of a control group.
 struct ReportingNodes {
   struct Node {
@@ -333,3 +331,59 @@
   edge.report_for(seconds(3));
   LONGS_EQUAL(9, edge.roster().pilots.size());
 }
+
+TEST(WorstDays, of_two_halves_of_the_core_one_at_most_confirms_and_neither_shows_an_older_state) {
+  for (int cut_with_leader = 1; cut_with_leader <= 4; ++cut_with_leader) {
+    ControlGroupRig rig(5);
+    LONGS_EQUAL(200, rig.put(1, 0, "first"));
+    rig.wait_leader();
+    const std::string old_leader = rig.leader();
+    rig.machines.at(old_leader).side = 1;
+    int joined = 1;
+    for (auto &[address, machine] : rig.machines) {
+      if (address == old_leader || joined == cut_with_leader) continue;
+      machine.side = 1;
+      ++joined;
+    }
+    const std::uint64_t early = rig.ask(old_leader, order(2, 1, "in the cut"));
+    rig.pass(seconds(4));
+    // Operators reach both halves: each machine is asked to write and to read.
+    std::vector<std::uint64_t> writes{early}, reads;
+    OperatorAsk read;
+    read.verb = OperatorVerb::get_manifest;
+    const OperatorSay *early_say = rig.answer_to(early);
+    const bool is_early_confirmed = early_say != nullptr && early_say->status == 200;
+    for (const auto &[address, machine] : rig.machines) {
+      writes.push_back(rig.ask(address, order(3, 1, "to " + address)));
+      reads.push_back(rig.ask(address, read));
+    }
+    rig.pass(seconds(8));
+    int confirmed = 0;
+    for (const std::uint64_t ticket : writes) {
+      const OperatorSay *say = rig.answer_to(ticket);
+      confirmed += say != nullptr && say->status == 200 ? 1 : 0;
+    }
+    CHECK(confirmed <= 1);
+    const Version newest = confirmed == 0 ? 1 : 2;
+    std::vector<std::uint64_t> late_reads;
+    for (const auto &[address, machine] : rig.machines) late_reads.push_back(rig.ask(address, read));
+    rig.pass(seconds(3));
+    const auto check_not_older = [&rig](std::uint64_t ticket, Version least) {
+      const OperatorSay *say = rig.answer_to(ticket);
+      if (say != nullptr && say->status == 200) CHECK(say->version >= least);
+    };
+    for (const std::uint64_t ticket : reads) check_not_older(ticket, is_early_confirmed ? 2 : 1);
+    for (const std::uint64_t ticket : late_reads) check_not_older(ticket, newest);
+    // A machine of the larger half is killed before the halves meet again: losses overlap.
+    const std::string lost = rig.leader();
+    if (!lost.empty()) rig.restart(lost);
+    for (auto &[address, machine] : rig.machines) machine.side = 0;
+    rig.pass(seconds(6));
+    rig.wait_leader();
+    CHECK(rig.machines.at(rig.leader()).node->registry().version() >= newest);
+    rig.pass(seconds(3));
+    const auto version = rig.machines.at(rig.leader()).node->registry().version();
+    for (const auto &[address, machine] : rig.machines)
+      LONGS_EQUAL(version, machine.node->registry().version());
+  }
+}
