Make the reporting nodes of a rig once instead of in three tests

Change: a constructor of ReportingNodes makes a known node set; the tests keep their assertions, and all three now check that the node set has formed.

--- a/tests/worst_days_test.cpp
+++ b/tests/worst_days_test.cpp
@@ -31,6 +31,14 @@
   ControlGroupRig &rig;
   std::vector<Node> nodes;
 
+  explicit ReportingNodes(ControlGroupRig &group) : rig(group) {}
+  /// As many nodes of machines that are not known, after they have become the node set.
+  ReportingNodes(ControlGroupRig &group, std::size_t count) : rig(group) {
+    for (NodeId id = 1; id <= count; ++id) add(500 + id, {});
+    report_for(seconds(3));
+    LONGS_EQUAL(count, roster().pilots.size());
+  }
+
   static constexpr NodeCapacity wide{100'000, 320}, narrow{2'000, 120};
   void add(NodeId id, NodeCapacity capacity) {
     Node node;
@@ -262,7 +270,7 @@
   for (int at = 0; at < 3; ++at) rig.seeds.push_back("m" + std::to_string(at));
   for (const std::string &seed : rig.seeds) rig.add(seed);
   rig.pass(seconds(6));
-  ReportingNodes edge{rig, {}};
+  ReportingNodes edge(rig);
   for (NodeId id = 1; id <= 25; ++id)
     edge.add(500 + id, id <= 5 ? ReportingNodes::wide : ReportingNodes::narrow);
   edge.report_for(seconds(3));
@@ -284,9 +292,7 @@
 
 TEST(WorstDays, owners_are_chosen_anew_once_all_nodes_have_told_what_their_machines_have) {
   ControlGroupRig rig(3);
-  ReportingNodes edge{rig, {}};
-  for (NodeId id = 1; id <= 25; ++id) edge.add(500 + id, {});
-  edge.report_for(seconds(3));
+  ReportingNodes edge(rig, 25);
   LONGS_EQUAL(0, edge.roster().owner_candidates.size());
   for (std::size_t at = 0; at < edge.nodes.size(); ++at)
     edge.nodes[at].capacity = at < 5 ? ReportingNodes::wide : ReportingNodes::narrow;
@@ -299,10 +305,7 @@
 
 TEST(WorstDays, a_node_whose_reports_come_too_late_for_a_lease_owns_nothing_and_holds_up_no_successor) {
   ControlGroupRig rig(3);
-  ReportingNodes edge{rig, {}};
-  for (NodeId id = 1; id <= 9; ++id) edge.add(500 + id, {});
-  edge.report_for(seconds(3));
-  LONGS_EQUAL(9, edge.roster().pilots.size());
+  ReportingNodes edge(rig, 9);
   ReportingNodes::Node &late = edge.nodes.front();
   late.has_lost_lease = true;
   edge.report_for(milliseconds(500));
@@ -324,9 +327,7 @@
 
 TEST(WorstDays, when_most_nodes_are_late_none_of_them_is_passed_over) {
   ControlGroupRig rig(3);
-  ReportingNodes edge{rig, {}};
-  for (NodeId id = 1; id <= 9; ++id) edge.add(500 + id, {});
-  edge.report_for(seconds(3));
+  ReportingNodes edge(rig, 9);
   for (std::size_t at = 0; at < 5; ++at) edge.nodes[at].has_lost_lease = true;
   edge.report_for(seconds(3));
   LONGS_EQUAL(9, edge.roster().pilots.size());
