Count refusals of runners, slots freed in doubt, take-overs and grants of replaced owners

Ruled out: nothing. Change: SlotCounters of an owner, told with the other counters of a process; the ask of a newer owner is noted and changes no decision. Conclusion: sight only, no change of logic.

--- a/packages/berth/berth.cpp
+++ b/packages/berth/berth.cpp
@@ -4,6 +4,13 @@
 
 namespace wharf {
 
+namespace {
+/// Refusals of one runner this close to each other count as repeated; a call takes some ten times less.
+constexpr Span refused_again_within = milliseconds(200);
+/// How long an owner counts as new.
+constexpr Span new_owner_for = seconds(1);
+} // namespace
+
 Stevedore::Stevedore(NodeId self, BerthOptions options) : self_(self), options_(options) {}
 
 void Stevedore::take_view(Hull &hull, const RunnerView &runner, Instant now) {
@@ -242,8 +249,9 @@
 void Stevedore::grant(Berth &berth, Waiting waiting, const std::string &runner, Instant now, Outbox &out) {
   berth.hulls[runner].taken[waiting.ask.errand] = {waiting.pilot, waiting.deadline, now, waiting.ask.attempt};
   berth.granted[waiting.ask.errand] = runner;
-  ++granted_;
-  if (waiting.ask.is_second) ++second_granted_;
+  ++counters_.granted;
+  if (waiting.ask.is_second) ++counters_.second_granted;
+  if (berth.superseded_by > roster_.epoch) ++counters_.granted_superseded;
   out.push_back({waiting.pilot, {}, held_say(waiting.ask, berth, runner)});
 }
 
@@ -326,6 +334,7 @@
     return;
   }
   hull.taken.erase(free.errand);
+  if (end == SlotEnd::refused) count_refusal(berth, hull, now);
   if (end == SlotEnd::answered) {
     berth.serve_guess = (berth.serve_guess * 7 + (now - slot.since)) / 8;
     hull.strikes = 0;
@@ -337,6 +346,20 @@
   serve(free.service, berth, now, out);
 }
 
+void Stevedore::count_refusal(const Berth &berth, Hull &hull, Instant now) {
+  ++counters_.refused_by_runner;
+  if (hull.refused_at != 0 && now - hull.refused_at < refused_again_within) ++counters_.refused_again;
+  if (berth.learned_at != 0 && now - berth.learned_at < new_owner_for) ++counters_.refused_after_takeover;
+  hull.refused_at = now;
+}
+
+void Stevedore::note_superseded(const std::vector<std::string> &services, Epoch epoch) {
+  for (const std::string &service : services) {
+    const auto found = berths_.find(service);
+    if (found != berths_.end()) found->second.superseded_by = std::max(found->second.superseded_by, epoch);
+  }
+}
+
 void Stevedore::tick(Instant now, Outbox &out) {
   ask_inventories(now, out);
   for (auto &[service, berth] : berths_) {
@@ -352,6 +375,7 @@
           ++slot;
           continue;
         }
+        ++counters_.freed_in_doubt;
         berth.granted.erase(slot->first);
         slot = hull.taken.erase(slot);
       }
--- a/packages/berth/berth.hpp
+++ b/packages/berth/berth.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "berth/service_scaler.hpp"
+#include "berth/slot_counters.hpp"
 #include "signals/signals.hpp"
 #include "tide/backoff.hpp"
 
@@ -65,8 +66,9 @@
   std::uint64_t wants_mark() const;
   std::size_t pending(const std::string &service) const;
   std::size_t slots_taken(const std::string &runner) const;
-  std::uint64_t granted() const { return granted_; }
-  std::uint64_t second_granted() const { return second_granted_; }
+  const SlotCounters &counters() const { return counters_; }
+  /// Another node asked for the slots of these services as their owner by a node set newer than ours.
+  void note_superseded(const std::vector<std::string> &services, Epoch epoch);
 
 private:
   struct Slot {
@@ -84,6 +86,7 @@
     std::uint32_t unknown = 0;
     Instant rests_until = 0;
     std::uint32_t strikes = 0;
+    Instant refused_at = 0;
   };
   struct Waiting {
     SlotAsk ask;
@@ -93,7 +96,9 @@
   struct Berth {
     Epoch since = 0;
     bool is_learning = true;
-    Instant settled_at = 0;
+    Instant settled_at = 0, learned_at = 0;
+    /// The newest node set by which another node said that it owns the service; 0 for none.
+    Epoch superseded_by = 0;
     std::set<NodeId> heard, expected;
     bool is_inherited = false;
     std::map<std::string, Hull> hulls;
@@ -109,6 +114,7 @@
   void handle(NodeId from, const SlotAsk &ask, Instant now, Outbox &out);
   void handle(NodeId from, const SlotFree &free, Instant now, Outbox &out);
   void handle(NodeId from, const InventorySay &say, Instant now, Outbox &out);
+  void count_refusal(const Berth &berth, Hull &hull, Instant now);
   void begin(const std::string &service, Instant now);
   /// Takes a newer node set; services that it gives to other nodes are kept aside for their new owners.
   void hand_over_lost_services(const Roster &roster, Instant now, Outbox &out);
@@ -163,7 +169,7 @@
   Roster roster_;
   Epoch settled_ = 0;
   Instant fresh_until_ = 0;
-  std::uint64_t granted_ = 0, second_granted_ = 0;
+  SlotCounters counters_;
 };
 
 } // namespace wharf
--- a/packages/berth/succession.cpp
+++ b/packages/berth/succession.cpp
@@ -202,6 +202,9 @@
 void Stevedore::finish_learning(const std::string &service, Berth &berth, Instant now) {
   const ServicePlan &plan = plans_.at(service);
   berth.is_learning = false;
+  berth.learned_at = now;
+  if (!roster_.is_first) ++counters_.takeovers;
+  if (!roster_.is_first && !berth.is_inherited && !has_heard_all(berth)) ++counters_.takeovers_unheard;
   keep_found(berth, now);
   if (roster_.is_first || berth.is_inherited || has_heard_all(berth) || plan.is_self_bounding) return;
   for (auto &[id, hull] : berth.hulls) {
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -113,8 +113,7 @@
   values["tokens_granted"] = purser_.tokens_granted();
   values["ledgers_sent_whole"] = purser_.whole_copies();
   values["ledger_unknown_starts"] = purser_.unknown_starts();
-  values["slots_granted"] = stevedore_.granted();
-  values["second_tries_granted"] = stevedore_.second_granted();
+  stevedore_.counters().report(values);
   values["runners_known"] = runners_.size();
   return values;
 }
@@ -821,7 +820,10 @@
 }
 
 void Pilot::handle(NodeId from, const InventoryAsk &ask, Instant now, PilotOutput &out) {
-  if (roster_.epoch < ask.epoch) return;
+  if (roster_.epoch < ask.epoch) {
+    stevedore_.note_superseded(ask.services, ask.epoch);
+    return;
+  }
   std::map<std::string_view, ServiceInventory> found;
   for (const std::string &service : ask.services) found[service].service = service;
   for (const auto &[id, errand] : afloat_) {
