Take a runner's refusal for calls its owner does not know of, and pace what is tried again

Cause: an owner counted the slot of a refused call as free and gave it away at once, so that each call it did not know of turned into some ten refusals; runners refused hundreds of calls in five seconds. Ruled out: a longer time until slots in doubt are free (the refusals come as fast as messages go, whatever the miscount). The scaler counts such slots as load.

--- a/packages/berth/berth.cpp
+++ b/packages/berth/berth.cpp
@@ -127,6 +127,12 @@
   return static_cast<std::uint32_t>(count);
 }
 
+std::uint32_t Stevedore::unseen(const Berth &berth) {
+  std::uint32_t count = 0;
+  for (const auto &[id, hull] : berth.hulls) count += hull.unseen;
+  return count;
+}
+
 void Stevedore::step(NodeId from, const Signal &signal, Instant now, Outbox &out) {
   if (const auto *ask = std::get_if<SlotAsk>(&signal))
     handle(from, *ask, now, out);
@@ -334,7 +340,10 @@
     return;
   }
   hull.taken.erase(free.errand);
-  if (end == SlotEnd::refused) count_refusal(berth, hull, now);
+  if (end == SlotEnd::refused) {
+    count_refusal(berth, hull, now);
+    if (is_self_bounding) learn_from_refusal(berth, hull, plan->second, now);
+  }
   if (end == SlotEnd::answered) {
     berth.serve_guess = (berth.serve_guess * 7 + (now - slot.since)) / 8;
     hull.strikes = 0;
@@ -346,11 +355,27 @@
   serve(free.service, berth, now, out);
 }
 
-void Stevedore::count_refusal(const Berth &berth, Hull &hull, Instant now) {
+void Stevedore::count_refusal(const Berth &berth, const Hull &hull, Instant now) {
   ++counters_.refused_by_runner;
   if (hull.refused_at != 0 && now - hull.refused_at < refused_again_within) ++counters_.refused_again;
   if (berth.learned_at != 0 && now - berth.learned_at < new_owner_for) ++counters_.refused_after_takeover;
+}
+
+void Stevedore::learn_from_refusal(Berth &berth, Hull &hull, const ServicePlan &plan, Instant now) {
+  const auto known = static_cast<std::uint32_t>(hull.taken.size() + hull.unknown);
+  const std::uint32_t others = known < plan.slots ? plan.slots - known : 1;
+  hull.unseen = std::max(hull.unseen, others);
   hull.refused_at = now;
+  berth.refusals.refused(now);
+}
+
+void Stevedore::probe_unseen(Berth &berth, Instant now) {
+  for (auto &[id, hull] : berth.hulls) {
+    // A call that was under way when the runner refused another one takes that long on average.
+    if (hull.unseen == 0 || now - hull.refused_at < berth.serve_guess) continue;
+    if (!berth.refusals.may_probe(now)) return;
+    --hull.unseen;
+  }
 }
 
 void Stevedore::tick(Instant now, Outbox &out) {
@@ -373,6 +398,7 @@
         slot = hull.taken.erase(slot);
       }
     }
+    probe_unseen(berth, now);
     serve(service, berth, now, out);
     rescale(berth, plan->second, now);
   }
@@ -383,8 +409,8 @@
 }
 
 ServiceLoad Stevedore::load_of(const Berth &berth) {
-  return {taken(berth), static_cast<std::uint32_t>(berth.pending_count), usable_runners(berth),
-          berth.serve_guess};
+  return {taken(berth) + unseen(berth), static_cast<std::uint32_t>(berth.pending_count),
+          usable_runners(berth), berth.serve_guess};
 }
 
 std::uint64_t Stevedore::wants_mark() const {
--- a/packages/berth/berth.hpp
+++ b/packages/berth/berth.hpp
@@ -4,6 +4,7 @@
 #include <set>
 #include <string>
 
+#include "berth/refusal_pacing.hpp"
 #include "berth/service_scaler.hpp"
 #include "berth/slot_counters.hpp"
 #include "signals/signals.hpp"
@@ -87,10 +88,13 @@
     Instant boots_since = 0, knock_at = 0;
     std::map<std::string, Slot> taken;
     std::uint32_t unknown = 0;
+    /// Slots that calls unknown to this owner are taken to hold, as the runner refused one that should have
+    /// had room, or as a node did not answer when the service was taken over; tried again one by one.
+    std::uint32_t unseen = 0;
     Instant rests_until = 0;
     std::uint32_t strikes = 0;
     Instant refused_at = 0;
-    std::size_t load() const { return taken.size() + unknown; }
+    std::size_t load() const { return taken.size() + unknown + unseen; }
   };
   struct Waiting {
     SlotAsk ask;
@@ -103,6 +107,7 @@
     Instant settled_at = 0, learned_at = 0;
     /// Nodes that answered, that are waited for, and that are asked as well but not waited for.
     std::set<NodeId> heard, expected, asked_too;
+    RefusalPacing refusals;
     bool is_inherited = false;
     std::map<std::string, Hull> hulls;
     std::map<std::string, std::string> granted;
@@ -117,7 +122,15 @@
   void handle(NodeId from, const SlotAsk &ask, Instant now, Outbox &out);
   void handle(NodeId from, const SlotFree &free, Instant now, Outbox &out);
   void handle(NodeId from, const InventorySay &say, Instant now, Outbox &out);
-  void count_refusal(const Berth &berth, Hull &hull, Instant now);
+  void count_refusal(const Berth &berth, const Hull &hull, Instant now);
+  /// Takes a refusal as a sign of calls that this owner does not know of.
+  static void learn_from_refusal(Berth &berth, Hull &hull, const ServicePlan &plan, Instant now);
+  /// Gives slots in doubt free, one at a time and ever more seldom while runners refuse calls.
+  static void probe_unseen(Berth &berth, Instant now);
+  bool has_heard_former_owner(const std::string &service, const Berth &berth) const;
+  /// A former owner that does not answer may be cut off and go on granting to its own clients: takes an even
+  /// share of each runner for taken.
+  static void presume_former_owner_grants(Berth &berth, const ServicePlan &plan);
   bool must_ask(const Berth &berth, Instant now) const;
   /// False while another node has asked as the owner by a newer node set.
   bool may_begin(const std::string &service) const;
@@ -149,6 +162,7 @@
   static ServiceLoad load_of(const Berth &berth);
   Span hopeless_for(const Berth &berth, const ServicePlan &plan, const SlotAsk &ask) const;
   static std::uint32_t taken(const Berth &berth);
+  static std::uint32_t unseen(const Berth &berth);
   static std::uint32_t usable_runners(const Berth &berth);
   NodeId owner_in(const std::vector<NodeId> &pilots, const std::string &service) const;
   bool was_owner_since(Epoch epoch, const std::string &service) const;
--- a/packages/berth/succession.cpp
+++ b/packages/berth/succession.cpp
@@ -244,7 +244,11 @@
   if (!roster_.is_first) ++counters_.takeovers;
   if (!roster_.is_first && !berth.is_inherited && !has_heard_all(berth)) ++counters_.takeovers_unheard;
   keep_found(berth, now);
-  if (roster_.is_first || berth.is_inherited || has_heard_all(berth) || plan.is_self_bounding) return;
+  if (roster_.is_first || berth.is_inherited || has_heard_all(berth)) return;
+  if (plan.is_self_bounding) {
+    if (!has_heard_former_owner(service, berth)) presume_former_owner_grants(berth, plan);
+    return;
+  }
   for (auto &[id, hull] : berth.hulls) {
     hull.unknown =
         hull.taken.size() < plan.slots ? plan.slots - static_cast<std::uint32_t>(hull.taken.size()) : 0;
@@ -253,4 +257,17 @@
   }
 }
 
+bool Stevedore::has_heard_former_owner(const std::string &service, const Berth &berth) const {
+  if (roster_.past.empty()) return true;
+  const NodeId former = owner_in(roster_.past.back().owners(), service);
+  return former == 0 || former == self_ || berth.heard.contains(former);
+}
+
+void Stevedore::presume_former_owner_grants(Berth &berth, const ServicePlan &plan) {
+  const auto nodes = static_cast<std::uint32_t>(std::max<std::size_t>(1, berth.expected.size()));
+  const std::uint32_t even_share = (plan.slots + nodes - 1) / nodes;
+  for (auto &[id, hull] : berth.hulls)
+    if (hull.taken.size() + even_share <= plan.slots) hull.unseen = even_share;
+}
+
 } // namespace wharf
--- a/tests/runner_load_test.cpp
+++ b/tests/runner_load_test.cpp
@@ -1,5 +1,6 @@
 // Runners must not be given more than they may run at once, whoever else uses them and whatever their owner
 // does not know of (docs/incidents/more-than-concurrency-to-runners.md).
+#include "berth/refusal_pacing.hpp"
 #include "runner_load_rig.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -106,6 +107,28 @@
   }
 }
 
+TEST(RunnerLoad, each_refusal_doubles_the_pause_before_a_slot_in_doubt_is_tried_again) {
+  RefusalPacing pacing;
+  Instant now = seconds(100);
+  CHECK(pacing.may_probe(now));
+  CHECK_FALSE(pacing.may_probe(now + milliseconds(49)));
+  CHECK(pacing.may_probe(now + milliseconds(50)));
+  for (Span pause = milliseconds(100); pause <= milliseconds(400); pause *= 2) {
+    now += seconds(1);
+    pacing.refused(now);
+    CHECK_FALSE(pacing.may_probe(now + pause - 1));
+    CHECK(pacing.may_probe(now + pause));
+  }
+}
+
+TEST(RunnerLoad, many_refusals_stop_probes_until_they_are_past) {
+  RefusalPacing pacing;
+  const Instant now = seconds(100);
+  for (int at = 0; at < 6; ++at) pacing.refused(now);
+  CHECK_FALSE(pacing.may_probe(now + seconds(5) - 1));
+  CHECK(pacing.may_probe(now + seconds(5)));
+}
+
 TEST(RunnerLoad, a_node_that_is_asked_by_a_newer_owner_takes_grants_of_that_one_only) {
   RunnerLoadRig rig;
   rig.start();
