Let a process that leaves take no lead over

Cause: of two control processes that leave at once each handed the lead to the other until gossip told them of each other, 16 terms in 100 ms (docs/STATUS.md). Ruled out: that the successor's log is behind. Change: a leaving process does not answer TimeoutNowRequest with a campaign.

--- a/packages/control/control_node.cpp
+++ b/packages/control/control_node.cpp
@@ -174,6 +174,9 @@
     proposal.is_close = true;
     proposal.errand = close->errand;
     if (*index > applied_) proposals_[*index] = proposal;
+  } else if (std::holds_alternative<TimeoutNowRequest>(signal) && leaving_since_ != 0) {
+    // Who leaves takes no lead over: it would only hand it back, as long as both don't know of each other.
+    return;
   } else {
     RaftOutput step;
     raft_.step(envelope.from, signal, now, step);
--- a/tests/control_group_rig.hpp
+++ b/tests/control_group_rig.hpp
@@ -59,6 +59,13 @@
         self, seeds, options, machine.id + static_cast<std::uint64_t>(now), machine.disk, now);
     machine.is_frozen = false;
   }
+  /// The machine's process is told to end; it goes on until it may.
+  void leave(const std::string &address) {
+    Machine &machine = machines.at(address);
+    ControlOutput out;
+    machine.node->set_leaving(now, out);
+    take(machine, std::move(out));
+  }
   void stop(const std::string &address) { machines.at(address).node.reset(); }
   void restart(const std::string &address) {
     stop(address);
--- a/tests/worst_days_test.cpp
+++ b/tests/worst_days_test.cpp
@@ -204,6 +204,17 @@
   CHECK(leaving.may_end(rig.now));
 }
 
+TEST(WorstDays, processes_that_leave_together_do_not_hand_the_lead_to_each_other) {
+  ControlGroupRig rig(3);
+  LONGS_EQUAL(200, rig.put(1, 0, "first"));
+  const std::uint64_t before = rig.machines.at(rig.leader()).node->raft().term();
+  for (auto &[address, machine] : rig.machines) rig.leave(address);
+  rig.pass(milliseconds(300));
+  std::uint64_t after = before;
+  for (const auto &[address, machine] : rig.machines) after = std::max(after, machine.node->raft().term());
+  CHECK(after <= before + 1);
+}
+
 TEST(WorstDays, a_leaving_voter_is_replaced_while_it_still_runs_and_a_second_loss_is_borne) {
   for (const bool leader_leaves : {true, false}) {
     ControlGroupRig rig(4);
