Ask for inventories only when a question is new, at a cost that does not grow with each tick

Ruled out: nothing. Change: each service keeps the nodes that have not told yet; questions are gathered when a service is taken over or a node has answered.

--- a/packages/berth/berth.hpp
+++ b/packages/berth/berth.hpp
@@ -105,8 +105,10 @@
     Epoch since = 0;
     bool is_learning = true;
     Instant settled_at = 0, learned_at = 0;
-    /// Nodes that answered, that are waited for, and that are asked as well but not waited for.
-    std::set<NodeId> heard, expected, asked_too;
+    /// Nodes that have not told yet which slots they hold: those that are waited for, and all that are asked.
+    std::set<NodeId> unheard, untold;
+    /// How many nodes were waited for at first.
+    std::size_t nodes = 0;
     RefusalPacing refusals;
     bool is_inherited = false;
     std::map<std::string, Hull> hulls;
@@ -145,9 +147,10 @@
   /// Asks each node, in one message, for all services that it has not told of yet.
   void ask_inventories(Instant now, Outbox &out);
   void begin_inventory_rounds(Instant now);
+  /// Services of which a node has not told yet.
+  std::map<NodeId, std::vector<std::string>> untold_services(Instant now) const;
   /// Takes what a node told of one service into account.
   void take_inventory(NodeId from, const ServiceInventory &inventory, Instant now);
-  static bool has_heard_all(const Berth &berth);
   void finish_learning(const std::string &service, Berth &berth, Instant now);
   void serve(const std::string &service, Berth &berth, Instant now, Outbox &out);
   Hull *free_hull(Berth &berth, const ServicePlan &plan, const SlotAsk &ask, Instant now, std::string &id);
@@ -187,6 +190,8 @@
   };
   std::map<NodeId, InventoryRound> inventory_rounds_;
   std::uint64_t inventory_number_ = 0;
+  /// A service was taken over or a node has answered, so that new questions may be due.
+  bool has_new_questions_ = false;
   std::vector<RunnerView> runners_;
   Roster roster_;
   Epoch settled_ = 0;
--- a/packages/berth/succession.cpp
+++ b/packages/berth/succession.cpp
@@ -32,10 +32,13 @@
   berth.since = roster_.epoch;
   const auto plan = plans_.find(service);
   berth.boot_guess = plan != plans_.end() && plan->second.boot > 0 ? plan->second.boot : options_.boot_guess;
-  berth.expected.insert(roster_.pilots.begin(), roster_.pilots.end());
+  berth.unheard.insert(roster_.pilots.begin(), roster_.pilots.end());
   if (!roster_.past.empty())
-    berth.expected.insert(roster_.past.back().pilots.begin(), roster_.past.back().pilots.end());
-  for (const PastRoster &past : roster_.past) berth.asked_too.insert(past.pilots.begin(), past.pilots.end());
+    berth.unheard.insert(roster_.past.back().pilots.begin(), roster_.past.back().pilots.end());
+  berth.nodes = berth.unheard.size();
+  berth.untold = berth.unheard;
+  for (const PastRoster &past : roster_.past) berth.untold.insert(past.pilots.begin(), past.pilots.end());
+  has_new_questions_ = true;
   for (const RunnerView &runner : runners_) {
     if (runner.service != service) continue;
     take_view(berth.hulls[runner.id], runner, now);
@@ -71,6 +74,7 @@
   const Epoch old_epoch = roster_.epoch;
   roster_ = roster;
   inventory_rounds_.clear();
+  has_new_questions_ = true;
   for (auto berth = berths_.begin(); berth != berths_.end();) {
     const bool is_kept =
         owner_in(roster_.owners(), berth->first) == self_ && was_owner_since(old_epoch, berth->first);
@@ -158,9 +162,12 @@
   for (const ServiceInventory &inventory : say.services) take_inventory(from, inventory, now);
   for (const std::string &service : round->second.services) {
     const auto found = berths_.find(service);
-    if (found != berths_.end()) found->second.heard.insert(from);
+    if (found == berths_.end()) continue;
+    found->second.unheard.erase(from);
+    found->second.untold.erase(from);
   }
   inventory_rounds_.erase(round);
+  has_new_questions_ = true;
   tick(now, out);
 }
 
@@ -189,7 +196,7 @@
 
 bool Stevedore::must_ask(const Berth &berth, Instant now) const {
   if (berth.is_learning) return true;
-  return !roster_.is_first && now - berth.learned_at < options_.inventory_late && !has_heard_all(berth);
+  return !roster_.is_first && now - berth.learned_at < options_.inventory_late && !berth.untold.empty();
 }
 
 void Stevedore::ask_inventories(Instant now, Outbox &out) {
@@ -199,7 +206,7 @@
     inventory_rounds_.clear();
     return;
   }
-  begin_inventory_rounds(now);
+  if (has_new_questions_) begin_inventory_rounds(now);
   for (auto &[node, round] : inventory_rounds_) {
     if (!round.retry.is_due(now)) continue;
     round.retry.sent(now);
@@ -207,19 +214,22 @@
   }
 }
 
-void Stevedore::begin_inventory_rounds(Instant now) {
+std::map<NodeId, std::vector<std::string>> Stevedore::untold_services(Instant now) const {
   std::map<NodeId, std::vector<std::string>> untold;
   for (const auto &[service, berth] : berths_) {
     if (!must_ask(berth, now) || !plans_.contains(service)) continue;
-    std::set<NodeId> asked = berth.asked_too;
-    asked.insert(berth.expected.begin(), berth.expected.end());
-    for (NodeId node : asked) {
-      if (berth.heard.contains(node) || inventory_rounds_.contains(node)) continue;
+    for (NodeId node : berth.untold) {
+      if (inventory_rounds_.contains(node)) continue;
       std::vector<std::string> &services = untold[node];
       if (services.size() < options_.inventory_services) services.push_back(service);
     }
   }
-  for (auto &[node, services] : untold)
+  return untold;
+}
+
+void Stevedore::begin_inventory_rounds(Instant now) {
+  has_new_questions_ = false;
+  for (auto &[node, services] : untold_services(now))
     inventory_rounds_[node] = {++inventory_number_, std::move(services),
                                Backoff(options_.inventory_again, options_.inventory_again_most)};
 }
@@ -229,22 +239,18 @@
   if (is_settled && berth.settled_at == 0) berth.settled_at = now;
   if (berth.settled_at == 0) return;
   const Span patience = plan.is_self_bounding ? options_.inventory_brief : options_.inventory_patience;
-  const bool is_known = roster_.is_first || berth.is_inherited || has_heard_all(berth);
+  const bool is_known = roster_.is_first || berth.is_inherited || berth.unheard.empty();
   if (is_known || now - berth.settled_at >= patience) finish_learning(service, berth, now);
 }
 
-bool Stevedore::has_heard_all(const Berth &berth) {
-  return std::includes(berth.heard.begin(), berth.heard.end(), berth.expected.begin(), berth.expected.end());
-}
-
 void Stevedore::finish_learning(const std::string &service, Berth &berth, Instant now) {
   const ServicePlan &plan = plans_.at(service);
   berth.is_learning = false;
   berth.learned_at = now;
   if (!roster_.is_first) ++counters_.takeovers;
-  if (!roster_.is_first && !berth.is_inherited && !has_heard_all(berth)) ++counters_.takeovers_unheard;
+  if (!roster_.is_first && !berth.is_inherited && !berth.unheard.empty()) ++counters_.takeovers_unheard;
   keep_found(berth, now);
-  if (roster_.is_first || berth.is_inherited || has_heard_all(berth)) return;
+  if (roster_.is_first || berth.is_inherited || berth.unheard.empty()) return;
   if (plan.is_self_bounding) {
     if (!has_heard_former_owner(service, berth)) presume_former_owner_grants(berth, plan);
     return;
@@ -260,11 +266,11 @@
 bool Stevedore::has_heard_former_owner(const std::string &service, const Berth &berth) const {
   if (roster_.past.empty()) return true;
   const NodeId former = owner_in(roster_.past.back().owners(), service);
-  return former == 0 || former == self_ || berth.heard.contains(former);
+  return former == 0 || former == self_ || !berth.unheard.contains(former);
 }
 
 void Stevedore::presume_former_owner_grants(Berth &berth, const ServicePlan &plan) {
-  const auto nodes = static_cast<std::uint32_t>(std::max<std::size_t>(1, berth.expected.size()));
+  const auto nodes = static_cast<std::uint32_t>(std::max<std::size_t>(1, berth.nodes));
   const std::uint32_t even_share = (plan.slots + nodes - 1) / nodes;
   for (auto &[id, hull] : berth.hulls)
     if (hull.taken.size() + even_share <= plan.slots) hull.unseen = even_share;
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <unordered_set>
 
 #include "delta/delta.hpp"
 
@@ -849,15 +850,17 @@
 
 void Pilot::follow_newer_owner(NodeId owner, const InventoryAsk &ask, Instant now, PilotOutput &out) {
   stevedore_.hand_over_superseded(ask.services, ask.epoch, now, out.mail);
+  std::unordered_set<std::string_view> moved;
   for (const std::string &service : ask.services) {
     NewerOwner &newer = newer_owners_[service];
     if (newer.epoch >= ask.epoch) continue;
     newer = {owner, ask.epoch};
-    for (auto &[id, errand] : afloat_)
-      if (errand.bill.service == service) errand.retry.restart();
-    for (Freeing &item : freeing_)
-      if (item.free.service == service) item.retry.restart();
+    moved.insert(service);
   }
+  for (auto &[id, errand] : afloat_)
+    if (moved.contains(errand.bill.service)) errand.retry.restart();
+  for (Freeing &item : freeing_)
+    if (moved.contains(item.free.service)) item.retry.restart();
 }
 
 void Pilot::forget_newer_owners(Instant now) {
