--- a/programs/fleet/main.cpp
+++ b/programs/fleet/main.cpp
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
@@ -6,10 +5,8 @@
 #include <httplib.h>
 #include <iostream>
 #include <memory>
-#include <netinet/in.h>
 #include <nlohmann/json.hpp>
 #include <set>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -17,6 +14,7 @@
 #include "bosun/flags.hpp"
 #include "bosun/words.hpp"
 #include "hawser/hawser.hpp"
+#include "narrows/held_port.hpp"
 #include "narrows/narrows.hpp"
 
 namespace {
@@ -42,20 +40,6 @@
   std::string listen;
 };
 
-int free_port() {
-  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in place{};
-  place.sin_family = AF_INET;
-  place.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  bind(descriptor, reinterpret_cast<sockaddr *>(&place), sizeof place);
-  socklen_t size = sizeof place;
-  getsockname(descriptor, reinterpret_cast<sockaddr *>(&place), &size);
-  close(descriptor);
-  return ntohs(place.sin_port);
-}
-
-std::string place_here() { return "127.0.0.1:" + std::to_string(free_port()); }
-
 /// A whole deployment on this machine.
 class Fleet {
 public:
@@ -89,6 +73,12 @@
   }
 
 private:
+  /// An address for a process that is started later; nobody else gets its port.
+  std::string place_here() {
+    ports_.emplace_back();
+    return ports_.back().address();
+  }
+
   void lay_out() {
     Process yard{"dockyard", place_here(), "", 0, {}, {}};
     yard.words = {"dockyard",
@@ -462,6 +452,7 @@
   Shape shape_;
   std::string manifest_, mix_, token_ = "fleet-operator-token";
   std::vector<Process> processes_;
+  std::vector<HeldPort> ports_;
   Narrows narrows_;
   SteadyTide tide_;
   Dice dice_{static_cast<std::uint64_t>(options_.seed)};
