--- a/packages/soak/soak.cpp
+++ b/packages/soak/soak.cpp
@@ -29,7 +29,7 @@
 };
 
 /// A process takes about that much memory; half of the machine's is the most that may be used.
-constexpr std::size_t process_kb = 12 * 1024;
+constexpr std::size_t process_kb = 12'288;
 constexpr std::size_t processes_few_hundred = 200;
 
 constexpr Span turn = milliseconds(2), usage_each = seconds(1);
@@ -78,7 +78,7 @@
 class Run {
 public:
   Run(const Wire &wire, const RunOptions &options, const Shape &shape)
-      : wire_(wire), options_(options), shape_(bounded(shape)), random_(options.seed),
+      : options_(options), shape_(bounded(shape)), random_(options.seed),
         platform_(loop_, wire, platform_options(), records_.runs), deployment_(wire, shape_options()),
         operators_(loop_, wire, operator_options(), options.seed * 3 + 1, records_.changes, records_.reads),
         clients_(loop_, wire, client_options(), options.seed * 3 + 2, records_.requests),
@@ -120,6 +120,7 @@
 
   std::vector<std::string> zones() const {
     std::vector<std::string> list;
+    list.reserve(static_cast<std::size_t>(shape_.zones));
     for (int at = 0; at < shape_.zones; ++at) list.emplace_back(1, static_cast<char>('a' + at));
     return list;
   }
@@ -319,7 +320,6 @@
     }
   }
 
-  const Wire &wire_;
   const RunOptions &options_;
   std::string processes_bound_;
   Shape shape_;
--- a/tests/anchorage_test.cpp
+++ b/tests/anchorage_test.cpp
@@ -52,11 +52,13 @@
   }
   void end() {
     loop_.remove(link_);
+    const linger at_once{1, 0};
+    if (must_reset) setsockopt(link_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
     close(link_);
     link_ = -1;
   }
   std::string seen, answer;
-  bool must_end = false;
+  bool must_end = false, must_reset = false;
   int links = 0;
 
 private:
@@ -263,6 +265,40 @@
   CHECK(!caller.call().was_reused);
 }
 
+TEST(Anchorage, an_answer_before_a_long_body_is_whole_is_passed_on_and_its_link_never_used_again) {
+  Caller caller;
+  Scripted runner(caller.loop, caller.address);
+  runner.answer = "HTTP/1.1 413 Too Large\r\nId: mine\r\nContent-Length: 5\r\n\r\nearly";
+  HttpCall one;
+  one.address = caller.address;
+  one.peer = "r";
+  one.request.method = "POST";
+  one.request.target = "/long";
+  one.request.body = std::string(8 << 20, 'b');
+  one.deadline = caller.tide.now() + seconds(5);
+  std::optional<CallAnswer> answer;
+  one.done = [&answer](CallAnswer &&given) { answer = std::move(given); };
+  caller.calls.call(std::move(one));
+  for (int turn = 0; turn < 400 && !answer; ++turn) caller.loop.turn(milliseconds(5));
+  CHECK(answer.has_value());
+  CHECK(answer->fate == CallFate::answered);
+  LONGS_EQUAL(413, answer->response.status);
+  // Another request on that link would stand where the rest of the body is due.
+  runner.answer = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 5\r\n\r\nright";
+  CHECK(!caller.call().was_reused);
+}
+
+TEST(Anchorage, an_answer_without_a_length_is_whole_when_its_link_is_closed_but_not_when_it_is_reset) {
+  for (const bool is_reset : {false, true}) {
+    Caller caller;
+    Scripted runner(caller.loop, caller.address);
+    runner.answer = "HTTP/1.1 200 OK\r\nId: mine\r\n\r\nsome";
+    runner.must_end = true;
+    runner.must_reset = is_reset;
+    CHECK((caller.call().fate == CallFate::answered) == !is_reset);
+  }
+}
+
 TEST(Anchorage, a_silent_peer_is_late_at_the_deadline) {
   Caller caller;
   Scripted runner(caller.loop, caller.address);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -242,6 +242,25 @@
   CHECK(std::get<Fate>(plan(*charter_of(keyless), "/none/", "")) == Fate::no_rule);
 }
 
+TEST(Platform, each_part_of_a_split_gets_its_share_of_the_requests) {
+  Json split = config();
+  split["routeTable"][0]["target"] = Json{{"till", 3}, {"look", 1}};
+  const auto charter = charter_of(split);
+  constexpr int requests = 4000;
+  int to_till = 0;
+  for (int at = 0; at < requests; ++at) {
+    ErrandHead head;
+    head.id = "request-" + std::to_string(at);
+    head.method = "GET";
+    head.host = "shop.example";
+    head.target = split["routeTable"][0]["pathPrefix"].get<std::string>() + "x";
+    head.key = "key-000002";
+    to_till += std::get<Waybill>(plan_errand(*charter, 1, head, 0)).service == "till" ? 1 : 0;
+  }
+  // Three quarters, within three in a hundred; users bear twenty.
+  CHECK(to_till > requests * 72 / 100 && to_till < requests * 78 / 100);
+}
+
 TEST(Platform, every_invalid_configuration_is_refused) {
   const auto refuses = [](auto change) {
     Json changed = config();
--- a/tests/slots_test.cpp
+++ b/tests/slots_test.cpp
@@ -59,6 +59,18 @@
   });
 }
 
+TEST(Slots, a_second_try_is_handed_no_more_time_than_the_first) {
+  PilotRig rig;
+  PilotOutput out;
+  rig.pilot.arrive(rig.bill("e"), rig.now, out);
+  rig.pilot.receive({rig_other, "q", rig.grant("e", "r1", 0)}, rig.now, out);
+  rig.now += milliseconds(600);
+  rig.pilot.call_ended({"e", CallKind::refused, 0, {}, {}, {}}, rig.now, out);
+  rig.pilot.receive({rig_other, "q", rig.grant("e", "r2", 1)}, rig.now, out);
+  LONGS_EQUAL(2, out.carries.size());
+  CHECK(out.carries[1].deadline == out.carries[0].deadline);
+}
+
 TEST(Slots, an_answer_too_large_to_keep_is_closed_as_not_whole_and_a_repeat_is_told_so) {
   for (const std::size_t size : {std::size_t{1000}, std::size_t{70'000}}) {
     PilotRig rig;
