Rename the relay of trials to fault_proxy; daemons of a soak end with it

Ruled out: nothing. Change: git mv and identifiers; a started daemon gets SIGKILL when its parent dies.

--- a/packages/narrows/narrows.hpp
+++ b/packages/fault_proxy/fault_proxy.hpp
@@ -16,10 +16,10 @@
 
 /// A relay that stands between our processes in trials: each listens elsewhere than others call it, and
 /// what goes from one to another can be held back or delayed. Bytes are never changed or lost, only late.
-class Narrows {
+class FaultProxy {
 public:
-  Narrows();
-  ~Narrows();
+  FaultProxy();
+  ~FaultProxy();
   /// A place others call; what comes there goes to `listens`.
   std::string open(const std::string &listens);
   /// Holds back all that goes from one place to another.
@@ -30,30 +30,30 @@
   std::uint64_t bytes_held() const { return held_; }
 
 private:
-  struct Part {
+  struct Chunk {
     Instant due = 0;
     std::string bytes;
   };
-  struct Passage {
+  struct Connection {
     int in = -1, out = -1;
     std::string from, to, head;
-    std::deque<Part> parts;
+    std::deque<Chunk> chunks;
     std::size_t waiting = 0;
     bool is_over = false;
   };
-  struct Mouth {
+  struct Entrance {
     int listener = -1;
     std::string place, listens;
   };
   void run();
-  void take(const Mouth &mouth);
-  void read_in(Passage &passage, Instant now);
-  void write_out(Passage &passage, Instant now);
+  void take(const Entrance &entrance);
+  void read_in(Connection &connection, Instant now);
+  void write_out(Connection &connection, Instant now);
 
   std::mutex mutex_;
-  std::vector<Mouth> mouths_;
+  std::vector<Entrance> entrances_;
   std::set<std::pair<std::string, std::string>> cuts_;
-  std::vector<std::unique_ptr<Passage>> passages_;
+  std::vector<std::unique_ptr<Connection>> connections_;
   std::atomic<Span> delay_{0};
   std::atomic<std::uint64_t> held_{0};
   std::atomic<bool> is_stopping_{false};
--- a/packages/narrows/held_port.cpp
+++ b/packages/fault_proxy/held_port.cpp
@@ -1,4 +1,4 @@
-#include "narrows/held_port.hpp"
+#include "fault_proxy/held_port.hpp"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/packages/soak/daemon.cpp
+++ b/packages/soak/daemon.cpp
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -15,6 +16,8 @@
   is_frozen_ = false;
   pid_ = fork();
   if (pid_ != 0) return;
+  // A soak that is killed leaves no daemons behind.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   const int log = open(spec_.log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(log, STDOUT_FILENO);
   dup2(log, STDERR_FILENO);
--- a/packages/soak/deployment.hpp
+++ b/packages/soak/deployment.hpp
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "narrows/held_port.hpp"
-#include "narrows/narrows.hpp"
+#include "fault_proxy/fault_proxy.hpp"
+#include "fault_proxy/held_port.hpp"
 #include "soak/clients.hpp"
 #include "soak/daemon.hpp"
 #include "soak/wire.hpp"
@@ -64,7 +64,7 @@
 
   const Wire &wire_;
   ShapeOptions options_;
-  Narrows relay_;
+  FaultProxy relay_;
   std::vector<Node> nodes_;
   bool has_started_ = false;
   std::size_t seed_turn_ = 0;
--- a/packages/soak/platform_standin.hpp
+++ b/packages/soak/platform_standin.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "anchorage/http_door.hpp"
-#include "narrows/held_port.hpp"
+#include "fault_proxy/held_port.hpp"
 #include "soak/wire.hpp"
 
 namespace wharf::soak {
--- a/programs/fleet/main.cpp
+++ b/programs/fleet/main.cpp
@@ -13,9 +13,9 @@
 #include "bosun/door.hpp"
 #include "bosun/flags.hpp"
 #include "bosun/words.hpp"
+#include "fault_proxy/fault_proxy.hpp"
+#include "fault_proxy/held_port.hpp"
 #include "hawser/hawser.hpp"
-#include "narrows/held_port.hpp"
-#include "narrows/narrows.hpp"
 
 namespace {
 using namespace wharf;
@@ -96,14 +96,14 @@
     for (int at = 0; at < shape_.controls; ++at) {
       Process process{"harbourd-" + std::to_string(at + 1), "", place_here(), 0, {}, {}};
       process.listen = place_here();
-      process.address = narrows_.open(process.listen);
+      process.address = relay_.open(process.listen);
       if (at < (shape_.controls >= 3 ? 3 : 1)) seeds += (seeds.empty() ? "" : ",") + process.address;
       processes_.push_back(process);
     }
     for (int at = 0; at < shape_.pilots; ++at) {
       Process process{"pilotd-" + std::to_string(at + 1), "", place_here(), 0, {}, {}};
       process.listen = place_here();
-      process.address = narrows_.open(process.listen);
+      process.address = relay_.open(process.listen);
       processes_.push_back(process);
     }
     int number = 0;
@@ -139,8 +139,8 @@
     for (const Process &other : processes_) {
       if (other.name == process.name || other.listen.empty()) continue;
       if (only_mates && !other.name.starts_with("harbourd")) continue;
-      narrows_.set_cut(process.address, other.address, is_cut);
-      narrows_.set_cut(other.address, process.address, is_cut);
+      relay_.set_cut(process.address, other.address, is_cut);
+      relay_.set_cut(other.address, process.address, is_cut);
     }
   }
 
@@ -324,9 +324,9 @@
         strike_cut(leader());
       } else if (storm == "late") {
         tell("everything 20 to 40 ms late");
-        narrows_.set_delay(milliseconds(20));
+        relay_.set_delay(milliseconds(20));
         rests(4);
-        narrows_.set_delay(0);
+        relay_.set_delay(0);
       } else if (storm == "disk") {
         strike_disk(dice_.chance(0.6) ? leader() : pick("harbourd"));
       } else if (storm == "runners") {
@@ -342,7 +342,7 @@
         touch_yard("/v1/workers/w2/restore", "");
       }
     }
-    narrows_.heal();
+    relay_.heal();
     if (storm == "runners") set_mischief("");
   }
 
@@ -453,7 +453,7 @@
   std::string manifest_, mix_, token_ = "fleet-operator-token";
   std::vector<Process> processes_;
   std::vector<HeldPort> ports_;
-  Narrows narrows_;
+  FaultProxy relay_;
   SteadyTide tide_;
   Dice dice_{static_cast<std::uint64_t>(options_.seed)};
   Instant storm_until_ = 0;
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -1,6 +1,6 @@
 // The soak's own parts: every check must fail on records that break its rule, schedules and random numbers
 // must be the same for a seed. The daemons themselves are soaked by the test soak_small.
-#include "narrows/held_port.hpp"
+#include "fault_proxy/held_port.hpp"
 #include "soak/checks.hpp"
 #include "soak/report.hpp"
 #include "soak/schedule.hpp"
