--- a/packages/surveyor/surveyor.cpp
+++ b/packages/audit/audit.cpp
@@ -1,4 +1,4 @@
-#include "surveyor/surveyor.hpp"
+#include "audit/audit.hpp"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/packages/drydock/world.hpp
+++ b/packages/drydock/world.hpp
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
+#include "audit/audit.hpp"
 #include "control/control_node.hpp"
 #include "pilot/pilot.hpp"
-#include "surveyor/surveyor.hpp"
 
 namespace wharf {
 
--- a/programs/shipper/main.cpp
+++ b/programs/shipper/main.cpp
@@ -4,12 +4,12 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "audit/audit.hpp"
 #include "bosun/door.hpp"
 #include "bosun/flags.hpp"
 #include "bosun/words.hpp"
 #include "hawser/hawser.hpp"
 #include "seal/seal.hpp"
-#include "surveyor/surveyor.hpp"
 
 namespace {
 using namespace wharf;
