Take no disk from a group that bears no loss in a soak; status

Ruled out: a fault of the daemons (one replica, one disk, second-loss at 4.7 s). Change: disks are lost only where at least three control processes are. Conclusion: the soak keeps to what may be lost at once.

--- a/packages/soak/troubles.cpp
+++ b/packages/soak/troubles.cpp
@@ -14,6 +14,8 @@
 constexpr Span catch_up = seconds(5);
 constexpr Span turn_gap = milliseconds(1500);
 constexpr std::size_t several = 3;
+/// A group of fewer control processes bears the loss of no disk.
+constexpr std::size_t controls_to_lose_a_disk = 3;
 } // namespace
 
 Troubles::Troubles(Deployment &deployment, std::vector<TroubleRecord> &records,
@@ -146,6 +148,7 @@
 }
 
 bool Troubles::lose_disk(std::size_t target, Span lasts, Instant now) {
+  if (deployment_.controls().size() < controls_to_lose_a_disk) return false;
   Node *node = pick(deployment_.controls(), target);
   return node != nullptr && may_lose_control(now) && kill({node}, "lose-disk", lasts, true, now);
 }
