--- a/packages/soak/deployment.hpp
+++ b/packages/soak/deployment.hpp
@@ -43,6 +43,7 @@
   /// Ends all processes in order; those that take longer than `patience` are killed and named.
   std::vector<std::string> stop_all(Span patience);
   std::vector<Node> &nodes() { return nodes_; }
+  const std::vector<Node> &nodes() const { return nodes_; }
   std::vector<Node *> edges();
   std::vector<Node *> controls();
   /// All daemons on a node's machine.
--- a/packages/soak/soak.cpp
+++ b/packages/soak/soak.cpp
@@ -308,7 +308,7 @@
   void add_log_lines(Instant from, Instant until, std::vector<std::string> &lines) const {
     const std::string first = log_time(from), last = log_time(until + seconds(1));
     std::size_t count = 0;
-    for (const Node &node : const_cast<Deployment &>(deployment_).nodes()) {
+    for (const Node &node : deployment_.nodes()) {
       std::ifstream file(options_.folder + "/" + node.daemon->name() + ".log");
       for (std::string line; std::getline(file, line) && count < story_lines_most;) {
         const bool is_in =
--- a/packages/soak/troubles.cpp
+++ b/packages/soak/troubles.cpp
@@ -164,67 +164,96 @@
   }
 }
 
-bool Troubles::begin(const Trouble &trouble, Instant now) {
+bool Troubles::lose_two_disks(const Trouble &trouble, Instant now) {
+  if (!lose_disk(trouble.target, trouble.lasts, now)) return false;
+  later_.push_back({now + trouble.lasts + catch_up + seconds(1), false,
+                    [this, trouble](Instant then) { lose_disk(trouble.target + 1, trouble.lasts, then); }});
+  return true;
+}
+
+bool Troubles::restart_several(std::size_t target, Instant now) {
+  for (std::size_t at = 0; at < several; ++at)
+    if (Node *node = pick(deployment_.edges(), target + at))
+      terminate(*node, name_of(TroubleKind::restart_several), now);
+  return true;
+}
+
+bool Troubles::kill_several_edges(Span lasts, Instant now) {
+  std::vector<Node *> struck;
+  for (Node *node : deployment_.edges())
+    if (is_well(*node) && struck.size() < several) struck.push_back(node);
+  return kill(struck, name_of(TroubleKind::kill_several_edges), lasts, false, now);
+}
+
+Node *Troubles::pick_any(std::size_t target) {
   std::vector<Node *> all;
   for (Node &node : deployment_.nodes()) all.push_back(&node);
-  Node *any = pick(all, trouble.target);
-  Node *edge = pick(deployment_.edges(), trouble.target);
-  if (any == nullptr || edge == nullptr) return false;
-  Node *machine_head = deployment_.beside(*any).front();
-  const bool may_strike_any = !any->is_control || may_lose_control(now);
-  const bool may_cut = !machine_head->is_control || may_lose_control(now);
+  return pick(std::move(all), target);
+}
+
+bool Troubles::begin(const Trouble &trouble, Instant now) {
+  const bool is_any_edge_well = pick(deployment_.edges(), trouble.target) != nullptr;
+  if (!is_any_edge_well) return false;
+  return is_planned(trouble.kind) ? begin_planned(trouble, now) : begin_unplanned(trouble, now);
+}
+
+bool Troubles::begin_planned(const Trouble &trouble, Instant now) {
+  Node &node = *pick_any(trouble.target);
+  const bool may_stop = !node.is_control || may_lose_control(now);
   const std::string kind = name_of(trouble.kind);
   switch (trouble.kind) {
   case TroubleKind::restart:
-    return may_strike_any && terminate(*any, kind, now);
+    return may_stop && terminate(node, kind, now);
   case TroubleKind::hang_up:
-    hang_up(*any, kind, now);
+    hang_up(node, kind, now);
     return true;
   case TroubleKind::hang_up_twice:
-    hang_up(*any, kind, now);
-    hang_up(*any, kind, now);
+    hang_up(node, kind, now);
+    hang_up(node, kind, now);
     return true;
   case TroubleKind::hang_up_while_draining:
-    if (!may_strike_any || !terminate(*any, kind, now)) return false;
-    later_.push_back({now + milliseconds(300), false, [any](Instant) { any->daemon->signal(SIGHUP); }});
+    if (!may_stop || !terminate(node, kind, now)) return false;
+    later_.push_back({now + milliseconds(300), false, [&node](Instant) { node.daemon->signal(SIGHUP); }});
     return true;
-  case TroubleKind::kill:
-    return may_strike_any && kill({any}, kind, trouble.lasts, false, now);
-  case TroubleKind::freeze:
-    return may_strike_any && freeze(*any, trouble.lasts, now);
   case TroubleKind::restart_in_turn:
     restart_in_turn(trouble.target, now);
     return true;
   case TroubleKind::restart_several:
-    for (std::size_t at = 0; at < several; ++at)
-      if (Node *node = pick(deployment_.edges(), trouble.target + at)) terminate(*node, kind, now);
-    return true;
-  case TroubleKind::kill_all_control:
-    return kill(deployment_.controls(), kind, trouble.lasts, false, now);
-  case TroubleKind::kill_several_edges: {
-    std::vector<Node *> struck;
-    for (Node *node : deployment_.edges())
-      if (is_well(*node) && struck.size() < several) struck.push_back(node);
-    return kill(struck, kind, trouble.lasts, false, now);
+    return restart_several(trouble.target, now);
+  default:
+    return false;
   }
+}
+
+bool Troubles::begin_unplanned(const Trouble &trouble, Instant now) {
+  Node &node = *pick_any(trouble.target);
+  const bool may_strike = !node.is_control || may_lose_control(now);
+  const bool may_cut = !deployment_.beside(node).front()->is_control || may_lose_control(now);
+  switch (trouble.kind) {
+  case TroubleKind::kill:
+    return may_strike && kill({&node}, name_of(trouble.kind), trouble.lasts, false, now);
+  case TroubleKind::freeze:
+    return may_strike && freeze(node, trouble.lasts, now);
+  case TroubleKind::kill_all_control:
+    return kill(deployment_.controls(), name_of(trouble.kind), trouble.lasts, false, now);
+  case TroubleKind::kill_several_edges:
+    return kill_several_edges(trouble.lasts, now);
   case TroubleKind::lose_disk:
     return lose_disk(trouble.target, trouble.lasts, now);
   case TroubleKind::second_loss:
-    if (!lose_disk(trouble.target, trouble.lasts, now)) return false;
-    later_.push_back({now + trouble.lasts + catch_up + seconds(1), false,
-                      [this, trouble](Instant then) { lose_disk(trouble.target + 1, trouble.lasts, then); }});
-    return true;
+    return lose_two_disks(trouble, now);
   case TroubleKind::cut_machine:
   case TroubleKind::cut_one_way:
-    return may_cut && cut(*any, trouble.lasts, trouble.kind == TroubleKind::cut_one_way, now);
+    return may_cut && cut(node, trouble.lasts, trouble.kind == TroubleKind::cut_one_way, now);
   case TroubleKind::cut_control_in_half:
     return cut_control_in_half(trouble.lasts, now);
   case TroubleKind::full_disk: {
     Node *control = pick(deployment_.controls(), trouble.target);
     return control != nullptr && may_lose_control(now) && fill_disk(*control, trouble.lasts, now);
   }
+  default:
+    return false;
   }
-  return false;
 }
 
 void Troubles::tick(Instant now) {
@@ -244,7 +273,10 @@
       node.start_at = now + start_again_after;
       node.must_end_by = 0;
       const auto planned = planned_record_.find(node.daemon->name());
-      if (planned != planned_record_.end()) records_[planned->second].ended = now;
+      if (planned != planned_record_.end()) {
+        records_[planned->second].ended = now;
+        planned_record_.erase(planned);
+      }
     }
     if (node.start_at != 0 && now >= node.start_at) {
       node.start_at = 0;
--- a/packages/soak/troubles.hpp
+++ b/packages/soak/troubles.hpp
@@ -31,6 +31,9 @@
     std::function<void(Instant)> act;
   };
   Node *pick(std::vector<Node *> nodes, std::size_t target);
+  Node *pick_any(std::size_t target);
+  bool begin_planned(const Trouble &trouble, Instant now);
+  bool begin_unplanned(const Trouble &trouble, Instant now);
   bool is_well(const Node &node) const;
   /// True where one more control process may be lost now.
   bool may_lose_control(Instant now) const;
@@ -45,6 +48,10 @@
   bool cut_control_in_half(Span lasts, Instant now);
   bool fill_disk(Node &node, Span lasts, Instant now);
   bool lose_disk(std::size_t target, Span lasts, Instant now);
+  /// Loses a disk, and another one once the first has been replaced.
+  bool lose_two_disks(const Trouble &trouble, Instant now);
+  bool restart_several(std::size_t target, Instant now);
+  bool kill_several_edges(Span lasts, Instant now);
   void restart_in_turn(std::size_t target, Instant now);
 
   Deployment &deployment_;
--- a/tests/anchorage_test.cpp
+++ b/tests/anchorage_test.cpp
@@ -6,24 +6,13 @@
 
 #include "anchorage/http_calls.hpp"
 #include "anchorage/http_door.hpp"
+#include "fault_proxy/held_port.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace wharf;
 
 namespace {
-std::string free_address() {
-  const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in place{};
-  place.sin_family = AF_INET;
-  place.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof place;
-  bind(descriptor, reinterpret_cast<sockaddr *>(&place), size);
-  getsockname(descriptor, reinterpret_cast<sockaddr *>(&place), &size);
-  close(descriptor);
-  return "127.0.0.1:" + std::to_string(ntohs(place.sin_port));
-}
-
 /// A runner that answers each request with bytes the test has laid out, and may end its link then.
 class Scripted final : public Watched {
 public:
@@ -68,7 +57,8 @@
 
 struct Caller {
   Loop loop;
-  std::string address = free_address();
+  HeldPort port;
+  std::string address = port.address();
   HttpCalls calls{loop, HttpCallOptions{}};
   SteadyTide tide;
   std::optional<CallAnswer> answer;
@@ -120,7 +110,8 @@
 
 struct Doored {
   Loop loop;
-  std::string address = free_address();
+  HeldPort port;
+  std::string address = port.address();
   Echo echo;
   HttpDoor door{loop, address, echo, HttpDoorOptions{}};
   int link = -1;
