Count a caller's wait from the first byte of its request

Ruled out: time lost in the queue for a slot; the late answers were all slow senders'. Change: the door notes when bytes arrive, also of a request that waits behind another one on its connection, and plan_errand counts the wait from its first byte.

--- a/packages/anchorage/http.hpp
+++ b/packages/anchorage/http.hpp
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include "tide/tide.hpp"
+
 namespace wharf {
 
 struct HttpHeader {
@@ -21,6 +23,8 @@
   bool keeps_link = true;
   /// False when only the end of the link ended the body.
   bool is_delimited = true;
+  /// When the first byte of a request arrived at the door that read it, on the monotonic clock; 0 elsewhere.
+  Instant begun_at = 0;
 
   /// The value of a header, or nullptr; names compare without case.
   const std::string *find(std::string_view name) const;
--- a/packages/anchorage/http_door.cpp
+++ b/packages/anchorage/http_door.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <deque>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
@@ -47,6 +48,7 @@
     }
     if (phase_ == Phase::ending) return true;
     incoming_.append(bytes, static_cast<std::size_t>(count));
+    arrivals_.push_back({static_cast<std::size_t>(count), door_.tide_.now()});
     if (phase_ == Phase::serving) {
       is_held_ = incoming_.size() > 65536;
       watch();
@@ -59,11 +61,12 @@
     while (phase_ == Phase::reading && !incoming_.empty() && descriptor_ >= 0) {
       if (!reader_.has_begun()) {
         since_ = door_.tide_.now();
+        begun_at_ = arrivals_.front().at;
         reader_.set_bounds(door_.options_.bounds);
       }
       std::size_t used = 0;
       const Reading reading = reader_.feed(incoming_, used);
-      incoming_.erase(0, used);
+      consume(used);
       if (reading == Reading::partial) return true;
       if (reading != Reading::whole) {
         const int status = reading == Reading::head_too_large   ? 431
@@ -73,6 +76,7 @@
         return true;
       }
       HttpMessage request = reader_.take();
+      request.begun_at = begun_at_;
       phase_ = Phase::serving;
       since_ = door_.tide_.now();
       keeps_link_ = request.keeps_link;
@@ -83,6 +87,18 @@
     return true;
   }
 
+  /// Drops bytes that have been read, with what is known of their arrival.
+  void consume(std::size_t size) {
+    incoming_.erase(0, size);
+    while (size > 0) {
+      Arrived &first = arrivals_.front();
+      const std::size_t part = std::min(size, first.size);
+      first.size -= part;
+      size -= part;
+      if (first.size == 0) arrivals_.pop_front();
+    }
+  }
+
   void refuse(int status) {
     ++door_.counters_["door_refused_" + std::to_string(status)];
     HttpMessage response;
@@ -156,6 +172,14 @@
   Instant since_ = 0;
   HttpReader reader_;
   std::string incoming_, outgoing_;
+  /// The bytes that are in `incoming_`, by when they arrived: a request may have waited behind another one.
+  struct Arrived {
+    std::size_t size = 0;
+    Instant at = 0;
+  };
+  std::deque<Arrived> arrivals_;
+  /// When the first byte of the request that is being read arrived.
+  Instant begun_at_ = 0;
   std::uint32_t watched_ = EPOLLIN;
   bool keeps_link_ = true, is_head_ = false, is_held_ = false, has_ended_ = false, is_shut_ = false,
        is_parsing_ = false;
--- a/packages/helm/pilot_helm.cpp
+++ b/packages/helm/pilot_helm.cpp
@@ -86,6 +86,7 @@
   }
   ErrandHead &head = std::get<ErrandHead>(read);
   head.id = next_errand();
+  head.begun_at = request.begun_at;
   const Instant now = tide_.now();
   auto planned = pilot_.front(head, now);
   if (const auto *fate = std::get_if<Fate>(&planned)) {
--- a/packages/pilot/waybill.cpp
+++ b/packages/pilot/waybill.cpp
@@ -56,7 +56,8 @@
   std::int64_t wait = std::min(asked, charter.limits.wait_most_ms);
   if (rule->within_ms > 0) wait = std::min<std::int64_t>(wait, rule->within_ms);
   bill.arrived = now;
-  bill.deadline = now + milliseconds(wait) - std::min(milliseconds(50), milliseconds(wait) / 10);
+  const Instant waits_since = head.begun_at == 0 ? now : std::min(head.begun_at, now);
+  bill.deadline = waits_since + milliseconds(wait) - std::min(milliseconds(50), milliseconds(wait) / 10);
   if (!is_open && !tenant->unbounded) bill.steps.push_back(Step::pay);
   if (service->once && !head.idempotency_key.empty()) {
     bill.claim_key = bill.tenant + "/" + head.idempotency_key;
--- a/packages/pilot/waybill.hpp
+++ b/packages/pilot/waybill.hpp
@@ -15,6 +15,8 @@
   std::string id, method, target, host, key, idempotency_key, body_digest;
   std::int64_t wait_ms = 0;
   std::size_t body_size = 0;
+  /// When its first byte arrived, from which the caller's wait counts; 0 when that is not known.
+  Instant begun_at = 0;
 };
 
 /// The steps an errand may go through.
--- a/tests/anchorage_test.cpp
+++ b/tests/anchorage_test.cpp
@@ -192,6 +192,26 @@
   STRCMP_CONTAINS("Connection: close", doored.say("GET /3 HTTP/1.1\r\n\r\n").c_str());
 }
 
+TEST(Anchorage, a_request_has_begun_when_its_first_byte_came_not_when_it_was_whole) {
+  Doored doored;
+  const SteadyTide tide;
+  doored.echo.is_slow = true;
+  doored.say("GET /1 HTTP/1.1\r\n");
+  const Instant first_bytes_read = tide.now();
+  doored.say("\r\nGET /2 HTTP/1.1\r\n\r\n");
+  LONGS_EQUAL(1, doored.echo.requests.size());
+  CHECK(doored.echo.requests[0].begun_at != 0);
+  CHECK(doored.echo.requests[0].begun_at <= first_bytes_read);
+  const Instant second_bytes_read = tide.now();
+  // The second one waits behind the first, and its caller with it.
+  HttpMessage response;
+  response.status = 204;
+  doored.door.answer(doored.echo.waiting, response, true);
+  LONGS_EQUAL(2, doored.echo.requests.size());
+  CHECK(doored.echo.requests[1].begun_at > first_bytes_read);
+  CHECK(doored.echo.requests[1].begun_at <= second_bytes_read);
+}
+
 TEST(Anchorage, a_caller_that_leaves_is_told_of_once_and_its_answer_goes_nowhere) {
   Doored doored;
   doored.echo.is_slow = true;
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -212,6 +212,22 @@
   }
 }
 
+TEST(Recovery, a_callers_wait_counts_from_the_first_byte_of_its_request) {
+  PilotRig rig;
+  PilotOutput out;
+  rig.pilot.receive({rig_leader, "h", orders_for(rig, "")}, rig.now, out);
+  ErrandHead head;
+  head.id = "e";
+  head.method = "GET";
+  head.target = "/x";
+  head.key = "first-key-00000000";
+  head.wait_ms = 4000;
+  const Instant quick = std::get<Waybill>(rig.pilot.front(head, rig.now)).deadline;
+  head.begun_at = rig.now - milliseconds(900);
+  const Instant slow = std::get<Waybill>(rig.pilot.front(head, rig.now)).deadline;
+  LONGS_EQUAL(milliseconds(900), quick - slow);
+}
+
 TEST(Recovery, a_pilot_cut_off_serves_on_only_as_long_as_the_manifest_says) {
   for (const bool may_go_on : {false, true}) {
     PilotRig rig;
