Let an edge node take only orders that are told to itself

Cause: a message goes to an address, and a process that comes back at it has a new id. The leader goes on telling a process it heard of in the last 4 s. One that was told to leave as it came is in no node set, so its successor does not report it as replaced; at the next change of the configuration the leader tells it, as it owns nothing, an empty list of runners, and the successor at its address takes the list for its own, with its stamp. From then on it gets changes only: 1 runner of 3. Ruled out: orders put off with a configuration, stamps of another term, and changes told out of turn: the stamp that the node reports always names what it holds, and the leader starts from there. Change: orders name the process that they are for; another one drops them and counts orders_for_another.

--- a/packages/control/configuration_delivery.cpp
+++ b/packages/control/configuration_delivery.cpp
@@ -10,6 +10,7 @@
 
 Orders ControlNode::orders_for(NodeId node, NodeSession &session, Instant now) {
   Orders orders;
+  orders.node = node;
   orders.age = now - std::min(now, raft_.confirmed_at(now));
   orders.term = raft_.term();
   orders.version = registry_.version();
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -313,6 +313,10 @@
 }
 
 void Pilot::handle(NodeId from, const Orders &orders, Instant now, PilotOutput &out) {
+  if (orders.node != 0 && orders.node != self_.id) {
+    count("orders_for_another");
+    return;
+  }
   const Version version = in_force().version;
   if (orders.version < version || orders.roster.epoch < roster_.epoch) return;
   if (!orders.has_roster && orders.roster.epoch != roster_.epoch) return;
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -277,7 +277,10 @@
   std::uint64_t since_stamp = 0;
   std::vector<std::string> changed_services;
   Version manifest_base = 0;
-  WHARF_CARRY(manifest_base, sent_at, age, term, version, has_manifest, manifest, roster, settled, quiet,
+  /// The process that this is told to: another one that has taken over its address must not take it, as it
+  /// owns other services. 0 is for any.
+  NodeId node = 0;
+  WHARF_CARRY(node, manifest_base, sent_at, age, term, version, has_manifest, manifest, roster, settled, quiet,
               runners_stamp, has_runners, runners, has_roster, since_stamp, changed_services)
 };
 
--- a/tests/control_rig.hpp
+++ b/tests/control_rig.hpp
@@ -13,6 +13,7 @@
   std::unique_ptr<ControlNode> control;
   std::vector<OperatorSay> answers;
   std::vector<PlatformOrder> orders;
+  std::vector<Posted> mail;
 
   LoneControlNode() {
     Member self;
@@ -27,6 +28,7 @@
     while (true) {
       answers.insert(answers.end(), out.answers.begin(), out.answers.end());
       orders.insert(orders.end(), out.orders.begin(), out.orders.end());
+      mail.insert(mail.end(), out.mail.begin(), out.mail.end());
       if (out.batches.empty()) return;
       ControlOutput next;
       control->saved(out.batches.back().ticket, now, next);
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -548,6 +548,54 @@
   LONGS_EQUAL(1, passed_on(other.id));
 }
 
+TEST(Recovery, a_node_takes_no_runners_that_were_told_to_the_process_before_it_at_its_address) {
+  Yarded yard;
+  yard.list({});
+  yard.write(Yarded::manifest(1), "0");
+  const PlatformOrder order = yard.orders.back();
+  ControlOutput out;
+  yard.control->platform_said(
+      {order.runner.id, order.runner.worker, true, OrderEnd::done, "i-1", "10.0.0.9:1"}, yard.now, out);
+  yard.take(out);
+  Member self = PilotRig::make_self();
+  Pilot successor(self, {"seed"}, PilotOptions{}, yard.now);
+  // Two processes stood at the successor's address before it. The last was told to leave as it came, so that no
+  // node set ever named it; the leader does not know that it has ended and goes on telling it.
+  constexpr NodeId first = 500, short_lived = 999, leader = 7;
+  const auto report = [&](NodeId id, const Pulse &pulse) {
+    ControlOutput told;
+    yard.control->receive({id, self.address, pulse}, yard.now, told);
+    yard.take(told);
+  };
+  Pulse pulse;
+  pulse.sent_at = yard.now;
+  pulse.version = yard.control->registry().version();
+  report(first, pulse);
+  yard.pass(seconds(1));
+  pulse.is_leaving = true;
+  pulse.epoch = yard.control->registry().roster().epoch;
+  pulse.replaces = {first};
+  report(short_lived, pulse);
+  yard.mail.clear();
+  report(self.id, Pulse{});
+  for (int round = 0; round < 100; ++round) {
+    // Each change of the configuration is told to all whom the leader heard not long ago.
+    if (round == 60) yard.write(Yarded::manifest(2), "1");
+    PilotOutput said;
+    for (const Posted &posted : yard.mail)
+      if (posted.to == short_lived || posted.to == self.id)
+        successor.receive({leader, "h", posted.signal}, yard.now, said);
+    yard.mail.clear();
+    yard.pass(milliseconds(20));
+    successor.tick(yard.now, said);
+    for (const Posted &posted : said.mail)
+      if (const auto *own = std::get_if<Pulse>(&posted.signal)) report(self.id, *own);
+  }
+  LONGS_EQUAL(1, yard.control->registry().roster().pilots.size());
+  CHECK(self.id == yard.control->registry().roster().pilots[0]);
+  LONGS_EQUAL(1, successor.gauges(yard.now).at("runners_known"));
+}
+
 TEST(Recovery, views_are_told_by_service_and_whole_once_changes_are_forgotten) {
   RunnerViews views;
   CHECK(views.update("r1", view("r1")));
