--- a/packages/bosun/options.cpp
+++ b/packages/bosun/options.cpp
@@ -90,6 +90,10 @@
 }
 } // namespace
 
+bool must_trace(const ProcessOptions &options) {
+  return options.log_level == "debug" || options.log_level == "trace";
+}
+
 bool is_address(std::string_view text) {
   std::string ip;
   int port = 0;
--- a/packages/bosun/options.hpp
+++ b/packages/bosun/options.hpp
@@ -31,6 +31,11 @@
   NUMBER(in_memory, 0, 0, 1,                                                                                 \
          "Whether state is kept in memory only, 1 or 0, where there is no disk; harbourd only.")             \
   NUMBER(replica, 1, 0, 1, "Whether this process is a replica of the group, 1 or 0; harbourd only.")         \
+  NUMBER(start_price, 0, 0, 1000000,                                                                         \
+         "What one start costs, in thousandths of a call's worth, where operators name no prices; pilotd "   \
+         "only.")                                                                                            \
+  NUMBER(memory_price, 0, 0, 1000000,                                                                        \
+         "What a gigabyte of runners costs a second, likewise; 0 for not known; pilotd only.")               \
   NUMBER(threads, 192, 4, 4096, "Threads at the HTTP door.")                                                 \
   NUMBER(pace, 80, 1, 10000, "Starts and stops the platform allows a second; harbourd only.")
 
@@ -53,6 +58,8 @@
 /// Reads `--options FILE` and flags (flags win); names every fault with its file and line or its flag.
 std::variant<Launch, EndNow> read_launch(ProgramKind kind, int count, const char *const *words);
 
+/// Whether calls and runners are to be told one by one in the log.
+bool must_trace(const ProcessOptions &options);
 bool is_address(std::string_view text);
 /// A decimal text times 1,000; 0 for an empty one.
 std::uint32_t thousandths_of(const std::string &decimal);
--- a/packages/control/control_node.hpp
+++ b/packages/control/control_node.hpp
@@ -12,6 +12,7 @@
 #include "raft/raft.hpp"
 #include "rollcall/rollcall.hpp"
 #include "seatrial/seatrial.hpp"
+#include "trace/trace.hpp"
 
 namespace wharf {
 
@@ -93,6 +94,8 @@
 };
 
 struct ControlOptions {
+  /// Whether each start and end of a runner is told in a line of the log.
+  bool must_trace_runners = false;
   RaftOptions raft;
   RollcallOptions rollcall;
   Span fresh = seconds(2);
@@ -242,6 +245,12 @@
   /// True once no majority has confirmed this leader for so long that another may have been elected. It gives
   /// no more leases then, so that nodes look for the other at once and are not taken for lost by it.
   bool is_in_doubt(Instant now) const;
+  /// A node is proven to have ended, at this moment at the latest.
+  void note_ended(NodeId ended, Instant moment, Instant now);
+  /// Nodes of the node set at whose address another process now reports: two cannot listen there. A node
+  /// tells the same in its report once it has the node set, which after a fault of the core comes behind all
+  /// other nodes' configurations.
+  std::vector<NodeId> replaced_by(const Envelope &envelope, const Pulse &pulse) const;
   void answer_pulse(const Envelope &envelope, const Pulse &pulse, Instant now, ControlOutput &out);
   /// Notes whether a node's reports come too late for it to keep its lease.
   void note_lateness(NodeSession &session, const Pulse &pulse, Instant now) const;
@@ -344,6 +353,8 @@
   void compact_if_due(ControlOutput &out);
   /// Starts what is planned but not listed, worthier services first, every fifth the one that waited longest.
   void order_starts(std::vector<const RunnerRecord *> waiting, Instant now, ControlOutput &out);
+  /// Tells of a runner in the log, where that is wanted.
+  void trace_runner(RunnerChange change, const RunnerRecord &record, ControlOutput &out) const;
   /// Runners of less worthy services that must leave so that one of `service` finds memory.
   std::vector<std::string>
   make_memory(const Service &service, std::map<std::string, std::vector<const RunnerRecord *>> &active) const;
--- a/packages/control/node_leases.cpp
+++ b/packages/control/node_leases.cpp
@@ -56,6 +56,27 @@
   return now - std::max(raft_.confirmed_at(now), raft_.led_since()) > doubtful_after;
 }
 
+void ControlNode::note_ended(NodeId ended, Instant moment, Instant now) {
+  const auto [found, is_new] = ended_.emplace(ended, moment);
+  found->second = std::min(found->second, moment);
+  if (!is_new) return;
+  sessions_.erase(ended);
+  settle_at_ = now;
+}
+
+std::vector<NodeId> ControlNode::replaced_by(const Envelope &envelope, const Pulse &pulse) const {
+  std::vector<NodeId> replaced;
+  const Roster &roster = registry_.roster();
+  // A process that is older than the node set may be the one that was replaced: its report may have been long
+  // on its way.
+  const Span roster_age = milliseconds(registry_.clock_ms() - roster.taken_ms);
+  if (roster_age < pulse.up_for) return replaced;
+  for (std::size_t at = 0; at < roster.pilots.size() && at < roster.addresses.size(); ++at)
+    if (roster.pilots[at] != envelope.from && roster.addresses[at] == envelope.from_address)
+      replaced.push_back(roster.pilots[at]);
+  return replaced;
+}
+
 void ControlNode::answer_pulse(const Envelope &envelope, const Pulse &pulse, Instant now,
                                ControlOutput &out) {
   const NodeId from = envelope.from;
@@ -68,15 +89,10 @@
     return;
   }
   if (ended_.contains(from)) return;
-  for (NodeId ended : pulse.replaces) {
-    if (ended == from) continue;
-    const Instant moment = now - std::min(now, pulse.up_for);
-    const auto [found, is_new] = ended_.emplace(ended, moment);
-    found->second = std::min(found->second, moment);
-    if (!is_new) continue;
-    sessions_.erase(ended);
-    settle_at_ = now;
-  }
+  const Instant began_at = now - std::min(now, pulse.up_for);
+  for (NodeId ended : pulse.replaces)
+    if (ended != from) note_ended(ended, began_at, now);
+  for (NodeId ended : replaced_by(envelope, pulse)) note_ended(ended, began_at, now);
   almanac_.add(pulse.soundings, now);
   NodeSession &session = sessions_[from];
   session.address = envelope.from_address;
--- a/packages/control/runner_placement.cpp
+++ b/packages/control/runner_placement.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "seal/seal.hpp"
+#include "trace/trace.hpp"
 
 namespace wharf {
 
@@ -113,10 +114,17 @@
     ++starts_ordered_;
     pace_ -= 1;
     notes_[record->id].started_at = now;
+    trace_runner(RunnerChange::started, *record, out);
     out.orders.push_back({true, *record, seal_key_of(record->id), 0});
   }
 }
 
+void ControlNode::trace_runner(RunnerChange change, const RunnerRecord &record, ControlOutput &out) const {
+  if (!options_.must_trace_runners) return;
+  out.lines.push_back(
+      trace_line(RunnerTrace{change, record.id, record.service, record.memory_mb, record.slots}));
+}
+
 void ControlNode::platform_seen(PlatformView snapshot, Instant now, ControlOutput &out) {
   platform_ = std::move(snapshot);
   platform_at_ = now;
@@ -211,6 +219,7 @@
         (found == seen.end() && record.is_leaving && !note.was_listed && handle.empty()) ||
         (found == seen.end() && note.is_stopped)) {
       put.gone.push_back(id);
+      trace_runner(RunnerChange::gone, record, out);
       continue;
     }
     if (record.is_leaving) {
@@ -226,6 +235,7 @@
       if (may_stop && pace_ >= 1 && is_due && !note.is_stopped) {
         pace_ -= 1;
         note.stopped_at = now;
+        trace_runner(RunnerChange::stopped, record, out);
         RunnerRecord named = record;
         named.handle = handle;
         out.orders.push_back({false, std::move(named), {}, options_.stop_grace});
--- a/packages/helm/control_runtime.cpp
+++ b/packages/helm/control_runtime.cpp
@@ -57,6 +57,7 @@
 
 ControlRuntimeOptions control_runtime_options(const ProcessOptions &options) {
   ControlRuntimeOptions made;
+  made.control.must_trace_runners = must_trace(options);
   made.control.platform_pace = static_cast<double>(options.pace);
   made.control.may_found = options.may_found != 0;
   made.control.is_replica = options.replica != 0;
--- a/packages/helm/pilot_helm.cpp
+++ b/packages/helm/pilot_helm.cpp
@@ -54,6 +54,8 @@
 PilotHelmOptions pilot_helm_options(const ProcessOptions &options) {
   PilotHelmOptions made;
   made.pilot.capacity = {thousandths_of(options.link_mbps), thousandths_of(options.cpu_share)};
+  made.pilot.prices = prices_of(options.start_price, options.memory_price);
+  made.pilot.must_trace_calls = must_trace(options);
   made.pilot.purser.life = seconds(1);
   // Links here may be narrow: what is late there must not be sent ever more often.
   made.pilot.permit_again_most = milliseconds(240);
@@ -93,7 +95,7 @@
     Reply reply;
     reply.errand = head.id;
     reply.fate = *fate;
-    reply.retry_after = milliseconds(300);
+    reply.retry_after = pilot_.retry_when_stale();
     door_.answer(link, callers_.tell(reply, nullptr), true);
     return;
   }
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -5,6 +5,7 @@
 #include <unordered_set>
 
 #include "delta/delta.hpp"
+#include "trace/trace.hpp"
 
 namespace wharf {
 
@@ -29,25 +30,6 @@
   return aims;
 }
 
-/// Sets how long a runner of a service is worth keeping, and whether slots are kept spare, from what starts
-/// and memory cost beside the worth of a call that comes too late for its aim.
-void weigh_starts(const Limits &limits, const Service &service, const AimsByService &aims,
-                  ServicePlan &plan) {
-  if (limits.memory_price == 0 || service.boot_ms == 0) return;
-  const auto aim = aims.find(service.name);
-  const std::uint32_t aim_ms = aim == aims.end() ? 0 : aim->second;
-  constexpr double late_share = 0.6, calls_late = 2;
-  plan.is_priced = true;
-  plan.wait_well = milliseconds(aim_ms) * 3 / 10;
-  plan.must_spare = aim_ms == 0 || service.boot_ms * 14 / 10 >= aim_ms;
-  const double gigabytes = static_cast<double>(service.memory_mb) / 1000;
-  const double a_second = gigabytes * static_cast<double>(limits.memory_price) / 1000;
-  const double a_start = static_cast<double>(limits.start_price) / 1000 +
-                         a_second * static_cast<double>(service.boot_ms) / 1000 +
-                         (plan.must_spare ? late_share * calls_late : 0.1);
-  plan.idle = std::clamp(static_cast<Span>(a_start / a_second * 1e9), milliseconds(500), seconds(30));
-}
-
 /// True while the key an errand came with is still its tenant's.
 bool holds_key(const Charter &charter, const Waybill &bill) {
   if (bill.is_open) return true;
@@ -84,6 +66,10 @@
   return planned;
 }
 
+Span Pilot::retry_when_stale() const {
+  return leader_ == 0 ? options_.election_guess : options_.delivery_guess;
+}
+
 bool Pilot::may_serve(Instant now) const {
   return is_fresh(now) || (fresh_until_ != 0 && now < fresh_until_ + cut_off_);
 }
@@ -423,6 +409,9 @@
   purser_.set_allowances(std::move(allowances), now);
   std::map<std::string, ServicePlan> plans;
   const AimsByService aims = shortest_aims(charter->compass);
+  const Limits &limits = charter->limits;
+  const ServicePrices prices =
+      limits.memory_price == 0 ? options_.prices : prices_of(limits.start_price, limits.memory_price);
   for (const Service &service : charter->services) {
     ServicePlan plan;
     plan.slots = static_cast<std::uint32_t>(service.slots);
@@ -434,7 +423,10 @@
     plan.wait_most = milliseconds(charter->limits.wait_most_ms);
     plan.boot = milliseconds(service.boot_ms);
     plan.is_self_bounding = service.self_bounding;
-    weigh_starts(charter->limits, service, aims, plan);
+    const auto aim = aims.find(service.name);
+    if (prices.gigabyte_second > 0 && service.boot_ms != 0)
+      apply_prices(prices, static_cast<std::uint32_t>(service.memory_mb),
+                   aim == aims.end() ? 0 : milliseconds(aim->second), plan);
     plans[service.name] = plan;
   }
   stevedore_.set_plans(std::move(plans), now, out.mail);
@@ -819,6 +811,11 @@
     reply.body = end->body;
     reply.headers = end->headers;
   }
+  if (options_.must_trace_calls) {
+    const Instant sent_at = errand.carried_at == 0 ? now : errand.carried_at;
+    out.lines.push_back(trace_line(CallTrace{errand.bill.service, std::string(outcome_of(fate).reason),
+                                             errand.runner, sent_at - errand.bill.arrived, now - sent_at}));
+  }
   note(errand, now,
        "ends: " + std::string(outcome_of(fate).reason) + ", verdict " +
            std::string(verdict_name(outcome_of(fate).verdict)) + (reply.why.empty() ? "" : ", " + reply.why));
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "berth/berth.hpp"
+#include "berth/service_prices.hpp"
 #include "pilot/waybill.hpp"
 #include "purse/purse.hpp"
 #include "purser/purser.hpp"
@@ -81,6 +82,8 @@
   Span fresh = seconds(2);
   Span duty = milliseconds(1200);
   Span leader_silence = milliseconds(600);
+  /// Waits told to callers before there is a configuration: for its delivery, and for an election before it.
+  Span delivery_guess = milliseconds(300), election_guess = seconds(1);
   /// How long an ask for tokens may be unanswered before it is sent again; twice as long after each time.
   Span permit_again = milliseconds(60), permit_again_most = milliseconds(60);
   Span permit_patience = milliseconds(400);
@@ -117,6 +120,10 @@
   std::size_t tries_most = 2;
   /// Runners that could not be reached which one errand may meet, where its rule bounds what it is sent to.
   std::size_t unreached_most = 6;
+  /// What runners cost where the configuration names no prices; nothing is priced where memory costs 0.
+  ServicePrices prices;
+  /// Whether each call is told in a line of the log when it ends.
+  bool must_trace_calls = false;
   BerthOptions berth;
   PurserOptions purser;
   RollcallOptions rollcall;
@@ -149,6 +156,9 @@
   /// Plans an errand and pays for it from the local purse when that can; safe from any thread.
   std::variant<Waybill, Fate> front(const ErrandHead &head, Instant now);
   InForce in_force() const;
+  /// When a caller that came before this node had its configuration should come again: soon where a leader is
+  /// known that will send it, else not before the control group can have chosen one.
+  Span retry_when_stale() const;
   bool is_fresh(Instant now) const { return now < fresh_until_; }
   /// True while errands are served: under a fresh permit, or cut off for no longer than the manifest allows.
   bool may_serve(Instant now) const;
