Keep fewer slots free where starts are slow

Cause: services of 8 slots whose starts take longer than the aim kept 1.3 deviations of their demand free: mean runners 1.83 for 4.9 busy slots, 1.95 for 6.3. Change: 0.5 deviations. A call that waits a moment for a slot still keeps its aim.

--- a/packages/berth/service_scaler.hpp
+++ b/packages/berth/service_scaler.hpp
@@ -11,7 +11,7 @@
   /// The time over which a priced service's demand is averaged, and how many of its own deviations are kept
   /// free above that average where a start is slow.
   Span demand_over = seconds(1);
-  double spare_deviations = 1.3;
+  double spare_deviations = 0.5;
   /// The least and the most that an idle level of a priced service is kept, in parts of the plan's idle time.
   double keep_least = 0.2, keep_most = 2;
 };
