Ask for pre-votes again before the election timeout

Ruled out: disks (5 ms a sync). Change: a pre-candidate asks those that have not granted their pre-vote again after 50 to 200 ms, drawn, so that of several one is ahead. Pre-votes change no state and a living leader's followers refuse them. Conclusion: kept; the test fails without it.

--- a/packages/raft/raft.cpp
+++ b/packages/raft/raft.cpp
@@ -205,14 +205,26 @@
   } else {
     votes_.insert(self_);
   }
-  RequestVoteRequest ask{hard_.group,  hard_.term + (is_pre_vote ? 1 : 0),
-                         last_index(), term_at(last_index()),
-                         is_pre_vote,  is_transfer};
-  for (const Replica &replica : replicas_)
-    if (replica.is_voter && replica.id != self_) after_.push_back({replica.id, {}, ask});
+  ask_votes(is_pre_vote, is_transfer);
+  set_pre_vote_again(now);
   if (is_pre_vote) count_votes(now, out);
 }
 
+void RaftNode::ask_votes(bool is_pre_vote, bool is_transfer) {
+  const RequestVoteRequest ask{hard_.group,  hard_.term + (is_pre_vote ? 1 : 0),
+                               last_index(), term_at(last_index()),
+                               is_pre_vote,  is_transfer};
+  for (const Replica &replica : replicas_)
+    if (replica.is_voter && replica.id != self_ && !votes_.contains(replica.id))
+      after_.push_back({replica.id, {}, ask});
+}
+
+void RaftNode::set_pre_vote_again(Instant now) {
+  const auto spread =
+      static_cast<std::uint64_t>(options_.pre_vote_again_most - options_.pre_vote_again_least);
+  pre_vote_again_at_ = now + options_.pre_vote_again_least + static_cast<Span>(dice_.below(spread + 1));
+}
+
 void RaftNode::count_votes(Instant now, RaftOutput &out) {
   std::size_t count = 0;
   for (NodeId id : votes_) count += is_voter(id) ? 1 : 0;
@@ -431,6 +443,9 @@
   } else if (now >= election_at_) {
     set_election(now);
     if (is_voter(self_) && is_disk_well(now)) campaign(true, false, now, out);
+  } else if (role_ == RaftRole::pre_candidate && now >= pre_vote_again_at_) {
+    set_pre_vote_again(now);
+    ask_votes(true, false);
   }
   finish(now, out);
 }
--- a/packages/raft/raft.hpp
+++ b/packages/raft/raft.hpp
@@ -60,6 +60,9 @@
   /// How much sooner than usual the first election after a start may come, as no leader is expected then.
   Span first_sooner = milliseconds(350);
   Span heartbeat = milliseconds(75);
+  /// How soon a pre-candidate asks those again that have not granted it their pre-vote, which may have been
+  /// on their way up; drawn between the two, so that of several pre-candidates one is ahead.
+  Span pre_vote_again_least = milliseconds(50), pre_vote_again_most = milliseconds(200);
   Span disk_patience = milliseconds(1500);
   std::size_t batch_entries = 256;
   std::size_t batch_bytes = 1u << 20;
@@ -151,6 +154,9 @@
   void handle(NodeId from, const TimeoutNowRequest &ask, Instant now, RaftOutput &out);
 
   void follow(std::uint64_t term, NodeId leader, Instant now, RaftOutput &out);
+  /// Asks all voters that have not granted their vote, or pre-vote, in this election.
+  void ask_votes(bool is_pre_vote, bool is_transfer);
+  void set_pre_vote_again(Instant now);
   void campaign(bool is_pre_vote, bool is_transfer, Instant now, RaftOutput &out);
   /// Forgets how far the log was compared with a leader's; due whenever the term rises.
   void forget_verified();
@@ -183,7 +189,8 @@
   std::uint64_t commit_ = 0, delivered_ = 0, synced_ = 0, verified_ = 0;
   RaftRole role_ = RaftRole::follower;
   NodeId leader_ = 0;
-  Instant election_at_ = 0, heard_leader_ = 0, heartbeat_at_ = 0, led_since_ = 0, last_sent_at_ = 0;
+  Instant election_at_ = 0, pre_vote_again_at_ = 0, heard_leader_ = 0, heartbeat_at_ = 0, led_since_ = 0,
+          last_sent_at_ = 0;
   std::set<NodeId> votes_;
   std::map<NodeId, Progress> progress_;
   std::deque<Waiting> waiting_;
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -168,6 +168,33 @@
   CHECK(trio.sessions[leader].replica->commit() > before);
 }
 
+TEST(RaftNode, a_voter_that_comes_up_is_asked_long_before_the_next_election_timeout) {
+  Trio trio;
+  const auto tick = [&](NodeId id) {
+    RaftOutput out;
+    trio.sessions[id].replica->tick(trio.now, out);
+    trio.take(id, std::move(out));
+  };
+  // Replica 1 stands alone: its questions reach nobody.
+  while (trio.sessions[1].replica->role() != RaftRole::pre_candidate) {
+    trio.now += milliseconds(5);
+    tick(1);
+  }
+  trio.mail.clear();
+  const Instant up_at = trio.now + milliseconds(20);
+  trio.now = up_at;
+  for (int step = 0; step < 50 && !trio.sessions[1].replica->is_leader(); ++step) {
+    trio.now += milliseconds(5);
+    tick(1);
+    trio.pass_on();
+    trio.sync(1);
+    trio.sync(2);
+    trio.pass_on();
+  }
+  CHECK(trio.sessions[1].replica->is_leader());
+  CHECK(trio.now - up_at <= RaftOptions{}.pre_vote_again_most + milliseconds(20));
+}
+
 TEST(RaftNode, a_leader_whose_disk_stalls_steps_down) {
   Trio trio;
   const NodeId leader = trio.elect_first();
