Make beats small, and ask seeds for replicas whose address is not known

Change: a beat is told by a short identity and its low 16 bits, 6 bytes; members that share a short identity are told whole. A control process asks the seeds for replicas that it does not know, at first every 50 ms.

--- a/packages/rollcall/rollcall.cpp
+++ b/packages/rollcall/rollcall.cpp
@@ -7,14 +7,42 @@
 namespace {
 /// News reaches as many members in this many rounds as the usual silence allows for.
 constexpr std::size_t usual_rounds = 2;
+
+/// The least beat at or after a known one that ends in these low bits; the known one itself where they tell
+/// of an earlier beat.
+std::uint64_t completed_beat(std::uint64_t known, std::uint16_t low) {
+  const auto ahead = static_cast<std::int16_t>(low - static_cast<std::uint16_t>(known));
+  return ahead > 0 ? known + static_cast<std::uint64_t>(ahead) : known;
+}
 } // namespace
 
 Rollcall::Rollcall(Member self, std::vector<std::string> seeds, RollcallOptions options)
-    : self_(std::move(self)), seeds_(std::move(seeds)), options_(options) {}
+    : self_(std::move(self)), seeds_(std::move(seeds)), options_(options),
+      seek_retry_(options.seek_again, options.seek_again_most) {}
+
+void Rollcall::seek(const std::vector<NodeId> &members) {
+  std::vector<NodeId> unknown;
+  for (NodeId id : members)
+    if (id != self_.id && !known_.contains(id)) unknown.push_back(id);
+  const bool is_same = unknown == sought_;
+  sought_ = std::move(unknown);
+  if (!is_same) seek_retry_.restart();
+}
+
+void Rollcall::ask_for_sought(Instant now, Outbox &out) {
+  if (sought_.empty() || !seek_retry_.is_due(now)) return;
+  seek_retry_.sent(now);
+  Muster question;
+  question.members.push_back(self_);
+  for (NodeId id : sought_) question.asks.push_back(short_id_of(id));
+  for (const std::string &seed : seeds_)
+    if (seed != self_.address) out.push_back({0, seed, question});
+}
 
 void Rollcall::learn(const Member &member, Instant now) {
   Known &known = known_[member.id];
   const Member &old = known.member;
+  if (old.id == 0) short_ids_.emplace(short_id_of(member.id), member.id);
   const bool is_news = old.id == 0 || old.address != member.address || old.http != member.http ||
                        old.group != member.group || old.is_leaving != member.is_leaving;
   if (is_news) known.learned = now;
@@ -22,6 +50,15 @@
   known.advanced = now;
 }
 
+Rollcall::Known *Rollcall::find_short(ShortId id) {
+  if (short_ids_.count(id) != 1) return nullptr;
+  return &known_.at(short_ids_.find(id)->second);
+}
+
+bool Rollcall::is_ambiguous(NodeId id) const {
+  return short_ids_.count(short_id_of(id)) > 1 || short_id_of(id) == short_id_of(self_.id);
+}
+
 void Rollcall::step(const Envelope &envelope, Instant now, Outbox &out) {
   const auto *muster = std::get_if<Muster>(&envelope.signal);
   if (muster == nullptr) return;
@@ -44,21 +81,25 @@
   }
   Muster reply;
   for (const Beat &beat : muster->beats) {
-    if (beat.id == self_.id) {
-      self_.beat = std::max(self_.beat, beat.beat + 1);
+    if (beat.id == short_id_of(self_.id)) {
+      // Beyond any beat that others know, also from before a restart.
+      self_.beat = completed_beat(self_.beat - 1, beat.beat) + 1;
       continue;
     }
-    const auto found = known_.find(beat.id);
-    if (found == known_.end()) {
-      reply.asks.push_back(beat.id);
-    } else if (beat.beat > found->second.member.beat) {
-      found->second.member.beat = beat.beat;
-      found->second.advanced = now;
+    Known *known = find_short(beat.id);
+    if (known == nullptr) {
+      if (!short_ids_.contains(beat.id)) reply.asks.push_back(beat.id);
+      continue;
     }
+    const std::uint64_t newest = completed_beat(known->member.beat, beat.beat);
+    if (newest == known->member.beat) continue;
+    known->member.beat = newest;
+    known->advanced = now;
+  }
+  for (ShortId id : muster->asks) {
+    const auto [first, last] = short_ids_.equal_range(id);
+    for (auto item = first; item != last; ++item) reply.members.push_back(known_.at(item->second).member);
   }
-  for (NodeId id : muster->asks)
-    if (const auto found = known_.find(id); found != known_.end())
-      reply.members.push_back(found->second.member);
   if (reply.asks.empty() && reply.members.empty()) return;
   reply.members.push_back(self_);
   out.push_back({0, envelope.from_address, std::move(reply)});
@@ -99,19 +140,26 @@
   return told;
 }
 
+void Rollcall::forget_silent(Instant now) {
+  const auto is_over = [&](const Known &known) { return now - known.advanced > options_.forget_after; };
+  std::erase_if(short_ids_, [&](const auto &item) { return is_over(known_.at(item.second)); });
+  std::erase_if(known_, [&](const auto &item) { return is_over(item.second); });
+}
+
 void Rollcall::tick(Instant now, Outbox &out) {
+  ask_for_sought(now, out);
   if (now < next_at_) return;
   next_at_ = now + options_.every;
   ++self_.beat;
-  std::erase_if(known_, [&](const auto &item) { return now - item.second.advanced > options_.forget_after; });
+  forget_silent(now);
   Muster muster;
   muster.members.push_back(self_);
   for (const auto &[id, known] : known_) {
     if (now - known.advanced > silence()) continue;
-    if (now - known.learned <= options_.news_for)
+    if (now - known.learned <= options_.news_for || is_ambiguous(id))
       muster.members.push_back(known.member);
     else
-      muster.beats.push_back({id, known.member.beat});
+      muster.beats.push_back({short_id_of(id), static_cast<std::uint16_t>(known.member.beat)});
   }
   for (const Known *known : next_told()) out.push_back({known->member.id, known->member.address, muster});
   for (const std::string &seed : seeds_) {
--- a/packages/rollcall/rollcall.hpp
+++ b/packages/rollcall/rollcall.hpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "signals/signals.hpp"
+#include "tide/backoff.hpp"
 
 namespace wharf {
 
@@ -15,6 +16,8 @@
   std::size_t told_each = 8;
   /// How long what was learned of a member is passed on whole; later only its beat is.
   Span news_for = seconds(1);
+  /// How soon seeds are asked again for a member that is sought, at first and at most.
+  Span seek_again = milliseconds(50), seek_again_most = seconds(1);
   /// How long a member's successor at its address must have been heard of after it.
   Span replaced_after = milliseconds(600);
   /// A member this many beats behind what it once said has had its clock set back and is told so.
@@ -29,6 +32,9 @@
   void tick(Instant now, Outbox &out);
   void set_group(std::uint64_t group) { self_.group = group; }
   void set_seeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
+  /// Members that are needed now: the seeds are asked for those that are not known, without waiting for
+  /// gossip to bring them.
+  void seek(const std::vector<NodeId> &members);
   void set_leaving() { self_.is_leaving = true; }
 
   /// Members heard of lately, without this one.
@@ -58,10 +64,19 @@
   /// that news reaches all in as few rounds as can be, and all members are told equally often.
   std::vector<const Known *> next_told();
   void learn(const Member &member, Instant now);
+  void forget_silent(Instant now);
+  void ask_for_sought(Instant now, Outbox &out);
+  /// The known member of this short identity; null where there is none, or more than one.
+  Known *find_short(ShortId id);
+  /// True where another known member has the same short identity, so that a beat would not name it.
+  bool is_ambiguous(NodeId id) const;
   Member self_;
   std::vector<std::string> seeds_;
   RollcallOptions options_;
   std::map<NodeId, Known> known_;
+  std::multimap<ShortId, NodeId> short_ids_;
+  std::vector<NodeId> sought_;
+  Backoff seek_retry_;
   Instant next_at_ = 0;
   std::uint64_t beats_told_ = 0;
 };
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -40,10 +40,15 @@
   WHARF_CARRY(id, group, address, http, zone, role, beat, is_leaving, is_replica)
 };
 
-/// That a member lives, to those who know the rest of it.
+/// The part of a member's identity by which gossip names it to those who know the rest.
+using ShortId = std::uint32_t;
+inline ShortId short_id_of(NodeId id) { return static_cast<ShortId>(id ^ (id >> 32)); }
+
+/// That a member lives, to those who know the rest of it: of its beat only the low part is told, which those
+/// who know an earlier one complete. Most of all bytes between processes are beats, so they are kept small.
 struct Beat {
-  NodeId id = 0;
-  std::uint64_t beat = 0;
+  ShortId id = 0;
+  std::uint16_t beat = 0;
   WHARF_CARRY(id, beat)
 };
 /// Membership gossip: the sender, what is new to it, the beats of all others it knows to live, and whom it
@@ -51,7 +56,7 @@
 struct Muster {
   std::vector<Member> members;
   std::vector<Beat> beats;
-  std::vector<NodeId> asks;
+  std::vector<ShortId> asks;
   WHARF_CARRY(members, beats, asks)
 };
 
@@ -280,8 +285,8 @@
   /// The process that this is told to: another one that has taken over its address must not take it, as it
   /// owns other services. 0 is for any.
   NodeId node = 0;
-  WHARF_CARRY(node, manifest_base, sent_at, age, term, version, has_manifest, manifest, roster, settled, quiet,
-              runners_stamp, has_runners, runners, has_roster, since_stamp, changed_services)
+  WHARF_CARRY(node, manifest_base, sent_at, age, term, version, has_manifest, manifest, roster, settled,
+              quiet, runners_stamp, has_runners, runners, has_roster, since_stamp, changed_services)
 };
 
 struct NotLeader {
--- a/programs/hollow/main.cpp
+++ b/programs/hollow/main.cpp
@@ -66,7 +66,7 @@
     const Instant now = seconds(5) + beat * milliseconds(250);
     Muster beats;
     for (std::size_t id = 2; id <= size; ++id)
-      beats.beats.push_back({id, static_cast<std::uint64_t>(beat) + 1});
+      beats.beats.push_back({short_id_of(id), static_cast<std::uint16_t>(beat + 1)});
     for (int times = 0; times < 4; ++times) rollcall.step({2, "x", beats}, now, replies);
     Outbox mail;
     rollcall.tick(now, mail);
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -71,6 +71,52 @@
   CHECK(members.received_most <= 12);
 }
 
+TEST(Membership, beats_go_on_beyond_what_their_low_part_can_count) {
+  Member self, other;
+  self.id = 1;
+  other.id = 2;
+  other.beat = 0xfffe;
+  Rollcall rollcall(self, {}, RollcallOptions{});
+  Outbox out;
+  Instant now = seconds(10);
+  rollcall.step({2, "b", Muster{{other}, {}, {}}}, now, out);
+  const auto beat_of_other = [&] { return rollcall.find(2)->beat; };
+  for (std::uint64_t beat : {0xffffull, 0x10000ull, 0x10003ull}) {
+    rollcall.step({2, "b", Muster{{}, {{2, static_cast<std::uint16_t>(beat)}}, {}}}, now += seconds(1), out);
+    LONGS_EQUAL(beat, beat_of_other());
+  }
+  // An earlier one, late on its way, is no sign of life.
+  rollcall.step({2, "b", Muster{{}, {{2, 0xffff}}, {}}}, now + seconds(5), out);
+  LONGS_EQUAL(0x10003, beat_of_other());
+  CHECK(!rollcall.is_living(2, now + seconds(5)));
+}
+
+TEST(Membership, members_with_the_same_short_identity_are_told_whole) {
+  Member self, first, second;
+  self.id = 1;
+  first.id = 5;
+  second.id = (NodeId{1} << 32) | 4;
+  first.address = "f";
+  second.address = "s";
+  LONGS_EQUAL(short_id_of(first.id), short_id_of(second.id));
+  Rollcall rollcall(self, {}, RollcallOptions{});
+  Outbox out;
+  const Instant now = seconds(10);
+  rollcall.step({9, "x", Muster{{first, second}, {}, {}}}, now, out);
+  // Nothing says which of the two lives.
+  rollcall.step({9, "x", Muster{{}, {{5, 7}}, {}}}, now + seconds(2), out);
+  CHECK(!rollcall.is_living(first.id, now + seconds(2)));
+  CHECK(!rollcall.is_living(second.id, now + seconds(2)));
+  first.beat = second.beat = 3;
+  rollcall.step({9, "x", Muster{{first, second}, {}, {}}}, now + seconds(3), out);
+  out.clear();
+  rollcall.tick(now + seconds(4) + milliseconds(300), out);
+  CHECK(!out.empty());
+  const Muster &told = std::get<Muster>(out.front().signal);
+  LONGS_EQUAL(0, told.beats.size());
+  LONGS_EQUAL(3, told.members.size());
+}
+
 TEST(Membership, a_member_whose_address_another_answers_at_is_replaced_and_not_before) {
   Members members(5);
   for (int beat = 0; beat < 20; ++beat) members.beat();
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -559,8 +559,8 @@
   yard.take(out);
   Member self = PilotRig::make_self();
   Pilot successor(self, {"seed"}, PilotOptions{}, yard.now);
-  // Two processes stood at the successor's address before it. The last was told to leave as it came, so that no
-  // node set ever named it; the leader does not know that it has ended and goes on telling it.
+  // Two processes stood at the successor's address before it. The last was told to leave as it came, so that
+  // no node set ever named it; the leader does not know that it has ended and goes on telling it.
   constexpr NodeId first = 500, short_lived = 999, leader = 7;
   const auto report = [&](NodeId id, const Pulse &pulse) {
     ControlOutput told;
@@ -659,7 +659,7 @@
   CHECK(!rollcall.is_living(3, start));
   const auto asks = std::any_of(out.begin(), out.end(), [](const Posted &posted) {
     const auto *muster = std::get_if<Muster>(&posted.signal);
-    return muster != nullptr && muster->asks == std::vector<NodeId>{3};
+    return muster != nullptr && muster->asks == std::vector<ShortId>{3};
   });
   CHECK(asks);
   out.clear();
