Test that a node set follows processes that came back, and the search for members

Measured: the first fails without replaced_by (the node set stays as it was) and holds with it; the second shows that questions stop once the member is known and become seldom while it is not.

--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -91,6 +91,34 @@
   CHECK(!rollcall.is_living(2, now + seconds(5)));
 }
 
+TEST(Membership, seeds_are_asked_for_a_sought_member_until_it_is_known) {
+  Member self, sought;
+  self.id = 1;
+  self.address = "a";
+  sought.id = 2;
+  sought.address = "b";
+  Rollcall rollcall(self, {"seed"}, RollcallOptions{});
+  rollcall.seek({1, 2});
+  Instant now = seconds(10);
+  const auto questions = [&](Span span) {
+    std::size_t count = 0;
+    for (const Instant until = now + span; now < until; now += milliseconds(10)) {
+      Outbox out;
+      rollcall.tick(now, out);
+      for (const Posted &posted : out)
+        count += std::get<Muster>(posted.signal).asks == std::vector<ShortId>{short_id_of(2)} ? 1 : 0;
+    }
+    return count;
+  };
+  LONGS_EQUAL(3, questions(milliseconds(200)));
+  CHECK(questions(seconds(20)) <= 25);
+  Outbox out;
+  rollcall.step({9, "seed", Muster{{sought}, {}, {}}}, now, out);
+  STRCMP_EQUAL("b", rollcall.address_of(2).c_str());
+  rollcall.seek({1, 2});
+  LONGS_EQUAL(0, questions(seconds(5)));
+}
+
 TEST(Membership, members_with_the_same_short_identity_are_told_whole) {
   Member self, first, second;
   self.id = 1;
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -596,6 +596,34 @@
   LONGS_EQUAL(1, successor.gauges(yard.now).at("runners_known"));
 }
 
+TEST(Recovery, a_node_set_follows_processes_that_came_back_before_they_have_been_told_of_it) {
+  Yarded yard;
+  const auto report = [&](NodeId id, Span up_for) {
+    ControlOutput out;
+    Pulse pulse;
+    pulse.sent_at = yard.now;
+    pulse.up_for = up_for;
+    yard.control->receive({id, "p", pulse}, yard.now, out);
+    yard.take(out);
+  };
+  const auto pilots = [&] { return yard.control->registry().roster().pilots; };
+  report(500, seconds(1));
+  yard.pass(seconds(1));
+  CHECK(pilots() == std::vector<NodeId>{500});
+  for (int round = 0; round < 40; ++round) {
+    report(500, seconds(1) + round * milliseconds(200));
+    yard.pass(milliseconds(200));
+  }
+  // Another process reports at its address: the old one is out of the node set long before its silence would
+  // say so. A report of the old one that comes late changes nothing.
+  report(501, milliseconds(300));
+  yard.pass(milliseconds(600));
+  CHECK(pilots() == std::vector<NodeId>{501});
+  report(500, seconds(9));
+  yard.pass(milliseconds(600));
+  CHECK(pilots() == std::vector<NodeId>{501});
+}
+
 TEST(Recovery, views_are_told_by_service_and_whole_once_changes_are_forgotten) {
   RunnerViews views;
   CHECK(views.update("r1", view("r1")));
