Give up a dial whose opening packet is lost for a new one

Change: a dial that is not answered within 250 ms is given up for a new one; after four in a row each may take twice as long, so that a full link does not starve.

--- a/packages/anchorage/cables.cpp
+++ b/packages/anchorage/cables.cpp
@@ -22,6 +22,7 @@
     bool is_fine = (events & EPOLLERR) == 0;
     if (is_fine && (events & EPOLLOUT) != 0) {
       is_up = true;
+      given_up = 0;
       is_fine = write_out();
     }
     if (is_fine && (events & (EPOLLIN | EPOLLHUP | EPOLLRDHUP)) != 0) is_fine = read_in();
@@ -69,7 +70,9 @@
   std::string address_, incoming, outgoing;
   int descriptor = -1;
   bool is_up = false, is_waiting_out = false, is_dirty = false;
-  Instant retry_at = 0;
+  Instant retry_at = 0, dialed_at = 0;
+  /// Dials given up since a connection was last made.
+  std::uint32_t given_up = 0;
 };
 
 class Cables::Listener final : public Watched {
@@ -105,6 +108,7 @@
 void Cables::open(Cable &cable, Instant now) {
   if (now < cable.retry_at) return;
   cable.retry_at = now + options_.dial_again;
+  cable.dialed_at = now;
   cable.descriptor = open_call(cable.address_, options_.silent_most);
   if (cable.descriptor < 0) return;
   cable.is_waiting_out = true;
@@ -124,9 +128,22 @@
   theirs_.erase(found);
 }
 
+void Cables::give_up_late_dial(Cable &cable, Instant now) {
+  if (cable.descriptor < 0 || cable.is_up) return;
+  Span within = options_.dial_within;
+  for (std::uint32_t dial = options_.quick_dials; dial <= cable.given_up && within < options_.silent_most;
+       ++dial)
+    within *= 2;
+  if (now - cable.dialed_at < within) return;
+  ++dials_given_up_;
+  ++cable.given_up;
+  lose(cable);
+}
+
 void Cables::send(const std::string &address, std::string_view bytes) {
   auto &cable = ours_[address];
   if (!cable) cable = std::make_shared<Cable>(*this, address);
+  give_up_late_dial(*cable, tide_.now());
   if (cable->descriptor < 0) open(*cable, tide_.now());
   if (cable->descriptor < 0 || cable->outgoing.size() + bytes.size() > options_.waiting_most + frame_limit) {
     ++dropped_;
--- a/packages/anchorage/cables.hpp
+++ b/packages/anchorage/cables.hpp
@@ -13,6 +13,13 @@
   /// Sent bytes unacknowledged this long end a link.
   Span silent_most = seconds(2);
   Span dial_again = milliseconds(100);
+  /// A dial that is not answered for so long is given up for a new one: the opening packet is lost where a
+  /// machine is down, and the kernel sends it again only after a second, though the machine may be up by
+  /// then.
+  Span dial_within = milliseconds(250);
+  /// After so many in a row each dial may take twice as long as the one before, up to `silent_most`: on a
+  /// link that is full an answer may take longer than `dial_within`.
+  std::uint32_t quick_dials = 4;
   /// Bytes that may wait for a link; beyond them frames are dropped.
   std::size_t waiting_most = 8u << 20;
 };
@@ -30,12 +37,14 @@
   void flush();
   std::uint64_t dropped() const { return dropped_; }
   std::uint64_t bytes_sent() const { return bytes_sent_; }
+  std::uint64_t dials_given_up() const { return dials_given_up_; }
 
 private:
   class Cable;
   class Listener;
   void open(Cable &cable, Instant now);
   void lose(Cable &cable);
+  void give_up_late_dial(Cable &cable, Instant now);
   void arrived(Cable &cable);
 
   Loop &loop_;
@@ -46,7 +55,7 @@
   std::map<int, std::shared_ptr<Cable>> theirs_;
   std::vector<std::shared_ptr<Cable>> dirty_;
   std::shared_ptr<Listener> listener_;
-  std::uint64_t dropped_ = 0, bytes_sent_ = 0;
+  std::uint64_t dropped_ = 0, bytes_sent_ = 0, dials_given_up_ = 0;
 };
 
 } // namespace wharf
--- a/tests/anchorage_test.cpp
+++ b/tests/anchorage_test.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "anchorage/cables.hpp"
 #include "anchorage/http_calls.hpp"
 #include "anchorage/http_door.hpp"
 #include "fault_proxy/held_port.hpp"
@@ -355,3 +356,34 @@
     LONGS_EQUAL(listens, *told);
   }
 }
+
+TEST(Anchorage, a_dial_whose_opening_packet_was_lost_is_given_up_for_a_new_one) {
+  Loop loop;
+  HeldPort own, peer;
+  Cables cables(loop, own.address(), [](Envelope &&) {});
+  // A queue of new connections that is full drops opening packets, as a machine does that is down.
+  const int listener = open_listener(peer.address(), 0);
+  std::vector<int> filling;
+  for (int count = 0; count < 4; ++count) filling.push_back(open_call(peer.address(), seconds(10)));
+  const std::string bytes = frame({1, own.address(), NotLeader{2}});
+  const SteadyTide tide;
+  const Instant until = tide.now() + seconds(5);
+  while (cables.dials_given_up() < 2 && tide.now() < until) {
+    cables.send(peer.address(), bytes);
+    cables.flush();
+    loop.turn(milliseconds(5));
+  }
+  LONGS_EQUAL(2, cables.dials_given_up());
+  for (int descriptor : filling) close(descriptor);
+  while (cables.bytes_sent() == 0 && tide.now() < until) {
+    for (int taken = accept(listener, nullptr, nullptr); taken >= 0;
+         taken = accept(listener, nullptr, nullptr))
+      filling.push_back(taken);
+    cables.send(peer.address(), bytes);
+    cables.flush();
+    loop.turn(milliseconds(5));
+  }
+  CHECK(cables.bytes_sent() > 0);
+  for (std::size_t at = 4; at < filling.size(); ++at) close(filling[at]);
+  close(listener);
+}
