Divide pilot.cpp by what its functions are for

Cause: 1,233 lines; a reader who looks for quotas, slots or the configuration in force had to search.

--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -1,10 +1,7 @@
 #include "pilot/pilot.hpp"
 
 #include <algorithm>
-#include <cmath>
-#include <unordered_set>
 
-#include "delta/delta.hpp"
 #include "trace/trace.hpp"
 
 namespace wharf {
@@ -14,39 +11,12 @@
   const Outcome outcome = outcome_of(fate);
   return "errands_" + std::string(outcome.reason);
 }
-/// The shortest aim of the rules that lead to each service, in milliseconds; services without one are left
-/// out.
-using AimsByService = std::unordered_map<std::string_view, std::uint32_t>;
-
-AimsByService shortest_aims(const Compass &compass) {
-  AimsByService aims;
-  for (const Rule &rule : compass.rules()) {
-    if (rule.aim_ms == 0) continue;
-    for (const Target &target : rule.targets) {
-      const auto [found, is_new] = aims.try_emplace(target.service, rule.aim_ms);
-      if (!is_new) found->second = std::min(found->second, rule.aim_ms);
-    }
-  }
-  return aims;
-}
-
-/// True while the key an errand came with is still its tenant's.
-bool holds_key(const Charter &charter, const Waybill &bill) {
-  if (bill.is_open) return true;
-  const Tenant *tenant = charter.find_tenant(bill.key);
-  return tenant != nullptr && tenant->name == bill.tenant;
-}
 } // namespace
 
 Pilot::Pilot(Member self, std::vector<std::string> seeds, PilotOptions options, Instant now)
     : self_(self), options_(options), rollcall_(self, std::move(seeds), options.rollcall),
       purser_(self.id, options.purser), stevedore_(self.id, options.berth), born_(now) {}
 
-InForce Pilot::in_force() const {
-  std::lock_guard guard(in_force_mutex_);
-  return in_force_;
-}
-
 std::uint32_t Pilot::tenant_index(const std::string &name) {
   std::lock_guard guard(in_force_mutex_);
   const auto [found, is_new] = tenant_index_.emplace(name, static_cast<std::uint32_t>(tenant_index_.size()));
@@ -66,23 +36,11 @@
   return planned;
 }
 
-Span Pilot::retry_when_stale() const {
-  return leader_ == 0 ? options_.election_guess : options_.delivery_guess;
-}
-
-bool Pilot::may_serve(Instant now) const {
-  return is_fresh(now) || (fresh_until_ != 0 && now < fresh_until_ + cut_off_);
-}
-
 void Pilot::knock_answered(const Knock &knock, Instant now, PilotOutput &out) {
   stevedore_.is_up(knock.service, knock.runner, now, out.mail);
   loop_back(now, out);
 }
 
-bool Pilot::is_settled(Instant now) const {
-  return is_fresh(now) && roster_.epoch != 0 && settled_ >= roster_.epoch;
-}
-
 std::map<std::string, std::uint64_t> Pilot::gauges(Instant now) const {
   std::map<std::string, std::uint64_t> values;
   values["afloat"] = afloat_.size();
@@ -123,23 +81,6 @@
          !purser_.is_handing_over(now);
 }
 
-NodeId Pilot::owner_of_service(const std::string &service) {
-  const auto newer = newer_owners_.find(service);
-  if (newer != newer_owners_.end()) return newer->second.node;
-  return service_owners_.owner_of(service, roster_);
-}
-
-NodeId Pilot::owner_of_tenant(const std::string &tenant) { return tenant_owners_.owner_of(tenant, roster_); }
-
-const Tenant *Pilot::declared(const std::string &tenant) const {
-  return in_force_.charter ? in_force_.charter->tenant_named(tenant) : nullptr;
-}
-
-double Pilot::capacity_of(const std::string &tenant) const {
-  const Tenant *found = declared(tenant);
-  return found == nullptr ? 0 : static_cast<double>(found->base + found->burst);
-}
-
 void Pilot::receive(const Envelope &envelope, Instant now, PilotOutput &out) {
   heard_[envelope.from] = now;
   unanswered_.erase(envelope.from);
@@ -160,58 +101,6 @@
   loop_back(now, out);
 }
 
-bool Pilot::is_out_of_reach(NodeId pilot, Instant now) const {
-  const bool is_counted =
-      std::find(roster_.pilots.begin(), roster_.pilots.end(), pilot) != roster_.pilots.end();
-  if (!is_counted || !rollcall_.is_living(pilot, now)) return false;
-  const auto found = unanswered_.find(pilot);
-  return found != unanswered_.end() && now - found->second.since > options_.unheard;
-}
-
-void Pilot::go_round(Instant now, PilotOutput &out) {
-  std::vector<NodeId> reached;
-  for (NodeId pilot : roster_.pilots) {
-    const auto found = heard_.find(pilot);
-    if (pilot != self_.id && found != heard_.end() && now - found->second < options_.unheard / 2)
-      reached.push_back(pilot);
-  }
-  Outbox probes;
-  for (Posted &posted : out.mail) {
-    const bool may_go =
-        !std::holds_alternative<PassOn>(posted.signal) && !std::holds_alternative<Muster>(posted.signal);
-    if (posted.to == 0 || posted.to == self_.id || !may_go) continue;
-    Unanswered &unanswered = unanswered_.try_emplace(posted.to, Unanswered{now, now}).first->second;
-    if (reached.empty() || !is_out_of_reach(posted.to, now)) continue;
-    const NodeId target = posted.to;
-    PassOn passed{target, frame({self_.id, self_.address, std::move(posted.signal)})};
-    // Now and then the direct way is tried as well, as only an answer shows that it is open again.
-    if (now - unanswered.probed_at >= options_.unheard) {
-      unanswered.probed_at = now;
-      probes.push_back({target, {}, passed});
-    }
-    posted = {reached[went_round_++ % reached.size()], {}, std::move(passed)};
-    count("sent_round");
-  }
-  std::move(probes.begin(), probes.end(), std::back_inserter(out.mail));
-}
-
-void Pilot::loop_back(Instant now, PilotOutput &out) {
-  for (int round = 0; round < 64; ++round) {
-    Outbox own;
-    for (auto item = out.mail.begin(); item != out.mail.end();) {
-      if (item->to != self_.id) {
-        ++item;
-        continue;
-      }
-      own.push_back(std::move(*item));
-      item = out.mail.erase(item);
-    }
-    if (own.empty()) break;
-    for (Posted &posted : own) dispatch({self_.id, self_.address, std::move(posted.signal)}, now, out);
-  }
-  go_round(now, out);
-}
-
 void Pilot::dispatch(const Envelope &envelope, Instant now, PilotOutput &out) {
   const Signal &signal = envelope.signal;
   if (std::holds_alternative<Muster>(signal)) {
@@ -244,10 +133,6 @@
   }
 }
 
-void Pilot::send_leader(const Signal &signal, PilotOutput &out) {
-  if (leader_ != 0) out.mail.push_back({leader_, {}, signal});
-}
-
 std::vector<Want> Pilot::wants_to_report(bool has_all, Instant now) {
   std::vector<Want> wants = stevedore_.wants(now);
   if (has_all) reported_wants_.clear();
@@ -298,151 +183,6 @@
     if (member.role == static_cast<std::uint8_t>(Role::control)) out.mail.push_back({member.id, {}, pulse});
 }
 
-void Pilot::handle(NodeId from, const Orders &orders, Instant now, PilotOutput &out) {
-  if (orders.node != 0 && orders.node != self_.id) {
-    count("orders_for_another");
-    return;
-  }
-  const Version version = in_force().version;
-  if (orders.version < version || orders.roster.epoch < roster_.epoch) return;
-  if (!orders.has_roster && orders.roster.epoch != roster_.epoch) return;
-  leader_ = from;
-  heard_leader_at_ = now;
-  if (orders.version == version) {
-    follow_orders(from, orders, false, now, out);
-    return;
-  }
-  if (!orders.has_manifest || !take_manifest_text(orders)) return;
-  staged_.emplace(from, orders);
-  staged_->second.manifest.clear();
-  if (version == 0 || now - switched_at_ >= options_.switch_gap) switch_staged(now, out);
-}
-
-bool Pilot::take_manifest_text(const Orders &orders) {
-  if (!is_delta(orders.manifest)) {
-    manifest_text_ = orders.manifest;
-    manifest_text_version_ = orders.version;
-    return true;
-  }
-  if (orders.manifest_base != 0 && orders.manifest_base != manifest_text_version_) return false;
-  auto text = decode_delta(orders.manifest_base == 0 ? std::string_view() : manifest_text_, orders.manifest);
-  if (!text) {
-    count("manifest_unreadable");
-    return false;
-  }
-  manifest_text_ = std::move(*text);
-  manifest_text_version_ = orders.version;
-  return true;
-}
-
-void Pilot::switch_staged(Instant now, PilotOutput &out) {
-  const auto [from, orders] = std::move(*staged_);
-  staged_.reset();
-  if (orders.version <= in_force().version || orders.roster.epoch < roster_.epoch) return;
-  switched_at_ = now;
-  switch_manifest(orders.version, now, out);
-  if (!orders.has_roster && orders.roster.epoch != roster_.epoch) return;
-  follow_orders(from, orders, true, now, out);
-}
-
-void Pilot::follow_orders(NodeId, const Orders &orders, bool is_switched, Instant now, PilotOutput &out) {
-  const bool takes_runners =
-      orders.has_runners &&
-      (orders.since_stamp == 0 || (orders.since_stamp <= runners_stamp_ &&
-                                   orders.runners_stamp > runners_stamp_ && orders.term == runners_term_));
-  if (takes_runners) {
-    if (orders.since_stamp == 0) runners_.clear();
-    for (const std::string &service : orders.changed_services)
-      std::erase_if(runners_, [&](const auto &item) { return item.second.service == service; });
-    for (const RunnerView &runner : orders.runners) runners_[runner.id] = runner;
-    runners_stamp_ = orders.runners_stamp;
-    runners_term_ = orders.term;
-  }
-  if (orders.sent_at != 0)
-    fresh_until_ = std::max(fresh_until_.load(), orders.sent_at + options_.fresh - orders.age);
-  const Instant duty_until = fresh_until_ - options_.fresh + options_.duty;
-  purser_.set_fresh_until(duty_until);
-  stevedore_.set_fresh_until(duty_until + cut_off_);
-  purser_.set_quiet(orders.quiet);
-  if (orders.roster.epoch > roster_.epoch) {
-    roster_ = orders.roster;
-    forget_newer_owners(now);
-    is_switched = true;
-    for (auto &[id, errand] : afloat_) errand.retry.restart();
-    for (auto &[tenant, till] : tills_) {
-      till.asked_at = 0;
-      if (till.pending) till.pending->retry.restart();
-    }
-    for (Freeing &item : freeing_) item.retry.restart();
-  }
-  settled_ = std::max(settled_, orders.settled);
-  purser_.set_roster(roster_, orders.settled, now, out.mail);
-  if (takes_runners) {
-    std::vector<RunnerView> views;
-    views.reserve(runners_.size());
-    for (const auto &[id, runner] : runners_) views.push_back(runner);
-    stevedore_.set_roster_and_runners(roster_, orders.settled, views, now, out.mail);
-  } else {
-    stevedore_.set_roster(roster_, orders.settled, now, out.mail);
-  }
-  if (is_switched) send_pulse(now, out);
-}
-
-void Pilot::switch_manifest(Version version, Instant now, PilotOutput &out) {
-  auto read = read_charter(manifest_text_);
-  std::shared_ptr<const Charter> charter;
-  if (auto *whole = std::get_if<std::shared_ptr<const Charter>>(&read)) charter = *whole;
-  if (!charter) {
-    count("manifest_unreadable");
-    return;
-  }
-  {
-    std::lock_guard guard(in_force_mutex_);
-    in_force_ = {version, charter};
-  }
-  cut_off_ = seconds(charter->limits.cut_off_s);
-  count("manifest_switches");
-  out.lines.push_back("manifest " + std::to_string(version) + " in force");
-  std::map<std::string, Allowance> allowances;
-  for (const Tenant &tenant : charter->tenants)
-    allowances[tenant.name] = {static_cast<double>(tenant.base), static_cast<double>(tenant.burst)};
-  purser_.set_allowances(std::move(allowances), now);
-  std::map<std::string, ServicePlan> plans;
-  const AimsByService aims = shortest_aims(charter->compass);
-  const Limits &limits = charter->limits;
-  const ServicePrices prices =
-      limits.memory_price == 0 ? options_.prices : prices_of(limits.start_price, limits.memory_price);
-  for (const Service &service : charter->services) {
-    ServicePlan plan;
-    plan.slots = static_cast<std::uint32_t>(service.slots);
-    plan.least = static_cast<std::uint32_t>(service.least);
-    plan.most = static_cast<std::uint32_t>(service.most);
-    plan.worth = static_cast<std::uint32_t>(service.worth);
-    plan.pending_most = static_cast<std::uint32_t>(charter->limits.pending_most);
-    plan.idle = seconds(service.idle_s);
-    plan.wait_most = milliseconds(charter->limits.wait_most_ms);
-    plan.boot = milliseconds(service.boot_ms);
-    plan.is_self_bounding = service.self_bounding;
-    const auto aim = aims.find(service.name);
-    if (prices.gigabyte_second > 0 && service.boot_ms != 0)
-      apply_prices(prices, static_cast<std::uint32_t>(service.memory_mb),
-                   aim == aims.end() ? 0 : milliseconds(aim->second), plan);
-    plans[service.name] = plan;
-  }
-  stevedore_.set_plans(std::move(plans), now, out.mail);
-  for (const auto &[index, till] : tills_)
-    if (const auto purse = rack_.find(index)) purse->set_capacity(capacity_of(till.name));
-  std::vector<std::pair<std::string, Fate>> ended;
-  for (const auto &[id, errand] : afloat_) {
-    if (errand.is_carrying) continue;
-    if (!holds_key(*charter, errand.bill))
-      ended.emplace_back(id, Fate::unknown_key);
-    else if (charter->service_named(errand.bill.service) == nullptr)
-      ended.emplace_back(id, Fate::no_rule);
-  }
-  for (const auto &[id, fate] : ended) finish(id, fate, 0, now, out);
-}
-
 void Pilot::arrive(Waybill bill, Instant now, PilotOutput &out) {
   const std::string id = bill.id;
   count("errands_read");
@@ -538,132 +278,6 @@
   return std::nullopt;
 }
 
-void Pilot::ask_claim(Afloat &errand, Instant now, PilotOutput &out) {
-  errand.retry.sent(now);
-  errand.has_claimed = true;
-  note(errand, now, "asks the control group for its claim");
-  send_leader(ClaimAsk{errand.bill.claim_key, errand.bill.id, errand.bill.claim_digest}, out);
-}
-
-void Pilot::ask_berth(Afloat &errand, Instant now, PilotOutput &out) {
-  errand.retry.sent(now);
-  const NodeId owner = owner_of_service(errand.bill.service);
-  if (owner == 0) return;
-  SlotAsk ask;
-  ask.errand = errand.bill.id;
-  ask.service = errand.bill.service;
-  ask.tenant = errand.bill.tenant;
-  ask.epoch = roster_.epoch;
-  ask.worth = errand.bill.worth;
-  ask.patience = errand.bill.deadline - now;
-  ask.is_second = errand.tries > 0;
-  ask.attempt = errand.attempt;
-  ask.avoid = errand.avoid;
-  ask.zone = self_.zone;
-  note(errand, now,
-       "asks stevedore " + std::to_string(owner) + " for a slot, attempt " + std::to_string(errand.attempt));
-  out.mail.push_back({owner, {}, ask});
-}
-
-void Pilot::handle(const ClaimSay &say, Instant now, PilotOutput &out) {
-  const auto found = afloat_.find(say.errand);
-  if (found == afloat_.end() || found->second.bill.steps[found->second.at] != Step::claim) return;
-  Afloat &errand = found->second;
-  static constexpr const char *names[] = {"first",    "in flight", "recorded", "unknown",
-                                          "mismatch", "refused",   "not kept"};
-  note(errand, now,
-       std::string("claim answered: ") + (say.state < std::size(names) ? names[say.state] : "?"));
-  switch (static_cast<ClaimState>(say.state)) {
-  case ClaimState::first:
-    next_step(say.errand, now, out);
-    return;
-  case ClaimState::recorded: {
-    errand.has_claimed = false;
-    CallEnd end;
-    end.status = say.status;
-    end.type = say.type;
-    end.body = say.body;
-    end.headers = say.headers;
-    finish(say.errand, Fate::replayed, 0, now, out, &end, say.first_errand);
-    return;
-  }
-  case ClaimState::in_flight:
-  case ClaimState::unknown:
-    errand.has_claimed = false;
-    finish(say.errand, Fate::in_flight, seconds(1), now, out, nullptr, say.first_errand);
-    return;
-  case ClaimState::mismatch:
-    errand.has_claimed = false;
-    finish(say.errand, Fate::key_reused, 0, now, out);
-    return;
-  case ClaimState::not_kept:
-    errand.has_claimed = false;
-    finish(say.errand, Fate::not_kept, 0, now, out, nullptr, say.first_errand);
-    return;
-  case ClaimState::refused:
-    finish(say.errand, Fate::no_runner, seconds(1), now, out, nullptr, "claims-full");
-    return;
-  }
-}
-
-void Pilot::handle(NodeId from, const SlotSay &say, Instant now, PilotOutput &out) {
-  const auto found = afloat_.find(say.errand);
-  const auto state = static_cast<SlotState>(say.state);
-  const bool is_owner = owner_of_service(say.service) == from;
-  const bool is_wanted = found != afloat_.end() &&
-                         found->second.bill.steps[found->second.at] == Step::berth && is_owner &&
-                         found->second.attempt == say.attempt;
-  if (!is_wanted) {
-    const bool is_ours =
-        found != afloat_.end() && found->second.is_carrying && found->second.attempt == say.attempt;
-    const bool is_freeing = std::any_of(freeing_.begin(), freeing_.end(), [&](const Freeing &item) {
-      return item.free.errand == say.errand && item.free.attempt == say.attempt;
-    });
-    if (state == SlotState::granted && is_owner && !is_ours && !is_freeing)
-      out.mail.push_back({from,
-                          {},
-                          SlotFree{say.errand, say.service, say.runner,
-                                   static_cast<std::uint8_t>(SlotEnd::unused), say.attempt}});
-    return;
-  }
-  Afloat &errand = found->second;
-  if (state == SlotState::not_mine) {
-    errand.retry.answered(now, options_.berth_again);
-    return;
-  }
-  if (state == SlotState::refused) {
-    if (errand.tries > 0 && errand.first_fate)
-      finish(say.errand, *errand.first_fate, say.retry_after, now, out, nullptr, say.why);
-    else
-      finish(say.errand, Fate::no_runner, say.retry_after, now, out, nullptr, say.why);
-    return;
-  }
-  errand.runner = say.runner;
-  errand.is_granted = true;
-  note(errand, now, "granted a slot on " + say.runner);
-  if (const auto fate = recheck(errand, now)) {
-    finish(say.errand, *fate, seconds(1), now, out);
-    return;
-  }
-  const auto runner = runners_.find(say.runner);
-  if (runner != runners_.end() && runner->second.is_leaving) {
-    free_slot(errand, SlotEnd::unused, now, out);
-    ++errand.attempt;
-    errand.is_granted = false;
-    errand.retry.restart();
-    return;
-  }
-  ++errand.at;
-  ++errand.tries;
-  errand.is_carrying = true;
-  errand.carried_at = now;
-  note_gone(errand, now);
-  if (errand.tries > 1) count("second_tries");
-  count("carried");
-  out.carries.push_back({say.errand, say.runner, say.address, say.seal_key, errand.bill.tenant,
-                         errand.bill.service, say.handle, errand.bill.deadline, errand.bill.is_repeatable});
-}
-
 void Pilot::call_ended(const CallEnd &end, Instant now, PilotOutput &out) {
   const auto found = afloat_.find(end.errand);
   if (found == afloat_.end()) return;
@@ -739,42 +353,6 @@
   loop_back(now, out);
 }
 
-void Pilot::free_slot(const Afloat &errand, SlotEnd end, Instant now, PilotOutput &out) {
-  const bool is_cancel = end == SlotEnd::unused && !errand.is_granted;
-  SlotFree free{errand.bill.id, errand.bill.service, is_cancel ? std::string() : errand.runner,
-                static_cast<std::uint8_t>(end), errand.attempt};
-  if (end == SlotEnd::lost)
-    lost_.push_back({errand.bill.id, errand.bill.service, errand.runner, errand.attempt, now + seconds(60)});
-  const NodeId owner = owner_of_service(errand.bill.service);
-  if (owner != 0) out.mail.push_back({owner, {}, free});
-  Backoff retry(options_.free_again, options_.free_again_most);
-  retry.sent(now);
-  freeing_.push_back({std::move(free), retry, now + seconds(60)});
-}
-
-void Pilot::close_claim(const Afloat &errand, ClosedAs as, const CallEnd *end, Instant now,
-                        PilotOutput &out) {
-  CloseAsk close;
-  close.key = errand.bill.claim_key;
-  close.errand = errand.bill.id;
-  close.closed_as = static_cast<std::uint8_t>(as);
-  if (as == ClosedAs::run && end != nullptr) {
-    close.status = end->status;
-    std::size_t bytes = end->type.size() + end->body.size();
-    for (const KeptHeader &header : end->headers) bytes += header.name.size() + header.value.size();
-    close.is_whole = bytes <= options_.record_most;
-    if (close.is_whole) {
-      close.type = end->type;
-      close.body = end->body;
-      close.headers = end->headers;
-    }
-  }
-  send_leader(close, out);
-  Backoff retry(options_.claim_again, options_.claim_again_most);
-  retry.sent(now);
-  closing_.push_back({std::move(close), retry, now + seconds(120)});
-}
-
 void Pilot::finish(const std::string &id, Fate fate, Span retry_after, Instant now, PilotOutput &out,
                    const CallEnd *end, std::string why) {
   const auto found = afloat_.find(id);
@@ -824,92 +402,6 @@
   afloat_.erase(found);
 }
 
-void Pilot::handle(NodeId from, const InventoryAsk &ask, Instant now, PilotOutput &out) {
-  if (roster_.epoch < ask.epoch) follow_newer_owner(from, ask, now, out);
-  std::map<std::string_view, ServiceInventory> found;
-  for (const std::string &service : ask.services) found[service].service = service;
-  for (const auto &[id, errand] : afloat_) {
-    const auto inventory = found.find(errand.bill.service);
-    if (inventory == found.end() || !errand.is_carrying) continue;
-    inventory->second.held.push_back(
-        {id, errand.runner, self_.id, errand.attempt, errand.bill.deadline - now});
-  }
-  for (const LostSlot &lost : lost_) {
-    const auto inventory = found.find(lost.service);
-    if (inventory == found.end()) continue;
-    inventory->second.held.push_back({lost.errand, lost.runner, self_.id, lost.attempt, 0});
-  }
-  InventorySay say;
-  say.number = ask.number;
-  say.epoch = ask.epoch;
-  for (auto &[service, inventory] : found) {
-    stevedore_.describe_former(ask.epoch, now, inventory);
-    if (!inventory.is_empty()) say.services.push_back(std::move(inventory));
-  }
-  out.mail.push_back({from, {}, std::move(say)});
-}
-
-void Pilot::follow_newer_owner(NodeId owner, const InventoryAsk &ask, Instant now, PilotOutput &out) {
-  stevedore_.hand_over_superseded(ask.services, ask.epoch, now, out.mail);
-  std::unordered_set<std::string_view> moved;
-  for (const std::string &service : ask.services) {
-    NewerOwner &newer = newer_owners_[service];
-    if (newer.epoch >= ask.epoch) continue;
-    newer = {owner, ask.epoch};
-    moved.insert(service);
-  }
-  for (auto &[id, errand] : afloat_)
-    if (moved.contains(errand.bill.service)) errand.retry.restart();
-  for (Freeing &item : freeing_)
-    if (moved.contains(item.free.service)) item.retry.restart();
-}
-
-void Pilot::forget_newer_owners(Instant now) {
-  std::erase_if(newer_owners_, [&](const auto &item) {
-    return item.second.epoch <= roster_.epoch || !rollcall_.is_living(item.second.node, now);
-  });
-}
-
-bool Pilot::is_modest(const Till &till, const Tenant &tenant) const {
-  const double nodes = static_cast<double>(std::max<std::size_t>(1, roster_.pilots.size()));
-  return till.rate * nodes <= options_.modest_share * static_cast<double>(tenant.base);
-}
-
-bool Pilot::is_denied(const Afloat &errand, Instant now) {
-  const Till &till = tills_[tenant_index(errand.bill.tenant)];
-  return till.deny_until != 0 && now - till.deny_until < options_.permit_patience;
-}
-
-Span Pilot::patience_of(const Afloat &errand) {
-  const Tenant *tenant = declared(errand.bill.tenant);
-  const bool may_wait = tenant != nullptr && is_modest(tills_[tenant_index(tenant->name)], *tenant);
-  return may_wait ? options_.modest_patience : options_.permit_patience;
-}
-
-bool Pilot::spend_fallback(Till &till, Instant now) {
-  const Tenant *tenant = declared(till.name);
-  if (tenant == nullptr || roster_.pilots.empty()) return false;
-  std::size_t nodes = roster_.pilots.size();
-  for (const PastRoster &past : roster_.past) nodes = std::max(nodes, past.pilots.size());
-  const double even = static_cast<double>(tenant->base) / static_cast<double>(nodes);
-  const bool is_long = till.unanswered_since != 0 && now - till.unanswered_since > options_.fallback_whole;
-  const double as_before =
-      std::min(till.paid_rate * options_.fallback_as_before, 3 * even) * (is_long ? 0.5 : 1.0);
-  const double rate = std::max(options_.purser.fallback_share * even, as_before);
-  if (!till.is_fallback) {
-    till.is_fallback = true;
-    till.fallback_at = now;
-    till.fallback = 0;
-  }
-  till.fallback = std::min(std::max(1.0, rate * options_.fallback_burst_s),
-                           till.fallback + rate * static_cast<double>(now - till.fallback_at) / 1e9);
-  till.fallback_at = now;
-  if (till.fallback < 1.0) return false;
-  till.fallback -= 1.0;
-  count("fallback_spent");
-  return true;
-}
-
 std::size_t Pilot::places_for(std::uint32_t worth) const {
   if (!options_.by_worth || !in_force_.charter) return options_.errands_most;
   const std::uint32_t top = in_force_.charter->top_worth;
@@ -929,249 +421,6 @@
   return true;
 }
 
-void Pilot::line_up(Till &till, const std::string &id, std::uint32_t worth) {
-  auto place = till.line.end();
-  while (options_.by_worth && place != till.line.begin()) {
-    const auto before = afloat_.find(*std::prev(place));
-    if (before == afloat_.end() || before->second.bill.worth >= worth) break;
-    --place;
-  }
-  till.line.insert(place, id);
-}
-
-void Pilot::thin_line(Till &till, Instant now, PilotOutput &out) {
-  const Tenant *tenant = declared(till.name);
-  const double base = tenant == nullptr ? 0 : static_cast<double>(tenant->base);
-  const auto nodes = static_cast<double>(std::max<std::size_t>(1, roster_.pilots.size()));
-  const std::uint32_t top = options_.by_worth && in_force_.charter ? in_force_.charter->top_worth : 0;
-  std::size_t kept = 0;
-  const auto most = static_cast<std::size_t>(std::ceil(base * options_.waiting_share / nodes));
-  const std::deque<std::string> line = till.line;
-  for (const std::string &id : line) {
-    const auto found = afloat_.find(id);
-    const bool may_wait = found != afloat_.end() && top > 0 && found->second.bill.worth == top && kept < most;
-    kept += may_wait ? 1 : 0;
-    if (may_wait) continue;
-    count("denied_errands");
-    if (found == afloat_.end())
-      std::erase(till.line, id);
-    else
-      finish(id, Fate::over_quota, come_back(till, now), now, out);
-  }
-}
-
-Span Pilot::come_back(Till &till, Instant now) {
-  const Tenant *tenant = declared(till.name);
-  const double base = tenant == nullptr ? 1 : static_cast<double>(std::max<std::int64_t>(1, tenant->base));
-  const auto nodes = static_cast<double>(std::max<std::size_t>(1, roster_.pilots.size()));
-  constexpr Span longest = seconds(2);
-  till.come_back_at = std::clamp(till.come_back_at, std::max(till.deny_until, now), now + longest);
-  const Span wait = till.come_back_at - now;
-  till.come_back_at += static_cast<Span>(nodes / base * 1e9);
-  return std::max<Span>(1, wait);
-}
-
-void Pilot::serve_line(std::uint32_t tenant, Instant now, PilotOutput &out) {
-  Till &till = tills_[tenant];
-  std::erase_if(till.line, [this](const std::string &id) { return !afloat_.contains(id); });
-  while (!till.line.empty()) {
-    const auto purse = rack_.obtain(tenant, capacity_of(till.name));
-    const bool is_cut_off =
-        till.unanswered_since != 0 && now - till.unanswered_since >= options_.fallback_after;
-    const std::uint64_t permit = purse->pay(now);
-    if (permit == 0 && !(is_cut_off && spend_fallback(till, now))) {
-      if (till.deny_until > now) thin_line(till, now, out);
-      break;
-    }
-    const bool is_floor_turn = options_.by_worth && till.served % 5 == 4;
-    const std::string id = is_floor_turn ? first_of_least_worth(till) : till.line.front();
-    ++till.served;
-    std::erase(till.line, id);
-    Afloat &errand = afloat_.at(id);
-    errand.bill.is_paid = true;
-    errand.bill.permit = permit;
-    if (permit != 0) ++till.paid_recent;
-    note(errand, now, "paid");
-    next_step(id, now, out);
-  }
-  if (!till.line.empty()) ask_permit(tenant, now, out);
-}
-
-std::string Pilot::first_of_least_worth(const Till &till) const {
-  std::string id = till.line.front();
-  for (const std::string &other : till.line)
-    if (afloat_.at(other).bill.worth < afloat_.at(id).bill.worth) id = other;
-  return id;
-}
-
-std::uint32_t Pilot::tokens_wanted(const Till &till) const {
-  const double waiting = static_cast<double>(till.line.size());
-  return static_cast<std::uint32_t>(std::max(1.0, waiting + std::floor(till.rate * permit_reach())));
-}
-
-void Pilot::ask_permit(std::uint32_t tenant, Instant now, PilotOutput &out) {
-  Till &till = tills_[tenant];
-  if (till.pending ? !till.pending->retry.is_due(now)
-                   : till.asked_at != 0 && now - till.asked_at < options_.permit_again)
-    return;
-  const NodeId owner = owner_of_tenant(till.name);
-  if (owner == 0) return;
-  // Tokens granted to an ask this old would be dead on arrival, so it is given up for a new one.
-  if (till.pending && now - till.pending->sent_at.front() >= options_.purser.life) till.pending.reset();
-  if (!till.pending)
-    till.pending = PendingAsk{next_ask_++, {}, Backoff(options_.permit_again, options_.permit_again_most)};
-  till.pending->sent_at.push_back(now);
-  till.pending->retry.sent(now);
-  PermitAsk ask;
-  ask.tenant = till.name;
-  ask.epoch = roster_.epoch;
-  ask.ask = till.pending->number;
-  ask.attempt = static_cast<std::uint32_t>(till.pending->sent_at.size() - 1);
-  ask.want = tokens_wanted(till);
-  ask.returns = take_report(till, tenant, now);
-  till.asked_at = now;
-  if (till.unanswered_since == 0) till.unanswered_since = now;
-  count("permit_asks");
-  out.mail.push_back({owner, {}, ask});
-}
-
-void Pilot::handle(const PermitSay &say, NodeId, Instant now, PilotOutput &out) {
-  const std::uint32_t tenant = tenant_index(say.tenant);
-  const auto found = tills_.find(tenant);
-  if (found == tills_.end()) return;
-  Till &till = found->second;
-  const bool is_asked = till.pending && till.pending->number == say.ask;
-  if (!say.is_owner) {
-    if (is_asked) till.pending->retry.answered(now, say.retry_after);
-    return;
-  }
-  till.unanswered_since = 0;
-  till.is_fallback = false;
-  const bool is_doubled =
-      say.tokens > 0 && std::find(till.seen.begin(), till.seen.end(), say.permit) != till.seen.end();
-  if (is_doubled) return;
-  if (say.tokens > 0) till.seen.push_back(say.permit);
-  if (till.seen.size() > 64) till.seen.pop_front();
-  if (!is_asked) {
-    if (say.tokens > 0) counters_["tokens_unasked"] += say.tokens;
-    if (say.tokens > 0) end_permit(till, {say.permit, 0, say.tokens}, now);
-    return;
-  }
-  const auto &sent = till.pending->sent_at;
-  const Instant sent_at = say.attempt < sent.size() ? sent[say.attempt] : sent.front();
-  till.pending.reset();
-  till.asked_at = 0;
-  if (say.tokens == 0) {
-    till.deny_until = std::max(till.deny_until, now + std::min(say.retry_after, milliseconds(250)));
-    till.come_back_at = std::max(till.come_back_at, now + std::min(say.retry_after, seconds(1)));
-    if (const auto purse = rack_.find(tenant)) purse->set_short(now + seconds(1));
-    till.asked_at = now;
-    serve_line(tenant, now, out);
-    return;
-  }
-  const Grant grant{say.permit, say.tokens, sent_at, say.window, options_.purser.life};
-  if (now - sent_at >= grant.life) {
-    counters_["tokens_late"] += say.tokens;
-    end_permit(till, {say.permit, 0, say.tokens}, now);
-    serve_line(tenant, now, out);
-    return;
-  }
-  const Spent old = rack_.obtain(tenant, capacity_of(till.name))->install(grant, now);
-  end_permit(till, old, now);
-  count("permits_received");
-  counters_["tokens_received"] += say.tokens;
-  serve_line(tenant, now, out);
-}
-
-void Pilot::maintain_till(std::uint32_t tenant, Instant now, PilotOutput &out) {
-  Till &till = tills_[tenant];
-  if (till.rate_at == 0) till.rate_at = now;
-  if (now - till.rate_at >= milliseconds(200)) {
-    const double fresh = static_cast<double>(till.recent) * 1e9 / static_cast<double>(now - till.rate_at);
-    if (till.unanswered_since == 0 || now - till.unanswered_since < options_.silent_owner) {
-      const double paid =
-          static_cast<double>(till.paid_recent) * 1e9 / static_cast<double>(now - till.rate_at);
-      till.paid_rate = till.paid_rate * 0.9 + paid * 0.1;
-    }
-    till.paid_recent = 0;
-    till.rate = till.rate * 0.5 + fresh * 0.5;
-    till.recent = 0;
-    till.rate_at = now;
-  }
-  const auto purse = rack_.find(tenant);
-  if (purse) {
-    const Spent state = purse->glance();
-    const bool is_dead = state.permit != 0 && now >= purse->dies_at();
-    if (is_dead) {
-      end_permit(till, purse->install(Grant{}, now), now);
-    }
-    const bool is_low =
-        !is_dead && state.permit != 0 && state.spent > 0 &&
-        (purse->left(now) * 10 <= state.tokens * 3 || purse->dies_at() - now < milliseconds(60));
-    if (is_low && till.rate * permit_reach() >= 1.0 && till.deny_until <= now) ask_permit(tenant, now, out);
-    const Tenant *plan = declared(till.name);
-    const double refill_s = plan == nullptr ? 0 : capacity_of(till.name) / static_cast<double>(plan->base);
-    const Span idle = std::max(options_.eviction_least, static_cast<Span>(refill_s * 1e9));
-    if (state.permit == 0 && till.line.empty() && now - purse->last_used() > idle) {
-      rack_.evict(tenant);
-      count("purse_evictions");
-    }
-  }
-  const bool has_news = std::any_of(till.outlays.begin(), till.outlays.end(), [&](const auto &item) {
-    return item.second.has_news || now - item.second.told_at >= options_.held_again;
-  });
-  if (has_news && now - till.reported_at >= options_.report_again) {
-    PermitAsk report;
-    report.tenant = till.name;
-    report.epoch = roster_.epoch;
-    report.returns = take_report(till, tenant, now);
-    if (const NodeId owner = owner_of_tenant(till.name); owner != 0 && !report.returns.empty())
-      out.mail.push_back({owner, {}, report});
-  }
-}
-
-void Pilot::note_gone(Afloat &errand, Instant now) {
-  if (errand.has_gone) return;
-  errand.has_gone = true;
-  if (errand.bill.permit == 0) return;
-  Outlay &outlay = tills_[tenant_index(errand.bill.tenant)].outlays[errand.bill.permit];
-  ++outlay.gone;
-  outlay.has_news = true;
-  if (outlay.since == 0) outlay.since = now;
-}
-
-void Pilot::end_permit(Till &till, const Spent &old, Instant now) {
-  if (old.permit == 0) return;
-  counters_["tokens_spent"] += old.spent;
-  counters_["tokens_unspent"] += old.tokens - std::min(old.spent, old.tokens);
-  Outlay &outlay = till.outlays[old.permit];
-  outlay.spent = old.spent;
-  outlay.is_final = outlay.has_news = true;
-  if (outlay.since == 0) outlay.since = now;
-}
-
-std::vector<PermitReturn> Pilot::take_report(Till &till, std::uint32_t tenant, Instant now) {
-  constexpr Span outlay_most = seconds(660);
-  till.reported_at = now;
-  Spent current;
-  if (const auto purse = rack_.find(tenant)) current = purse->glance();
-  if (current.permit != 0) till.outlays.try_emplace(current.permit);
-  std::vector<PermitReturn> returns;
-  for (auto item = till.outlays.begin(); item != till.outlays.end();) {
-    Outlay &outlay = item->second;
-    if (item->first == current.permit) outlay.spent = current.spent;
-    if (outlay.has_news || now - outlay.told_at >= options_.held_again) {
-      const std::uint32_t spent = std::max(outlay.spent, outlay.gone);
-      returns.push_back({item->first, spent, outlay.gone, outlay.is_final});
-      outlay.told_at = now;
-    }
-    outlay.has_news = false;
-    const bool is_over = outlay.is_final && (outlay.gone >= outlay.spent || now - outlay.since > outlay_most);
-    item = is_over ? till.outlays.erase(item) : std::next(item);
-  }
-  return returns;
-}
-
 void Pilot::tick(Instant now, PilotOutput &out) {
   std::erase_if(heard_, [now](const auto &item) { return now - item.second > seconds(60); });
   std::erase_if(unanswered_, [&](const auto &item) {
--- a/packages/pilot/waybill.cpp
+++ b/packages/pilot/waybill.cpp
@@ -69,4 +69,10 @@
   return bill;
 }
 
+bool holds_key(const Charter &charter, const Waybill &bill) {
+  if (bill.is_open) return true;
+  const Tenant *tenant = charter.find_tenant(bill.key);
+  return tenant != nullptr && tenant->name == bill.tenant;
+}
+
 } // namespace wharf
--- a/packages/pilot/waybill.hpp
+++ b/packages/pilot/waybill.hpp
@@ -45,4 +45,7 @@
 std::variant<Waybill, Fate> plan_errand(const Charter &charter, Version version, const ErrandHead &head,
                                         Instant now);
 
+/// True while the key a request came with is still its tenant's.
+bool holds_key(const Charter &charter, const Waybill &bill);
+
 } // namespace wharf
