Test that two lost disks beside a loss of power of all others lose nothing

Change: a test over all ten pairs of five replicas; nothing was mended. Conclusion: kept as a guard.

--- a/tests/worst_days_test.cpp
+++ b/tests/worst_days_test.cpp
@@ -254,6 +254,31 @@
   LONGS_EQUAL(200, rig.put(2, 1, "second"));
 }
 
+TEST(WorstDays, what_was_acknowledged_outlives_the_loss_of_two_disks_while_all_others_lose_power) {
+  constexpr int count = 5;
+  for (int first = 0; first < count; ++first)
+    for (int second = first + 1; second < count; ++second) {
+      ControlGroupRig rig(count);
+      rig.pass(seconds(2));
+      LONGS_EQUAL(count, rig.voters());
+      LONGS_EQUAL(200, rig.put(1, 0, "first"));
+      LONGS_EQUAL(200, rig.put(2, 1, "second"));
+      // Right after the acknowledgement nothing runs any more, and nobody remembers where the others were.
+      for (auto &[address, machine] : rig.machines) rig.stop(address);
+      rig.options.may_found = false;
+      for (auto &[address, machine] : rig.machines) {
+        const bool is_wiped =
+            address == "m" + std::to_string(first) || address == "m" + std::to_string(second);
+        is_wiped ? rig.wipe(address) : rig.start(address);
+      }
+      CHECK(!rig.wait_leader().empty());
+      LONGS_EQUAL(2, rig.machines.at(rig.leader()).node->registry().version());
+      rig.pass(seconds(6));
+      LONGS_EQUAL(200, rig.put(3, 2, "third"));
+      LONGS_EQUAL(count, rig.voters());
+    }
+}
+
 TEST(WorstDays, a_process_without_a_disk_is_no_replica_and_names_one) {
   ControlGroupRig rig(3);
   rig.options.is_replica = false;
