--- a/packages/berth/berth.cpp
+++ b/packages/berth/berth.cpp
@@ -121,13 +121,6 @@
   return static_cast<std::uint32_t>(std::count_if(berth.hulls.begin(), berth.hulls.end(), is_usable));
 }
 
-std::uint32_t Stevedore::running_runners(const Berth &berth) {
-  const auto is_running = [](const auto &item) {
-    return !item.second.is_leaving && !item.second.must_retire && !item.second.is_booting;
-  };
-  return static_cast<std::uint32_t>(std::count_if(berth.hulls.begin(), berth.hulls.end(), is_running));
-}
-
 std::uint32_t Stevedore::taken(const Berth &berth) {
   std::size_t count = 0;
   for (const auto &[id, hull] : berth.hulls) count += hull.taken.size();
@@ -416,13 +409,8 @@
 }
 
 ServiceLoad Stevedore::load_of(const Berth &berth) {
-  ServiceLoad load;
-  load.taken_slots = taken(berth) + unseen(berth);
-  load.pending = static_cast<std::uint32_t>(berth.pending_count);
-  load.usable_runners = usable_runners(berth);
-  load.running_runners = running_runners(berth);
-  load.serve_time = berth.serve_guess;
-  return load;
+  return {taken(berth) + unseen(berth), static_cast<std::uint32_t>(berth.pending_count),
+          usable_runners(berth), berth.serve_guess};
 }
 
 std::uint64_t Stevedore::wants_mark() const {
--- a/packages/berth/berth.hpp
+++ b/packages/berth/berth.hpp
@@ -167,7 +167,6 @@
   static std::uint32_t taken(const Berth &berth);
   static std::uint32_t unseen(const Berth &berth);
   static std::uint32_t usable_runners(const Berth &berth);
-  static std::uint32_t running_runners(const Berth &berth);
   NodeId owner_in(const std::vector<NodeId> &pilots, const std::string &service) const;
   bool was_owner_since(Epoch epoch, const std::string &service) const;
 
--- a/packages/berth/service_scaler.cpp
+++ b/packages/berth/service_scaler.cpp
@@ -11,21 +11,9 @@
 /// Exponents beyond this make no difference to an average.
 constexpr double exponent_most = 50;
 
-std::uint32_t runners_for(std::uint32_t demand, std::uint32_t slots) { return (demand + slots - 1) / slots; }
-
-/// How many times the slots of the runners that are up demand may be credited with. What waits is served
-/// once, and more runners than that would be up when it is gone, as after a fault for which many calls have
-/// waited.
-constexpr std::uint32_t growth_most = 4;
-
-std::uint32_t credible_demand(const ServicePlan &plan, const ServiceLoad &load) {
-  const std::uint32_t demand = load.taken_slots + load.pending;
-  if (load.running_runners == 0) return demand;
-  return std::min(demand, growth_most * load.running_runners * plan.slots);
-}
-
 Span part_of(Span span, double part) { return static_cast<Span>(static_cast<double>(span) * part); }
 
+std::uint32_t runners_for(std::uint32_t demand, std::uint32_t slots) { return (demand + slots - 1) / slots; }
 } // namespace
 
 void ServiceScaler::keep(std::uint32_t runners, const ServicePlan &plan, Instant now) {
@@ -60,13 +48,13 @@
   const double passed = static_cast<double>(now - averaged_at_) / static_cast<double>(options_.demand_over);
   average_demand_ += (last_demand_ - average_demand_) * (1 - std::exp(-std::min(passed, exponent_most)));
   averaged_at_ = now;
-  last_demand_ = credible_demand(plan, load);
+  last_demand_ = demand;
   const auto slots = static_cast<double>(plan.slots);
   const double spare = plan.must_spare ? options_.spare_deviations * std::sqrt(average_demand_) : 0;
   auto need = static_cast<std::uint32_t>(std::ceil((average_demand_ + spare) / slots - rounding_tolerance));
   const auto lanes = static_cast<Span>(std::max(1u, load.usable_runners) * plan.slots);
   const Span wait = static_cast<Span>(load.pending) * load.serve_time / lanes;
-  if (wait > plan.wait_well) need = std::max(need, runners_for(credible_demand(plan, load), plan.slots));
+  if (wait > plan.wait_well) need = std::max(need, runners_for(demand, plan.slots));
   if (demand > 0) need = std::max(need, 1u);
   // The average lags behind: where no slots are kept free it must not keep runners that nothing uses.
   return plan.must_spare ? need : std::min(need, runners_for(demand, plan.slots));
--- a/packages/berth/service_scaler.hpp
+++ b/packages/berth/service_scaler.hpp
@@ -18,9 +18,7 @@
 
 /// What a service's owner sees of its load at one moment.
 struct ServiceLoad {
-  std::uint32_t taken_slots = 0, pending = 0;
-  /// Runners that are not leaving, and those of them that are up.
-  std::uint32_t usable_runners = 0, running_runners = 0;
+  std::uint32_t taken_slots = 0, pending = 0, usable_runners = 0;
   /// What a request is expected to occupy a slot for.
   Span serve_time = 0;
 };
--- a/packages/hindsight/hindsight.cpp
+++ b/packages/hindsight/hindsight.cpp
@@ -151,16 +151,13 @@
     while (next_ < history_.calls.size() && history_.calls[next_].arrived <= now)
       waiting_.push_back(history_.calls[next_++]);
     serve(now);
-    ServiceLoad load;
-    load.pending = static_cast<std::uint32_t>(waiting_.size());
-    load.serve_time = serve_time_;
+    std::uint32_t taken = 0, usable = 0;
     for (const Runner &runner : runners_) {
-      load.taken_slots += static_cast<std::uint32_t>(runner.ends.size());
-      load.usable_runners += runner.is_leaving ? 0 : 1;
-      load.running_runners += runner.is_leaving || runner.ready_at > now ? 0 : 1;
+      taken += static_cast<std::uint32_t>(runner.ends.size());
+      usable += runner.is_leaving ? 0 : 1;
     }
-    scaler_.update(plan_, load, now);
-    follow_target(load.usable_runners, now);
+    scaler_.update(plan_, {taken, static_cast<std::uint32_t>(waiting_.size()), usable, serve_time_}, now);
+    follow_target(usable, now);
     cost_.gigabyte_seconds +=
         gigabytes(history_) * static_cast<double>(runners_.size()) * static_cast<double>(step) / 1e9;
   }
