Divide raft.cpp, signals.hpp and the simulator's world.cpp by what their parts are for

Change: moves only. raft: election.cpp, snapshot_transfer.cpp. signals.hpp takes its messages from six headers by protocol, over identity.hpp. World: world_faults.cpp, world_operators.cpp. registry.hpp includes what it had through signals.hpp. Ruled out as changed: message layouts and their numbers in frames, as the list of Signal is as it was.

--- a/packages/control/registry.hpp
+++ b/packages/control/registry.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include <boost/serialization/version.hpp>
 #include <deque>
 #include <map>
 #include <string>
--- a/packages/raft/raft.cpp
+++ b/packages/raft/raft.cpp
@@ -56,11 +56,6 @@
          *found->second.last_round <= options_.election_least;
 }
 
-bool RaftNode::is_sending_snapshot() const {
-  return is_leader() && std::any_of(progress_.begin(), progress_.end(),
-                                    [](const auto &item) { return item.second.snapshot != nullptr; });
-}
-
 bool RaftNode::is_disk_well(Instant now) const {
   return !is_disk_dead_ && (waiting_.empty() || now - waiting_.front().since < options_.disk_patience);
 }
@@ -75,11 +70,6 @@
   }
 }
 
-void RaftNode::set_election(Instant now) {
-  const auto spread = static_cast<std::uint64_t>(options_.election_most - options_.election_least);
-  election_at_ = now + options_.election_least + static_cast<Span>(dice_.below(spread + 1));
-}
-
 WriteBatch &RaftNode::save(RaftOutput &) {
   if (!building_) {
     building_.emplace();
@@ -172,81 +162,6 @@
   step_down(now, out);
 }
 
-bool RaftNode::transfer_leadership(const std::set<NodeId> &excluded, Instant now, RaftOutput &out) {
-  if (!is_leader()) return false;
-  NodeId furthest = 0;
-  for (const Replica &replica : replicas_) {
-    if (!replica.is_voter || replica.id == self_ || excluded.contains(replica.id)) continue;
-    if (now - heard_from(replica.id) > options_.election_least) continue;
-    if (furthest == 0 || match_of(replica.id) > match_of(furthest)) furthest = replica.id;
-  }
-  if (furthest == 0 || match_of(furthest) != last_index()) return false;
-  out.mail.push_back({furthest, {}, TimeoutNowRequest{hard_.group, hard_.term}});
-  return true;
-}
-
-void RaftNode::handle(NodeId from, const TimeoutNowRequest &ask, Instant now, RaftOutput &out) {
-  const bool is_from_leader = ask.group == hard_.group && ask.term == hard_.term && from == leader_;
-  if (!is_from_leader || role_ != RaftRole::follower || !is_voter(self_) || !is_disk_well(now)) return;
-  campaign(false, true, now, out);
-}
-
-void RaftNode::campaign(bool is_pre_vote, bool is_transfer, Instant now, RaftOutput &out) {
-  set_election(now);
-  votes_.clear();
-  leader_ = 0;
-  role_ = is_pre_vote ? RaftRole::pre_candidate : RaftRole::candidate;
-  out.has_role_changed = true;
-  if (!is_pre_vote) {
-    ++hard_.term;
-    hard_.vote = self_;
-    forget_verified();
-    save(out).hard = hard_;
-  } else {
-    votes_.insert(self_);
-  }
-  ask_votes(is_pre_vote, is_transfer);
-  set_pre_vote_again(now);
-  if (is_pre_vote) count_votes(now, out);
-}
-
-void RaftNode::ask_votes(bool is_pre_vote, bool is_transfer) {
-  const RequestVoteRequest ask{hard_.group,  hard_.term + (is_pre_vote ? 1 : 0),
-                               last_index(), term_at(last_index()),
-                               is_pre_vote,  is_transfer};
-  for (const Replica &replica : replicas_)
-    if (replica.is_voter && replica.id != self_ && !votes_.contains(replica.id))
-      after_.push_back({replica.id, {}, ask});
-}
-
-void RaftNode::set_pre_vote_again(Instant now) {
-  const auto spread =
-      static_cast<std::uint64_t>(options_.pre_vote_again_most - options_.pre_vote_again_least);
-  pre_vote_again_at_ = now + options_.pre_vote_again_least + static_cast<Span>(dice_.below(spread + 1));
-}
-
-void RaftNode::count_votes(Instant now, RaftOutput &out) {
-  std::size_t count = 0;
-  for (NodeId id : votes_) count += is_voter(id) ? 1 : 0;
-  if (count < majority()) return;
-  if (role_ == RaftRole::pre_candidate)
-    campaign(false, false, now, out);
-  else if (role_ == RaftRole::candidate)
-    lead(now, out);
-}
-
-void RaftNode::lead(Instant now, RaftOutput &out) {
-  role_ = RaftRole::leader;
-  leader_ = self_;
-  led_since_ = now;
-  out.has_role_changed = true;
-  progress_.clear();
-  for (const Replica &replica : replicas_) progress_[replica.id] = new_progress(last_index() + 1, now);
-  append(static_cast<std::uint8_t>(EntryKind::replicas), pack(replicas_), out);
-  replicas_index_ = last_index();
-  broadcast(now, out);
-}
-
 RaftNode::Progress RaftNode::new_progress(std::uint64_t next, Instant now) {
   Progress progress;
   progress.next = next;
@@ -312,27 +227,6 @@
   out.mail.push_back({to, {}, std::move(ask)});
 }
 
-void RaftNode::send_snapshot(NodeId to, Progress &progress, Instant now, RaftOutput &out) {
-  if (!progress.snapshot) {
-    progress.snapshot = std::make_shared<const Snapshot>(base_);
-    progress.snapshot_received = 0;
-    progress.snapshot_sent_at = 0;
-  }
-  const Snapshot &snapshot = *progress.snapshot;
-  if (progress.snapshot_sent_at != 0 && now - progress.snapshot_sent_at < options_.snapshot_retry) {
-    out.mail.push_back(
-        {to, {}, AppendEntriesRequest{hard_.group, hard_.term, snapshot.index, snapshot.term, 0, now, {}}});
-    return;
-  }
-  progress.snapshot_sent_at = now;
-  InstallSnapshotRequest part{
-      hard_.group, hard_.term, snapshot.index, snapshot.term, now, snapshot.replicas, {}, 0, 0};
-  part.offset = std::min<std::uint64_t>(progress.snapshot_received, snapshot.body.size());
-  part.total = snapshot.body.size();
-  part.body = snapshot.body.substr(part.offset, options_.snapshot_chunk_bytes);
-  out.mail.push_back({to, {}, std::move(part)});
-}
-
 void RaftNode::note_round(Progress &progress, Instant now) {
   if (progress.match < progress.round_end) return;
   if (progress.round_end != 0) progress.last_round = now - progress.round_began;
@@ -408,25 +302,6 @@
   finish(now, out);
 }
 
-void RaftNode::compact(std::uint64_t index, std::string body, RaftOutput &out) {
-  if (index <= base_.index || index > delivered_) return;
-  Snapshot snapshot;
-  snapshot.index = index;
-  snapshot.term = term_at(index);
-  snapshot.replicas = base_.replicas;
-  for (const Entry &entry : log_)
-    if (entry.index <= index && entry.kind == static_cast<std::uint8_t>(EntryKind::replicas))
-      unpack(entry.body, snapshot.replicas);
-  snapshot.body = std::move(body);
-  log_.erase(log_.begin(), log_.begin() + static_cast<std::ptrdiff_t>(index - base_.index));
-  base_ = std::move(snapshot);
-  WriteBatch &batch = save(out);
-  batch.snapshot = base_;
-  batch.append.assign(log_.begin(), log_.end());
-  out.batches.push_back(std::move(*building_));
-  building_.reset();
-}
-
 void RaftNode::tick(Instant now, RaftOutput &out) {
   if (hard_.group == 0) return;
   if (is_leader()) {
@@ -469,44 +344,6 @@
   finish(now, out);
 }
 
-void RaftNode::handle(NodeId from, const RequestVoteRequest &ask, Instant now, RaftOutput &out) {
-  if (ask.group != hard_.group || hard_.group == 0) return;
-  const bool has_leader = is_leader() || (leader_ != 0 && now - heard_leader_ < options_.election_least);
-  if (has_leader && !ask.is_transfer && ask.term > hard_.term) return;
-  const bool is_fresh = ask.last_term > term_at(last_index()) ||
-                        (ask.last_term == term_at(last_index()) && ask.last_index >= last_index());
-  if (ask.is_pre_vote) {
-    const bool is_granted = ask.term > hard_.term && is_fresh && !has_leader;
-    out.mail.push_back(
-        {from, {}, RequestVoteResponse{hard_.group, is_granted ? ask.term : hard_.term, is_granted, true}});
-    return;
-  }
-  if (ask.term > hard_.term) follow(ask.term, 0, now, out);
-  const bool is_granted = ask.term == hard_.term && is_fresh && (hard_.vote == 0 || hard_.vote == from) &&
-                          role_ == RaftRole::follower;
-  if (is_granted) {
-    if (hard_.vote != from) {
-      hard_.vote = from;
-      save(out).hard = hard_;
-    }
-    set_election(now);
-  }
-  after_.push_back({from, {}, RequestVoteResponse{hard_.group, hard_.term, is_granted, false}});
-}
-
-void RaftNode::handle(NodeId from, const RequestVoteResponse &say, Instant now, RaftOutput &out) {
-  if (say.group != hard_.group) return;
-  if (say.is_pre_vote) {
-    if (!say.is_granted && say.term > hard_.term) follow(say.term, 0, now, out);
-    if (role_ != RaftRole::pre_candidate || !say.is_granted || say.term != hard_.term + 1) return;
-  } else {
-    if (say.term > hard_.term) follow(say.term, 0, now, out);
-    if (role_ != RaftRole::candidate || !say.is_granted || say.term != hard_.term) return;
-  }
-  votes_.insert(from);
-  count_votes(now, out);
-}
-
 void RaftNode::handle(NodeId from, const AppendEntriesRequest &ask, Instant now, RaftOutput &out) {
   if (ask.group != hard_.group || hard_.group == 0) return;
   if (ask.term < hard_.term) {
@@ -582,65 +419,4 @@
     send_append(from, now, out);
 }
 
-void RaftNode::handle(NodeId from, const InstallSnapshotResponse &say, Instant now, RaftOutput &out) {
-  const auto found = progress_.find(from);
-  if (!is_leader() || say.group != hard_.group || say.term != hard_.term || found == progress_.end()) return;
-  Progress &progress = found->second;
-  progress.heard = now;
-  progress.acked = std::max(progress.acked, say.sent_at);
-  if (!progress.snapshot || say.index != progress.snapshot->index) return;
-  const bool has_grown = say.held > progress.snapshot_received;
-  progress.snapshot_received = say.held;
-  if (!has_grown) return;
-  progress.snapshot_sent_at = 0;
-  send_append(from, now, out);
-}
-
-void RaftNode::handle(NodeId from, const InstallSnapshotRequest &ask, Instant now, RaftOutput &out) {
-  if (ask.group != hard_.group || ask.term < hard_.term) return;
-  follow(ask.term, from, now, out);
-  heard_leader_ = now;
-  set_election(now);
-  last_sent_at_ = ask.sent_at;
-  if (ask.index <= commit_) {
-    verified_ = std::max(verified_, commit_);
-    after_.push_back(
-        {from,
-         {},
-         AppendEntriesResponse{hard_.group, hard_.term, std::min(synced_, commit_), true, ask.sent_at}});
-    return;
-  }
-  if (ask.index <= last_index() && term_at(ask.index) == ask.last_term) {
-    commit_ = ask.index;
-    verified_ = std::max(verified_, ask.index);
-    deliver(out);
-    after_.push_back(
-        {from,
-         {},
-         AppendEntriesResponse{hard_.group, hard_.term, std::min(synced_, verified_), true, ask.sent_at}});
-    return;
-  }
-  if (incoming_snapshot_.index != ask.index || incoming_snapshot_.term != ask.last_term)
-    incoming_snapshot_ = {ask.index, ask.last_term, {}, {}};
-  if (ask.offset == incoming_snapshot_.body.size()) incoming_snapshot_.body += ask.body;
-  if (incoming_snapshot_.body.size() < ask.total) {
-    out.mail.push_back({from,
-                        {},
-                        InstallSnapshotResponse{hard_.group, hard_.term, ask.index,
-                                                incoming_snapshot_.body.size(), ask.sent_at}});
-    return;
-  }
-  log_.clear();
-  base_ = Snapshot{ask.index, ask.last_term, ask.replicas, std::move(incoming_snapshot_.body)};
-  incoming_snapshot_ = {};
-  commit_ = delivered_ = verified_ = ask.index;
-  synced_ = 0;
-  refresh_replicas();
-  WriteBatch &batch = save(out);
-  batch.cut_from = 1;
-  batch.snapshot = base_;
-  out.committed.clear();
-  out.load = base_;
-}
-
 } // namespace wharf
