Answer a search for a seed that is sought itself

Cause: found by reading again. A control process asks the seeds for replicas that it does not know; a seed that already knew the asker by gossip, and was itself what was sought, said nothing, as it does not stand among the members it knows. The asker then waited for gossip. Ruled out: asks by full gossip, which go to members that are known. Change: such a question is answered; the answer names the seed, as every answer does. Replicas are handed over as they are instead of being copied into a list of names at each tick.

--- a/packages/control/control_node.cpp
+++ b/packages/control/control_node.cpp
@@ -203,9 +203,7 @@
 }
 
 void ControlNode::tick(Instant now, ControlOutput &out) {
-  std::vector<NodeId> replicas;
-  for (const Replica &replica : raft_.replicas()) replicas.push_back(replica.id);
-  rollcall_.seek(replicas);
+  rollcall_.seek(raft_.replicas());
   rollcall_.tick(now, out.mail);
   RaftOutput step;
   raft_.tick(now, step);
--- a/packages/rollcall/rollcall.cpp
+++ b/packages/rollcall/rollcall.cpp
@@ -20,10 +20,10 @@
     : self_(std::move(self)), seeds_(std::move(seeds)), options_(options),
       seek_retry_(options.seek_again, options.seek_again_most) {}
 
-void Rollcall::seek(const std::vector<NodeId> &members) {
+void Rollcall::seek(const std::vector<Replica> &replicas) {
   std::vector<NodeId> unknown;
-  for (NodeId id : members)
-    if (id != self_.id && !known_.contains(id)) unknown.push_back(id);
+  for (const Replica &replica : replicas)
+    if (replica.id != self_.id && !known_.contains(replica.id)) unknown.push_back(replica.id);
   const bool is_same = unknown == sought_;
   sought_ = std::move(unknown);
   if (!is_same) seek_retry_.restart();
@@ -96,11 +96,13 @@
     known->member.beat = newest;
     known->advanced = now;
   }
+  bool is_sought = false;
   for (ShortId id : muster->asks) {
+    is_sought = is_sought || id == short_id_of(self_.id);
     const auto [first, last] = short_ids_.equal_range(id);
     for (auto item = first; item != last; ++item) reply.members.push_back(known_.at(item->second).member);
   }
-  if (reply.asks.empty() && reply.members.empty()) return;
+  if (reply.asks.empty() && reply.members.empty() && !is_sought) return;
   reply.members.push_back(self_);
   out.push_back({0, envelope.from_address, std::move(reply)});
 }
--- a/packages/rollcall/rollcall.hpp
+++ b/packages/rollcall/rollcall.hpp
@@ -32,9 +32,9 @@
   void tick(Instant now, Outbox &out);
   void set_group(std::uint64_t group) { self_.group = group; }
   void set_seeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
-  /// Members that are needed now: the seeds are asked for those that are not known, without waiting for
+  /// Replicas that are needed now: the seeds are asked for those that are not known, without waiting for
   /// gossip to bring them.
-  void seek(const std::vector<NodeId> &members);
+  void seek(const std::vector<Replica> &replicas);
   void set_leaving() { self_.is_leaving = true; }
 
   /// Members heard of lately, without this one.
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -98,7 +98,8 @@
   sought.id = 2;
   sought.address = "b";
   Rollcall rollcall(self, {"seed"}, RollcallOptions{});
-  rollcall.seek({1, 2});
+  const std::vector<Replica> replicas{{1, true, "a"}, {2, true, "b"}};
+  rollcall.seek(replicas);
   Instant now = seconds(10);
   const auto questions = [&](Span span) {
     std::size_t count = 0;
@@ -115,10 +116,25 @@
   Outbox out;
   rollcall.step({9, "seed", Muster{{sought}, {}, {}}}, now, out);
   STRCMP_EQUAL("b", rollcall.address_of(2).c_str());
-  rollcall.seek({1, 2});
+  rollcall.seek(replicas);
   LONGS_EQUAL(0, questions(seconds(5)));
 }
 
+TEST(Membership, a_seed_that_is_sought_itself_answers_though_it_knows_the_asker) {
+  Member self, asker;
+  self.id = 2;
+  self.address = "seed";
+  asker.id = 1;
+  asker.address = "a";
+  Rollcall rollcall(self, {}, RollcallOptions{});
+  Outbox out;
+  rollcall.step({9, "x", Muster{{asker}, {}, {}}}, seconds(10), out);
+  out.clear();
+  rollcall.step({1, "a", Muster{{asker}, {}, {short_id_of(2)}}}, seconds(11), out);
+  LONGS_EQUAL(1, out.size());
+  LONGS_EQUAL(2, std::get<Muster>(out.front().signal).members.back().id);
+}
+
 TEST(Membership, members_with_the_same_short_identity_are_told_whole) {
   Member self, first, second;
   self.id = 1;
