Draw election and pre-vote spans in one place, and count a dial's doublings

Cause: found by reading again. set_pre_vote_again drew a span the way set_election does, and was called for real votes too, which never use it; the patience of a dial was found by a loop that can be a shift. Change: RaftNode::draw serves both; only pre-votes set the time to ask again; the doublings are counted. Ruled out: Backoff for dials, as it doubles from the first on and the first four are to be alike.

--- a/packages/anchorage/cables.cpp
+++ b/packages/anchorage/cables.cpp
@@ -1,5 +1,6 @@
 #include "anchorage/cables.hpp"
 
+#include <algorithm>
 #include <cerrno>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -130,10 +131,10 @@
 
 void Cables::give_up_late_dial(Cable &cable, Instant now) {
   if (cable.descriptor < 0 || cable.is_up) return;
-  Span within = options_.dial_within;
-  for (std::uint32_t dial = options_.quick_dials; dial <= cable.given_up && within < options_.silent_most;
-       ++dial)
-    within *= 2;
+  const std::uint32_t doublings = cable.given_up - std::min(cable.given_up, options_.quick_dials - 1);
+  constexpr std::uint32_t doublings_most = 16;
+  const Span within =
+      std::min(options_.silent_most, options_.dial_within << std::min(doublings, doublings_most));
   if (now - cable.dialed_at < within) return;
   ++dials_given_up_;
   ++cable.given_up;
--- a/packages/raft/election.cpp
+++ b/packages/raft/election.cpp
@@ -5,9 +5,12 @@
 
 namespace wharf {
 
+Span RaftNode::draw(Span least, Span most) {
+  return least + static_cast<Span>(dice_.below(static_cast<std::uint64_t>(most - least) + 1));
+}
+
 void RaftNode::set_election(Instant now) {
-  const auto spread = static_cast<std::uint64_t>(options_.election_most - options_.election_least);
-  election_at_ = now + options_.election_least + static_cast<Span>(dice_.below(spread + 1));
+  election_at_ = now + draw(options_.election_least, options_.election_most);
 }
 
 bool RaftNode::transfer_leadership(const std::set<NodeId> &excluded, Instant now, RaftOutput &out) {
@@ -44,8 +47,9 @@
     votes_.insert(self_);
   }
   ask_votes(is_pre_vote, is_transfer);
+  if (!is_pre_vote) return;
   set_pre_vote_again(now);
-  if (is_pre_vote) count_votes(now, out);
+  count_votes(now, out);
 }
 
 void RaftNode::ask_votes(bool is_pre_vote, bool is_transfer) {
@@ -58,9 +62,7 @@
 }
 
 void RaftNode::set_pre_vote_again(Instant now) {
-  const auto spread =
-      static_cast<std::uint64_t>(options_.pre_vote_again_most - options_.pre_vote_again_least);
-  pre_vote_again_at_ = now + options_.pre_vote_again_least + static_cast<Span>(dice_.below(spread + 1));
+  pre_vote_again_at_ = now + draw(options_.pre_vote_again_least, options_.pre_vote_again_most);
 }
 
 void RaftNode::count_votes(Instant now, RaftOutput &out) {
--- a/packages/raft/raft.hpp
+++ b/packages/raft/raft.hpp
@@ -172,6 +172,8 @@
   void deliver(RaftOutput &out);
   void refresh_replicas();
   void cut_log(std::uint64_t from);
+  /// A span between two others, drawn evenly.
+  Span draw(Span least, Span most);
   void set_election(Instant now);
   bool is_voter(NodeId id) const;
   std::size_t majority() const;
