--- a/packages/berth/berth.cpp
+++ b/packages/berth/berth.cpp
@@ -253,7 +253,8 @@
   return best;
 }
 
-void Stevedore::grant(Berth &berth, Waiting waiting, const std::string &runner, Instant now, Outbox &out) {
+void Stevedore::grant(Berth &berth, const Waiting &waiting, const std::string &runner, Instant now,
+                      Outbox &out) {
   berth.hulls[runner].taken[waiting.ask.errand] = {waiting.pilot, waiting.deadline, now, waiting.ask.attempt};
   berth.granted[waiting.ask.errand] = runner;
   ++counters_.granted;
@@ -298,14 +299,14 @@
       continue;
     }
     skipped = 0;
-    Waiting waiting = std::move(line.front());
+    const Waiting waiting = std::move(line.front());
     line.pop_front();
     --berth.pending_count;
     if (line.empty())
       berth.pending.erase(tenant);
     else
       berth.turns.push_back(tenant);
-    grant(berth, std::move(waiting), runner, now, out);
+    grant(berth, waiting, runner, now, out);
   }
 }
 
--- a/packages/berth/berth.hpp
+++ b/packages/berth/berth.hpp
@@ -159,7 +159,7 @@
   void take_view(Hull &hull, const RunnerView &runner, Instant now);
   SlotSay held_say(const SlotAsk &ask, Berth &berth, const std::string &runner) const;
   void refuse(const SlotAsk &ask, NodeId pilot, Span retry_after, std::string why, Outbox &out);
-  void grant(Berth &berth, Waiting waiting, const std::string &runner, Instant now, Outbox &out);
+  void grant(Berth &berth, const Waiting &waiting, const std::string &runner, Instant now, Outbox &out);
   void make_room(Berth &berth, const ServicePlan &plan, const std::string &tenant, Outbox &out);
   static void rescale(Berth &berth, const ServicePlan &plan, Instant now);
   static ServiceLoad load_of(const Berth &berth);
