--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -133,56 +133,6 @@
   }
 }
 
-std::vector<Want> Pilot::wants_to_report(bool has_all, Instant now) {
-  std::vector<Want> wants = scheduler_.wants(now);
-  if (has_all) reported_wants_.clear();
-  std::erase_if(wants, [&](const Want &want) {
-    const std::pair<std::uint32_t, std::size_t> newest(want.runners, want.retire.size());
-    const auto [reported, is_new] = reported_wants_.try_emplace(want.service, newest);
-    if (is_new) return false;
-    const bool is_known = reported->second == newest;
-    reported->second = newest;
-    return is_known;
-  });
-  return wants;
-}
-
-void Pilot::send_pulse(Instant now, PilotOutput &out) {
-  const bool has_all_wants = now >= pulse_at_;
-  pulse_at_ = has_all_wants ? now + options_.pulse : pulse_at_;
-  pulsed_at_ = now;
-  told_wants_ = scheduler_.wants_mark();
-  Pulse pulse;
-  pulse.sent_at = now;
-  pulse.version = in_force().version;
-  pulse.epoch = roster_.epoch;
-  pulse.runners_stamp = runners_stamp_;
-  pulse.runners_term = runners_term_;
-  pulse.is_leaving = is_leaving_;
-  pulse.capacity = options_.capacity;
-  pulse.has_lost_lease = fresh_until_ != 0 && !is_fresh(now);
-  pulse.has_all_wants = has_all_wants;
-  pulse.wants = wants_to_report(has_all_wants, now);
-  pulse.up_for = now - born_;
-  const auto note_replaced = [&](const std::vector<NodeId> &pilots,
-                                 const std::vector<std::string> &addresses) {
-    for (std::size_t at = 0; at < pilots.size() && at < addresses.size(); ++at)
-      if (pilots[at] != self_.id && addresses[at] == self_.address) pulse.replaces.push_back(pilots[at]);
-  };
-  note_replaced(roster_.pilots, roster_.addresses);
-  for (const PastRoster &past : roster_.past) note_replaced(past.pilots, past.addresses);
-  if (leader_ != 0 && now - heard_leader_at_ < options_.leader_silence) {
-    if (now - sounded_at_ >= options_.sound_again) {
-      sounded_at_ = now;
-      pulse.soundings = soundings_.take(options_.soundings_most);
-    }
-    send_leader(pulse, out);
-    return;
-  }
-  for (const Member &member : rollcall_.living(now))
-    if (member.role == static_cast<std::uint8_t>(Role::control)) out.mail.push_back({member.id, {}, pulse});
-}
-
 void Pilot::arrive(Waybill bill, Instant now, PilotOutput &out) {
   const std::string id = bill.id;
   count("errands_read");
