Count and tell when a node is not led, and reports and orders that are passed over

Cause: nothing in logs or metrics told the hypotheses of the incident apart: reports of ended nodes, older orders and beats taken for older were passed over without a word. Change: counters orders_older, orders_without_node_set, manifest_base_missing, reports_while_searching, gauges leader_unheard_ms, beats_passed_over, reports_of_ended, nodes_living_unreported; a log line when a node has heard no leader for 2 s, with whom it reports to and whether the leader that others named is known to live, and one when it hears a leader again. No decision changes.

--- a/packages/control/control_node.cpp
+++ b/packages/control/control_node.cpp
@@ -58,6 +58,7 @@
   was_leader_ = is_leader;
   sessions_.clear();
   ended_.clear();
+  reports_of_ended_ = 0;
   almanac_.clear();
   outlook_ = {};
   notes_.clear();
--- a/packages/control/control_node.hpp
+++ b/packages/control/control_node.hpp
@@ -179,6 +179,8 @@
   /// True when this replica leads and its reads are of the newest state.
   bool is_leading() const { return raft_.is_settled(); }
   std::map<std::string, std::uint64_t> gauges(Instant now) const;
+  /// How many edge nodes live, as membership knows, and have not reported to this leader lately.
+  std::size_t living_unreported(Instant now) const;
   std::string status_json(Instant now) const;
 
 private:
@@ -401,6 +403,8 @@
   std::map<NodeId, NodeSession> sessions_;
   /// Pilots that ended before another began at their address, and when at the latest.
   std::map<NodeId, Instant> ended_;
+  /// Reports of such pilots since this process came to lead.
+  std::uint64_t reports_of_ended_ = 0;
   std::map<std::uint64_t, Proposal> proposals_;
   std::vector<WaitingWrite> writes_;
   std::vector<UnconfirmedRequest> unconfirmed_;
--- a/packages/control/node_leases.cpp
+++ b/packages/control/node_leases.cpp
@@ -88,7 +88,11 @@
     out.mail.push_back({from, {}, NotLeader{}});
     return;
   }
-  if (ended_.contains(from)) return;
+  if (ended_.contains(from)) {
+    if (reports_of_ended_++ == 0)
+      out.lines.push_back("a node that was noted as ended reports: " + envelope.from_address);
+    return;
+  }
   const Instant began_at = now - std::min(now, pulse.up_for);
   for (NodeId ended : pulse.replaces)
     if (ended != from) note_ended(ended, began_at, now);
--- a/packages/control/status.cpp
+++ b/packages/control/status.cpp
@@ -23,11 +23,23 @@
   values["runners_ready"] = views_.size();
   values["sessions"] = sessions_.size();
   values["members_living"] = rollcall_.living(now).size();
+  values["beats_passed_over"] = rollcall_.beats_passed_over();
+  values["reports_of_ended"] = reports_of_ended_;
+  if (is_leading()) values["nodes_living_unreported"] = living_unreported(now);
   values["replicas"] = raft_.replicas().size();
   values["is_disk_well"] = raft_.is_disk_well(now) ? 1 : 0;
   return values;
 }
 
+std::size_t ControlNode::living_unreported(Instant now) const {
+  const std::vector<Member> living = rollcall_.living(now);
+  return static_cast<std::size_t>(std::count_if(living.begin(), living.end(), [&](const Member &member) {
+    if (is_control_node(member) || ended_.contains(member.id)) return false;
+    const auto session = sessions_.find(member.id);
+    return session == sessions_.end() || now - session->second.last_pulse >= options_.pilot_silence;
+  }));
+}
+
 std::string ControlNode::status_json(Instant now) const {
   Json root;
   root["version"] = registry_.version();
--- a/packages/pilot/configuration_in_force.cpp
+++ b/packages/pilot/configuration_in_force.cpp
@@ -50,10 +50,15 @@
     return;
   }
   const Version version = in_force().version;
-  if (orders.version < version || orders.roster.epoch < roster_.epoch) return;
-  if (!orders.has_roster && orders.roster.epoch != roster_.epoch) return;
-  leader_ = from;
-  heard_leader_at_ = now;
+  if (orders.version < version || orders.roster.epoch < roster_.epoch) {
+    count("orders_older");
+    return;
+  }
+  if (!orders.has_roster && orders.roster.epoch != roster_.epoch) {
+    count("orders_without_node_set");
+    return;
+  }
+  note_leader_heard(from, now, out);
   if (orders.version == version) {
     follow_orders(from, orders, false, now, out);
     return;
@@ -70,7 +75,10 @@
     manifest_text_version_ = orders.version;
     return true;
   }
-  if (orders.manifest_base != 0 && orders.manifest_base != manifest_text_version_) return false;
+  if (orders.manifest_base != 0 && orders.manifest_base != manifest_text_version_) {
+    count("manifest_base_missing");
+    return false;
+  }
   auto text = decode_delta(orders.manifest_base == 0 ? std::string_view() : manifest_text_, orders.manifest);
   if (!text) {
     count("manifest_unreadable");
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -48,6 +48,8 @@
   values["roster_epoch"] = roster_.epoch;
   values["settled_epoch"] = settled_;
   values["is_fresh"] = is_fresh(now) ? 1 : 0;
+  values["leader_unheard_ms"] = static_cast<std::uint64_t>((now - heard_leader_at_) / milliseconds(1));
+  values["beats_passed_over"] = rollcall_.beats_passed_over();
   values["purses"] = rack_.size();
   values["soundings"] = soundings_.size();
   values["outlays"] = 0;
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -82,6 +82,8 @@
   Span fresh = seconds(2);
   Span duty = milliseconds(1200);
   Span leader_silence = milliseconds(600);
+  /// How long no leader must have answered before the log tells of it.
+  Span search_told_after = seconds(2);
   /// Waits told to callers before there is a configuration: for its delivery, and for an election before it.
   Span delivery_guess = milliseconds(300), election_guess = seconds(1);
   /// How long an ask for tokens may be unanswered before it is sent again; twice as long after each time.
@@ -313,6 +315,12 @@
   void send_pulse(Instant now, PilotOutput &out);
   std::vector<Want> wants_to_report(bool has_all, Instant now);
   void send_leader(const Signal &signal, PilotOutput &out);
+  /// True while the leader has answered lately, so that reports go to it alone.
+  bool hears_leader(Instant now) const;
+  /// Notes that a leader's orders were taken.
+  void note_leader_heard(NodeId leader, Instant now, PilotOutput &out);
+  /// Tells in the log, once a search, that no leader has answered for long, and whom this node reports to.
+  void tell_of_search(std::size_t asked, Instant now, PilotOutput &out);
   void count(const std::string &name) { ++counters_[name]; }
 
   Member self_;
@@ -367,6 +375,8 @@
   std::atomic<Span> cut_off_{0};
   Instant born_ = 0, pulse_at_ = 0, heard_leader_at_ = 0;
   Instant pulsed_at_ = 0;
+  /// The log tells that this node looks for a leader.
+  bool is_search_told_ = false;
   std::uint64_t told_wants_ = 0;
   /// What was reported last of each service: runners wanted and runners to retire.
   std::map<std::string, std::pair<std::uint32_t, std::size_t>> reported_wants_;
--- a/packages/pilot/reporting.cpp
+++ b/packages/pilot/reporting.cpp
@@ -1,6 +1,8 @@
 // A node's reports to the leader of the control group.
 #include "pilot/pilot.hpp"
 
+#include <algorithm>
+
 namespace wharf {
 
 std::vector<Want> Pilot::wants_to_report(bool has_all, Instant now) {
@@ -41,7 +43,7 @@
   };
   note_replaced(roster_.pilots, roster_.addresses);
   for (const PastRoster &past : roster_.past) note_replaced(past.pilots, past.addresses);
-  if (leader_ != 0 && now - heard_leader_at_ < options_.leader_silence) {
+  if (hears_leader(now)) {
     if (now - sounded_at_ >= options_.sound_again) {
       sounded_at_ = now;
       pulse.soundings = soundings_.take(options_.soundings_most);
@@ -49,8 +51,37 @@
     send_leader(pulse, out);
     return;
   }
-  for (const Member &member : rollcall_.living(now))
-    if (member.role == static_cast<std::uint8_t>(Role::control)) out.mail.push_back({member.id, {}, pulse});
+  count("reports_while_searching");
+  std::size_t asked = 0;
+  for (const Member &member : rollcall_.living(now)) {
+    if (member.role != static_cast<std::uint8_t>(Role::control)) continue;
+    out.mail.push_back({member.id, {}, pulse});
+    ++asked;
+  }
+  tell_of_search(asked, now, out);
+}
+
+bool Pilot::hears_leader(Instant now) const {
+  return leader_ != 0 && now - heard_leader_at_ < options_.leader_silence;
+}
+
+void Pilot::note_leader_heard(NodeId leader, Instant now, PilotOutput &out) {
+  if (is_search_told_)
+    out.lines.push_back("hears a leader again, " + std::to_string(leader) + ", after " +
+                        std::to_string((now - heard_leader_at_) / milliseconds(1)) + " ms");
+  is_search_told_ = false;
+  leader_ = leader;
+  heard_leader_at_ = now;
+}
+
+void Pilot::tell_of_search(std::size_t asked, Instant now, PilotOutput &out) {
+  if (is_search_told_ || now - std::max(heard_leader_at_, born_) < options_.search_told_after) return;
+  is_search_told_ = true;
+  std::string line = "hears no leader, reports to " + std::to_string(asked) + " control processes";
+  if (leader_ != 0)
+    line += ", the last one named is " + std::to_string(leader_) +
+            (rollcall_.is_living(leader_, now) ? " and lives" : " and is not known to live");
+  out.lines.push_back(line);
 }
 
 } // namespace wharf
--- a/packages/rollcall/rollcall.cpp
+++ b/packages/rollcall/rollcall.cpp
@@ -92,7 +92,10 @@
       continue;
     }
     const std::uint64_t newest = completed_beat(known->member.beat, beat.beat);
-    if (newest == known->member.beat) continue;
+    if (newest == known->member.beat) {
+      beats_passed_over_ += beat.beat == static_cast<std::uint16_t>(newest) ? 0 : 1;
+      continue;
+    }
     known->member.beat = newest;
     known->advanced = now;
   }
--- a/packages/rollcall/rollcall.hpp
+++ b/packages/rollcall/rollcall.hpp
@@ -48,6 +48,8 @@
   std::string address_of(NodeId id) const;
   const Member &self() const { return self_; }
   const std::vector<std::string> &seeds() const { return seeds_; }
+  /// Beats of known members that were passed over as older than the known one.
+  std::uint64_t beats_passed_over() const { return beats_passed_over_; }
 
 private:
   struct Known {
@@ -78,7 +80,7 @@
   std::vector<NodeId> sought_;
   Backoff seek_retry_;
   Instant next_at_ = 0;
-  std::uint64_t beats_told_ = 0;
+  std::uint64_t beats_told_ = 0, beats_passed_over_ = 0;
 };
 
 } // namespace wharf
