Add failing tests: nodes that are not led by a leader in their reach

Callers saw 401 and answers of old versions long after a change was confirmed: some edge nodes kept an old configuration for 20 s and more after the leader's process had restarted. The simulator now watches that each node that serves and can reach a settled leader is led within 5 s, tells each member to four others at a beat as the deployed daemons do (it told eight, so nearly everybody, and the fault could not show), and has two scenarios: control processes that restart after lives of any length, and a replica that misses changes while another loses its disk and the rest is down.

--- a/packages/drydock/judge.cpp
+++ b/packages/drydock/judge.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 using Json = nlohmann::json;
+/// How long a node that serves and can reach a settled leader may be without its orders.
+constexpr Span unled_most = seconds(5);
 } // namespace
 
 void World::judge_writes(Audit &result) const {
@@ -182,6 +184,10 @@
   }
   result.counts["zones_looked_at"] = zones_looked_at_;
   result.counts["left_bare"] = left_bare_;
+  result.counts["longest_unled_ms"] = static_cast<std::uint64_t>(longest_unled_ / milliseconds(1));
+  if (longest_unled_ > unled_most)
+    result.add("not-led",
+               longest_unled_node_ + " for " + std::to_string(longest_unled_ / milliseconds(1)) + " ms");
   judge_writes(result);
   judge_keys(result);
   judge_held(result);
--- a/packages/drydock/perils.cpp
+++ b/packages/drydock/perils.cpp
@@ -76,6 +76,37 @@
   });
 }
 
+void restarts_after_long_lives(World &world, Instant from, Instant until) {
+  often(world, from, until, seconds(5), [&world] {
+    // As much as the time of day moves on, or is set back, while a process lives.
+    const Span life = any_span(world, seconds(20), seconds(140));
+    world.jump_wall_clock(world.dice().chance(0.8) ? life : -life);
+    const int which = world.dice().chance(0.5) && world.leader() >= 0 ? world.leader() : any_control(world);
+    bounce_control(world, which, any_span(world, milliseconds(200), seconds(3)));
+  });
+}
+
+void replica_behind(World &world, Instant from, Instant) {
+  world.at(from + any_span(world, 0, seconds(6)), [&world] {
+    if (!world.may_lose_disk()) return;
+    const int behind = any_control(world);
+    const int wiped = (behind + 1) % world.control_count();
+    for (int at = 0; at < world.control_count(); ++at)
+      if (at != behind) world.set_cut(world.control_name(behind), world.control_name(at), true);
+    world.at(world.now() + seconds(5), [&world, behind, wiped] {
+      world.jump_wall_clock(any_span(world, 0, seconds(140)));
+      for (int at = 0; at < world.control_count(); ++at) {
+        if (at == behind) continue;
+        world.set_cut(world.control_name(behind), world.control_name(at), false);
+        if (at == wiped)
+          bounce_control(world, at, seconds(1), true);
+        else
+          bounce_control(world, at, seconds(6));
+      }
+    });
+  });
+}
+
 void zone_cut(World &world, Instant from, Instant until) {
   for (Instant moment = from; moment + seconds(8) < until; moment += seconds(9)) {
     const int zone = static_cast<int>(world.dice().below(static_cast<std::uint64_t>(world.shape().zones)));
@@ -323,6 +354,10 @@
        platform_trouble<PlatformMood::forgetting>},
       {"platform-lists-stopped", "the platform lists runners that are gone",
        platform_trouble<PlatformMood::listing_stopped>},
+      {"long-lives", "control processes restart after lives of any length, or with their clock set back",
+       restarts_after_long_lives},
+      {"replica-behind", "a replica misses changes, another loses its disk, the others are down for a while",
+       replica_behind},
       {"manifest-moves", "keys, rules and services come and go under pending errands and frozen pilots",
        manifest_moves},
       {"race-on-none", "operators race to be first", race_on_none, 60},
--- a/packages/drydock/world.cpp
+++ b/packages/drydock/world.cpp
@@ -59,6 +59,7 @@
   for (int at = 0; at < shape_.controls; ++at) start_control(at);
   for (int at = 0; at < shape_.pilots; ++at) start_pilot(at);
   platform_tick();
+  watch_led();
 }
 
 World::~World() = default;
@@ -134,6 +135,7 @@
   self.beat = static_cast<std::uint64_t>((now_ + wall_offset_) / 1'000'000);
   ControlOptions options;
   options.platform_pace = shape_.pace;
+  options.rollcall.told_each = shape_.told_each;
   options.compact_entries = 400;
   if (defect_ == Defect::early_acknowledge) options.fresh = 0;
   options.by_worth = options.must_spread = !shape_.is_plain;
@@ -161,6 +163,7 @@
   node.self.role = static_cast<std::uint8_t>(Role::pilot);
   PilotOptions options;
   options.by_worth = !shape_.is_plain;
+  options.rollcall.told_each = shape_.told_each;
   if (defect_ == Defect::stale_permit) options.fresh = seconds(30);
   if (defect_ == Defect::free_seconds) options.scheduler.second_share = options.scheduler.second_most = 1000;
   if (defect_ == Defect::loose_quota) options.purser.slack = 1.5;
@@ -189,6 +192,31 @@
   return found;
 }
 
+bool World::could_be_led(int pilot, int leads) const {
+  const PilotNode &node = pilots_[static_cast<std::size_t>(pilot)];
+  if (!node.is_up || node.is_frozen || node.is_leaving) return false;
+  const std::string name = pilot_name(pilot), leader_name = control_name(leads);
+  const bool is_calm = weather_.lost == 0 && weather_.doubled == 0;
+  return is_calm && !is_cut(name, leader_name) && !is_cut(leader_name, name) &&
+         controls_[static_cast<std::size_t>(leads)].disk.mood == DiskMood::well;
+}
+
+void World::watch_led() {
+  constexpr Span watch_every = milliseconds(250);
+  at(now_ + watch_every, [this] { watch_led(); });
+  const int leads = leader();
+  const bool is_leader_steady = leads >= 0 && leads == watched_leader_;
+  watched_leader_ = leads;
+  for (int which = 0; which < shape_.pilots; ++which) {
+    PilotNode &node = pilots_[static_cast<std::size_t>(which)];
+    if (!is_leader_steady || !could_be_led(which, leads) || node.core->is_fresh(local(node)))
+      node.unled_since = now_;
+    if (now_ - node.unled_since <= longest_unled_) continue;
+    longest_unled_ = now_ - node.unled_since;
+    longest_unled_node_ = pilot_name(which) + " at " + std::to_string(now_ / milliseconds(1)) + " ms";
+  }
+}
+
 Instant World::led_since(int which) const {
   const SimulatedControl &node = controls_[static_cast<std::size_t>(which)];
   return now_ - (local(node) - node.core->raft().led_since());
--- a/packages/drydock/world.hpp
+++ b/packages/drydock/world.hpp
@@ -22,6 +22,8 @@
   std::int64_t base = 60, burst = 60;
   Span boot = milliseconds(400), list_late = milliseconds(300);
   double pace = 80, hot_share = 0.6, once_share = 0.25;
+  /// Members told at each beat, as the deployed daemons are set: fewer than there are.
+  std::size_t told_each = 4;
   /// How far monotonic clocks may run apart, as a share.
   double clock_spread = 0.001;
   /// First come, first served, and the first worker that fits: the plain ways, to measure against.
@@ -214,6 +216,8 @@
     std::unique_ptr<Pilot> core;
     Member self;
     Instant leaving_at = 0;
+    /// Since when it could have been led; when it last was, or could not have been.
+    Instant unled_since = 0;
     std::map<std::string, std::function<void(const Reply *)>> waiting;
   };
   struct SimRunner {
@@ -262,6 +266,9 @@
   void judge_keys(Audit &audit) const;
   void judge_held(Audit &audit) const;
   void judge_refusals(Audit &audit, Instant healed_at) const;
+  /// Looks whether each node that serves and can reach a settled leader is led.
+  void watch_led();
+  bool could_be_led(int pilot, int leads) const;
 
   WorldShape shape_;
   Dice dice_;
@@ -306,6 +313,9 @@
   std::vector<std::string> raft_faults_;
   std::uint64_t dropped_in_drain_ = 0;
   Span longest_drain_ = 0;
+  int watched_leader_ = -1;
+  Span longest_unled_ = 0;
+  std::string longest_unled_node_;
 };
 
 } // namespace wharf
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -9,22 +9,26 @@
 using namespace wharf;
 
 namespace {
+constexpr std::uint64_t first_beat = 1'000'000'000;
+
 struct Members {
   std::map<std::string, std::unique_ptr<Rollcall>> members;
   Instant now = seconds(10);
   /// The most messages one member got at one beat.
   std::size_t received_most = 0;
+  const std::vector<std::string> seeds{"m0", "m1", "m2"};
+  RollcallOptions options;
 
-  explicit Members(int count) {
-    RollcallOptions options;
+  explicit Members(int count, std::uint64_t seed = 7) {
     options.told_each = 4;
-    Dice dice(7);
+    Dice dice(seed);
     for (int at = 0; at < count; ++at) {
       Member self;
       self.id = dice.next() | 1;
       self.address = "m" + std::to_string(at);
-      members[self.address] =
-          std::make_unique<Rollcall>(self, std::vector<std::string>{"m0", "m1", "m2"}, options);
+      // As long past zero as the time of day is, so that a process may also begin behind its last beat.
+      self.beat = first_beat;
+      members[self.address] = std::make_unique<Rollcall>(self, seeds, options);
     }
   }
   /// One beat of all members; what they send arrives before the next.
@@ -45,17 +49,50 @@
       const auto [to, envelope] = mail[at];
       Outbox out;
       received_most = std::max(received_most, ++received[to]);
-      members.at(to)->step(envelope, now, out);
-      take(*members.at(to), std::move(out));
+      const auto target = members.find(to);
+      if (target == members.end()) continue;
+      target->second->step(envelope, now, out);
+      take(*target->second, std::move(out));
     }
     now += milliseconds(250);
   }
+  /// Ends a process and starts it again, the same one as far as others can tell, with a first beat so far
+  /// beyond its last one, after a pause in which it says nothing.
+  void restart(const std::string &address, std::int64_t beats_ahead, Span pause) {
+    Member self = members.at(address)->self();
+    members.erase(address);
+    const Instant until = now + pause;
+    while (now < until) beat();
+    self.beat = static_cast<std::uint64_t>(static_cast<std::int64_t>(self.beat) + beats_ahead);
+    members[address] = std::make_unique<Rollcall>(self, seeds, options);
+  }
+  /// How many others know a member to live.
+  std::size_t knowing(const std::string &address) const {
+    const NodeId id = members.at(address)->self().id;
+    std::size_t count = 0;
+    for (const auto &[other, member] : members)
+      count += other != address && member->is_living(id, now) ? 1 : 0;
+    return count;
+  }
   std::size_t fewest_living() const {
     std::size_t fewest = members.size();
     for (const auto &[address, member] : members) fewest = std::min(fewest, member->living(now).size());
     return fewest;
   }
 };
+
+/// Restarts a member of each of several groups, whose first beat is so far beyond its last one.
+void check_restarts(std::int64_t beats_ahead) {
+  constexpr std::uint64_t groups = 8;
+  for (std::uint64_t seed = 1; seed <= groups; ++seed) {
+    Members members(15, seed);
+    for (int beat = 0; beat < 40; ++beat) members.beat();
+    const std::string address = "m" + std::to_string(seed);
+    members.restart(address, beats_ahead, seconds(5));
+    for (int beat = 0; beat < 8; ++beat) members.beat();
+    LONGS_EQUAL_TEXT(14, members.knowing(address), std::to_string(beats_ahead).c_str());
+  }
+}
 } // namespace
 
 TEST_GROUP(Membership){};
@@ -91,6 +128,19 @@
   CHECK(!rollcall.is_living(2, now + seconds(5)));
 }
 
+// Guards against: a process that restarted stays silent to all whom it does not tell itself, as the low parts
+// of its beats look older than those of its life before.
+TEST(Membership, a_restarted_member_lives_for_all_others_within_two_seconds_whatever_its_first_beat) {
+  for (std::int64_t beats_ahead : {100, 20'000, 33'000, 40'000, 60'000, 65'536, 100'000, 10'000'000})
+    check_restarts(beats_ahead);
+}
+
+// Guards against: a process whose time of day was set back before it restarted stays silent to all others
+// until its beats have overtaken those of its life before.
+TEST(Membership, a_member_that_begins_behind_its_last_beat_lives_for_all_others_within_two_seconds) {
+  for (std::int64_t beats_ahead : {-5, -30, -60, -5'000, -33'000, -70'000}) check_restarts(beats_ahead);
+}
+
 TEST(Membership, seeds_are_asked_for_a_sought_member_until_it_is_known) {
   Member self, sought;
   self.id = 1;
