Tell lives of a process apart in gossip, so that a restarted one is known at once

Cause: of a beat only the low 16 bits are told. A control process begins its beats at the time of day in milliseconds, so one that restarts after 33 to 65 s of life, or any odd multiple, is taken for older than its life before by all whom it does not tell itself. It stays unknown to them for 30 s, and a node that is not led reports only to control processes that it knows to live. Class: a value cut to fewer bits than the differences it has to carry. Change: a beat's part that is not told names an era; every life begins another one. Beats are told under a short name of member and era, so who knows an earlier life does not know the name, and asks. A member that tells of an earlier era, or of itself behind its last beat while it is silent, is told so; before, one whose clock was set back by less than 10 s stayed unknown until it had caught up. Messages keep their form. The test of beats beyond their low part sent a bare low part, which now names no era; in its place real members count beyond it, and late beats of two kinds are no sign of life.

--- a/packages/drydock/world.cpp
+++ b/packages/drydock/world.cpp
@@ -132,7 +132,7 @@
   self.http = control_name(which);
   self.zone = std::string(1, static_cast<char>('a' + which % shape_.zones));
   self.role = static_cast<std::uint8_t>(Role::control);
-  self.beat = static_cast<std::uint64_t>((now_ + wall_offset_) / 1'000'000);
+  self.beat = first_beat_at(static_cast<std::uint64_t>((now_ + wall_offset_) / milliseconds(1)));
   ControlOptions options;
   options.platform_pace = shape_.pace;
   options.rollcall.told_each = shape_.told_each;
--- a/packages/rollcall/rollcall.cpp
+++ b/packages/rollcall/rollcall.cpp
@@ -8,11 +8,9 @@
 /// News reaches as many members in this many rounds as the usual silence allows for.
 constexpr std::size_t usual_rounds = 2;
 
-/// The least beat at or after a known one that ends in these low bits; the known one itself where they tell
-/// of an earlier beat.
+/// The beat of the same era as a known one that ends in these low bits.
 std::uint64_t completed_beat(std::uint64_t known, std::uint16_t low) {
-  const auto ahead = static_cast<std::int16_t>(low - static_cast<std::uint16_t>(known));
-  return ahead > 0 ? known + static_cast<std::uint64_t>(ahead) : known;
+  return first_beat_at(beat_era_of(known)) | low;
 }
 } // namespace
 
@@ -42,21 +40,45 @@
 void Rollcall::learn(const Member &member, Instant now) {
   Known &known = known_[member.id];
   const Member &old = known.member;
-  if (old.id == 0) short_ids_.emplace(short_id_of(member.id), member.id);
-  const bool is_news = old.id == 0 || old.address != member.address || old.http != member.http ||
+  const bool is_other_era = old.id == 0 || beat_era_of(old.beat) != beat_era_of(member.beat);
+  const bool is_news = is_other_era || old.address != member.address || old.http != member.http ||
                        old.group != member.group || old.is_leaving != member.is_leaving;
   if (is_news) known.learned = now;
+  if (is_other_era) {
+    forget_short_era(old);
+    short_eras_.emplace(short_era_of(member), member.id);
+  }
   known.member = member;
   known.advanced = now;
 }
 
-Rollcall::Known *Rollcall::find_short(ShortId id) {
-  if (short_ids_.count(id) != 1) return nullptr;
-  return &known_.at(short_ids_.find(id)->second);
+void Rollcall::forget_short_era(const Member &member) {
+  const auto [first, last] = short_eras_.equal_range(short_era_of(member));
+  const auto found = std::find_if(first, last, [&](const auto &item) { return item.second == member.id; });
+  if (found != last) short_eras_.erase(found);
+}
+
+Rollcall::Known *Rollcall::find_short(ShortId era) {
+  if (short_eras_.count(era) != 1) return nullptr;
+  return &known_.at(short_eras_.find(era)->second);
+}
+
+bool Rollcall::is_ambiguous(const Member &member) const {
+  const ShortId era = short_era_of(member);
+  return short_eras_.count(era) > 1 || era == short_era_of(self_);
+}
+
+bool Rollcall::is_behind(const Known &known, const Member &told, bool is_told_by_itself, Instant now) const {
+  if (beat_era_of(told.beat) != beat_era_of(known.member.beat)) return true;
+  const bool is_far = known.member.beat - told.beat > options_.beats_late;
+  return is_told_by_itself && (is_far || now - known.advanced > silence());
 }
 
-bool Rollcall::is_ambiguous(NodeId id) const {
-  return short_ids_.count(short_id_of(id)) > 1 || short_id_of(id) == short_id_of(self_.id);
+std::vector<Member> Rollcall::members_named(ShortId name) const {
+  std::vector<Member> named;
+  for (const auto &[id, known] : known_)
+    if (short_era_of(known.member) == name || short_id_of(id) == name) named.push_back(known.member);
+  return named;
 }
 
 void Rollcall::step(const Envelope &envelope, Instant now, Outbox &out) {
@@ -72,38 +94,36 @@
       continue;
     }
     if (member.beat <= found->second.member.beat) {
-      const bool is_set_back =
-          member.id == envelope.from && found->second.member.beat - member.beat > options_.beats_late;
-      if (is_set_back) out.push_back({0, envelope.from_address, Muster{{found->second.member}, {}, {}}});
+      if (is_behind(found->second, member, member.id == envelope.from, now))
+        out.push_back({0, envelope.from_address, Muster{{found->second.member}, {}, {}}});
       continue;
     }
     learn(member, now);
   }
   Muster reply;
   for (const Beat &beat : muster->beats) {
-    if (beat.id == short_id_of(self_.id)) {
-      // Beyond any beat that others know, also from before a restart.
-      self_.beat = completed_beat(self_.beat - 1, beat.beat) + 1;
+    if (beat.id == short_era_of(self_)) {
+      // Beyond any beat that others know.
+      self_.beat = std::max(self_.beat, completed_beat(self_.beat, beat.beat) + 1);
       continue;
     }
     Known *known = find_short(beat.id);
     if (known == nullptr) {
-      if (!short_ids_.contains(beat.id)) reply.asks.push_back(beat.id);
+      if (!short_eras_.contains(beat.id)) reply.asks.push_back(beat.id);
       continue;
     }
-    const std::uint64_t newest = completed_beat(known->member.beat, beat.beat);
-    if (newest == known->member.beat) {
-      beats_passed_over_ += beat.beat == static_cast<std::uint16_t>(newest) ? 0 : 1;
+    const std::uint64_t told = completed_beat(known->member.beat, beat.beat);
+    if (told <= known->member.beat) {
+      beats_passed_over_ += told < known->member.beat ? 1 : 0;
       continue;
     }
-    known->member.beat = newest;
+    known->member.beat = told;
     known->advanced = now;
   }
   bool is_sought = false;
-  for (ShortId id : muster->asks) {
-    is_sought = is_sought || id == short_id_of(self_.id);
-    const auto [first, last] = short_ids_.equal_range(id);
-    for (auto item = first; item != last; ++item) reply.members.push_back(known_.at(item->second).member);
+  for (ShortId name : muster->asks) {
+    is_sought = is_sought || name == short_id_of(self_.id) || name == short_era_of(self_);
+    for (Member &member : members_named(name)) reply.members.push_back(std::move(member));
   }
   if (reply.asks.empty() && reply.members.empty() && !is_sought) return;
   reply.members.push_back(self_);
@@ -147,7 +167,7 @@
 
 void Rollcall::forget_silent(Instant now) {
   const auto is_over = [&](const Known &known) { return now - known.advanced > options_.forget_after; };
-  std::erase_if(short_ids_, [&](const auto &item) { return is_over(known_.at(item.second)); });
+  std::erase_if(short_eras_, [&](const auto &item) { return is_over(known_.at(item.second)); });
   std::erase_if(known_, [&](const auto &item) { return is_over(item.second); });
 }
 
@@ -161,10 +181,10 @@
   muster.members.push_back(self_);
   for (const auto &[id, known] : known_) {
     if (now - known.advanced > silence()) continue;
-    if (now - known.learned <= options_.news_for || is_ambiguous(id))
+    if (now - known.learned <= options_.news_for || is_ambiguous(known.member))
       muster.members.push_back(known.member);
     else
-      muster.beats.push_back({short_id_of(id), static_cast<std::uint16_t>(known.member.beat)});
+      muster.beats.push_back({short_era_of(known.member), static_cast<std::uint16_t>(known.member.beat)});
   }
   for (const Known *known : next_told()) out.push_back({known->member.id, known->member.address, muster});
   for (const std::string &seed : seeds_) {
--- a/packages/rollcall/rollcall.hpp
+++ b/packages/rollcall/rollcall.hpp
@@ -20,7 +20,7 @@
   Span seek_again = milliseconds(50), seek_again_most = seconds(1);
   /// How long a member's successor at its address must have been heard of after it.
   Span replaced_after = milliseconds(600);
-  /// A member this many beats behind what it once said has had its clock set back and is told so.
+  /// A member that tells of itself, this many beats behind what it once said, is told so.
   std::uint64_t beats_late = 40;
 };
 
@@ -68,15 +68,22 @@
   void learn(const Member &member, Instant now);
   void forget_silent(Instant now);
   void ask_for_sought(Instant now, Outbox &out);
-  /// The known member of this short identity; null where there is none, or more than one.
-  Known *find_short(ShortId id);
-  /// True where another known member has the same short identity, so that a beat would not name it.
-  bool is_ambiguous(NodeId id) const;
+  /// The known member whose era of beats has this short name; null where there is none, or more than one.
+  Known *find_short(ShortId era);
+  void forget_short_era(const Member &member);
+  /// True where another known member has the same short name, so that a beat would not name it.
+  bool is_ambiguous(const Member &member) const;
+  /// True when a member that is told with an older beat than the known one has to be told of that: it is of
+  /// an earlier life, or tells of itself and has begun behind its last beat. Beats overtake each other else,
+  /// too.
+  bool is_behind(const Known &known, const Member &told, bool is_told_by_itself, Instant now) const;
+  /// The known members of a short name, be it that of an identity or of an era of beats.
+  std::vector<Member> members_named(ShortId name) const;
   Member self_;
   std::vector<std::string> seeds_;
   RollcallOptions options_;
   std::map<NodeId, Known> known_;
-  std::multimap<ShortId, NodeId> short_ids_;
+  std::multimap<ShortId, NodeId> short_eras_;
   std::vector<NodeId> sought_;
   Backoff seek_retry_;
   Instant next_at_ = 0;
--- a/programs/harbourd/main.cpp
+++ b/programs/harbourd/main.cpp
@@ -111,9 +111,10 @@
     self.zone = options.zone;
     self.role = static_cast<std::uint8_t>(Role::control);
     self.is_replica = options.replica != 0;
-    self.beat = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                               std::chrono::system_clock::now().time_since_epoch())
-                                               .count());
+    self.beat =
+        first_beat_at(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                                     std::chrono::system_clock::now().time_since_epoch())
+                                                     .count()));
     return self;
   }
 
--- a/tests/control_group_rig.hpp
+++ b/tests/control_group_rig.hpp
@@ -54,7 +54,7 @@
     self.address = self.http = address;
     self.zone = "z" + address;
     self.role = static_cast<std::uint8_t>(Role::control);
-    self.beat = static_cast<std::uint64_t>(now / 1'000'000);
+    self.beat = first_beat_at(static_cast<std::uint64_t>(now / milliseconds(1)));
     machine.node = std::make_unique<ControlNode>(
         self, seeds, options, machine.id + static_cast<std::uint64_t>(now), machine.disk, now);
     machine.is_frozen = false;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -9,7 +9,8 @@
 using namespace wharf;
 
 namespace {
-constexpr std::uint64_t first_beat = 1'000'000'000;
+/// As long past zero as the time of day is, so that a process may also begin behind its last beat.
+constexpr std::uint64_t usual_first_beat = 1'000'000'000;
 
 struct Members {
   std::map<std::string, std::unique_ptr<Rollcall>> members;
@@ -19,14 +20,13 @@
   const std::vector<std::string> seeds{"m0", "m1", "m2"};
   RollcallOptions options;
 
-  explicit Members(int count, std::uint64_t seed = 7) {
+  explicit Members(int count, std::uint64_t seed = 7, std::uint64_t first_beat = usual_first_beat) {
     options.told_each = 4;
     Dice dice(seed);
     for (int at = 0; at < count; ++at) {
       Member self;
       self.id = dice.next() | 1;
       self.address = "m" + std::to_string(at);
-      // As long past zero as the time of day is, so that a process may also begin behind its last beat.
       self.beat = first_beat;
       members[self.address] = std::make_unique<Rollcall>(self, seeds, options);
     }
@@ -109,6 +109,17 @@
 }
 
 TEST(Membership, beats_go_on_beyond_what_their_low_part_can_count) {
+  Members members(15, 7, 0xfff0);
+  for (int beat = 0; beat < 8; ++beat) members.beat();
+  for (int beat = 0; beat < 40; ++beat) {
+    members.beat();
+    LONGS_EQUAL(14, members.fewest_living());
+  }
+  CHECK(members.members.at("m0")->self().beat > 0x10000);
+  CHECK(members.members.at("m1")->find(members.members.at("m0")->self().id)->beat > 0x10000);
+}
+
+TEST(Membership, an_earlier_beat_late_on_its_way_is_no_sign_of_life) {
   Member self, other;
   self.id = 1;
   other.id = 2;
@@ -116,16 +127,17 @@
   Rollcall rollcall(self, {}, RollcallOptions{});
   Outbox out;
   Instant now = seconds(10);
+  const Muster earlier{{}, {{short_era_of(other), 0xffff}}, {}};
   rollcall.step({2, "b", Muster{{other}, {}, {}}}, now, out);
-  const auto beat_of_other = [&] { return rollcall.find(2)->beat; };
-  for (std::uint64_t beat : {0xffffull, 0x10000ull, 0x10003ull}) {
-    rollcall.step({2, "b", Muster{{}, {{2, static_cast<std::uint16_t>(beat)}}, {}}}, now += seconds(1), out);
-    LONGS_EQUAL(beat, beat_of_other());
+  rollcall.step({3, "c", earlier}, now += seconds(1), out);
+  LONGS_EQUAL(0xffff, rollcall.find(2)->beat);
+  other.beat = 0x10003;
+  rollcall.step({2, "b", Muster{{other}, {}, {}}}, now += seconds(1), out);
+  for (const Muster &late : {earlier, Muster{{}, {{short_era_of(other), 2}}, {}}}) {
+    rollcall.step({3, "c", late}, now + seconds(5), out);
+    LONGS_EQUAL(0x10003, rollcall.find(2)->beat);
+    CHECK(!rollcall.is_living(2, now + seconds(5)));
   }
-  // An earlier one, late on its way, is no sign of life.
-  rollcall.step({2, "b", Muster{{}, {{2, 0xffff}}, {}}}, now + seconds(5), out);
-  LONGS_EQUAL(0x10003, beat_of_other());
-  CHECK(!rollcall.is_living(2, now + seconds(5)));
 }
 
 // Guards against: a process that restarted stays silent to all whom it does not tell itself, as the low parts
