Replace files of a soak in one step, so that no daemon reads a part of its options

Cause: the soak cut the options file to nothing and wrote it anew in place, while a daemon that was starting read it. The platform replaces the file; the mistake is the soak's. Change: the text is written beside the file and renamed over it, for options and for the trial of disks. The new test failed before (the reader got the new text's bytes).

--- a/packages/soak/deployment.cpp
+++ b/packages/soak/deployment.cpp
@@ -2,9 +2,11 @@
 
 #include <csignal>
 #include <filesystem>
-#include <fstream>
+#include <sstream>
 #include <unistd.h>
 
+#include "soak/replace_file.hpp"
+
 namespace wharf::soak {
 
 namespace {
@@ -55,17 +57,18 @@
 
 void Deployment::rewrite_options(Node &node) {
   ++seed_turn_;
-  std::ofstream file(node.options_file, std::ios::trunc);
+  std::ostringstream file;
   file << "address=" << node.relay << "\nlisten=" << node.inner.address() << "\nhttp=" << node.http.address()
        << "\nzone=" << node.zone << "\nname=" << node.daemon->name() << "\nseeds=" << seeds_for(node)
        << "\nfew_seeds=1\n";
   if (!node.is_control) {
     file << "readiness=" << node.readiness.address() << "\nlink_mbps=1000\ncpu_share=0.4\n";
-    return;
+  } else {
+    file << "data=" << node.data_folder << "\nplatform=" << options_.platform
+         << "\noperator_token=none-on-this-platform\npace=80\nmay_found=" << (has_started_ ? 0 : 1)
+         << "\ndisk_trial=" << node.disk_mood_file << "\n";
   }
-  file << "data=" << node.data_folder << "\nplatform=" << options_.platform
-       << "\noperator_token=none-on-this-platform\npace=80\nmay_found=" << (has_started_ ? 0 : 1)
-       << "\ndisk_trial=" << node.disk_mood_file << "\n";
+  replace_file(node.options_file, file.str());
 }
 
 void Deployment::start_all() {
@@ -138,7 +141,7 @@
 void Deployment::reset_connections(const Node &node) { relay_.reset(node.relay); }
 
 void Deployment::set_disk_mood(const Node &node, const std::string &mood) {
-  std::ofstream(node.disk_mood_file, std::ios::trunc) << mood << "\n";
+  replace_file(node.disk_mood_file, mood + "\n");
 }
 
 void Deployment::wipe_disk(Node &node) { std::filesystem::remove_all(node.data_folder); }
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -2,11 +2,13 @@
 // must be the same for a seed. The daemons themselves are soaked by the test soak_small.
 #include "fault_proxy/held_port.hpp"
 #include "soak/checks.hpp"
+#include "soak/replace_file.hpp"
 #include "soak/report.hpp"
 #include "soak/schedule.hpp"
 #include "soak/stall_watch.hpp"
 
 #include <arpa/inet.h>
+#include <fstream>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -262,3 +264,20 @@
   LONGS_EQUAL(0, listen(descriptor, 1));
   close(descriptor);
 }
+
+// Guards against: a daemon that starts while its options are written anew reads a part of them and ends.
+TEST(Soak, who_reads_a_file_while_it_is_replaced_gets_the_old_text_whole) {
+  char path[] = "/tmp/wharf-soak-XXXXXX";
+  const int made = mkstemp(path);
+  CHECK(made >= 0);
+  close(made);
+  replace_file(path, "first=1\nsecond=2\n");
+  std::ifstream reader(path);
+  replace_file(path, "other=1\n");
+  const std::string read{std::istreambuf_iterator<char>(reader), std::istreambuf_iterator<char>()};
+  STRCMP_EQUAL("first=1\nsecond=2\n", read.c_str());
+  std::ifstream later(path);
+  const std::string replaced{std::istreambuf_iterator<char>(later), std::istreambuf_iterator<char>()};
+  STRCMP_EQUAL("other=1\n", replaced.c_str());
+  unlink(path);
+}
