Report to the leader that others name and to seeds, though not known to live

Cause: a node that hears no leader reported to the control processes that its membership knows to live, and to no other, though their answers named the leader; whatever membership misses cost the node its configuration until membership was right again. Class: one source of truth for reaching the one process that matters. Change: while it searches, each regular report goes also to the leader that others named and to the seeds; a newer name is believed while the known leader is silent. Test: failed before (reports to the follower only).

--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -110,7 +110,8 @@
   } else if (const auto *orders = std::get_if<Orders>(&signal)) {
     handle(envelope.from, *orders, now, out);
   } else if (const auto *other = std::get_if<NotLeader>(&signal)) {
-    if (leader_ == envelope.from || leader_ == 0) leader_ = other->leader;
+    const bool is_newer_name = other->leader != 0 && !hears_leader(now);
+    if (leader_ == envelope.from || leader_ == 0 || is_newer_name) leader_ = other->leader;
   } else if (const auto *permit = std::get_if<PermitSay>(&signal)) {
     handle(*permit, envelope.from, now, out);
   } else if (const auto *claim = std::get_if<ClaimSay>(&signal)) {
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -319,6 +319,9 @@
   bool hears_leader(Instant now) const;
   /// Notes that a leader's orders were taken.
   void note_leader_heard(NodeId leader, Instant now, PilotOutput &out);
+  /// Reports to all control processes that live, as one of them may lead; a regular report goes to the leader
+  /// that others named and to the seeds, too, though they are not known to live.
+  void search_leader(const Pulse &pulse, bool is_regular, Instant now, PilotOutput &out);
   /// Tells in the log, once a search, that no leader has answered for long, and whom this node reports to.
   void tell_of_search(std::size_t asked, Instant now, PilotOutput &out);
   void count(const std::string &name) { ++counters_[name]; }
--- a/packages/pilot/reporting.cpp
+++ b/packages/pilot/reporting.cpp
@@ -52,13 +52,23 @@
     return;
   }
   count("reports_while_searching");
-  std::size_t asked = 0;
+  search_leader(pulse, has_all_wants, now, out);
+}
+
+void Pilot::search_leader(const Pulse &pulse, bool is_regular, Instant now, PilotOutput &out) {
+  std::set<std::string> asked;
   for (const Member &member : rollcall_.living(now)) {
     if (member.role != static_cast<std::uint8_t>(Role::control)) continue;
     out.mail.push_back({member.id, {}, pulse});
-    ++asked;
+    asked.insert(member.address);
   }
-  tell_of_search(asked, now, out);
+  tell_of_search(asked.size(), now, out);
+  if (!is_regular) return;
+  // Membership may be wrong about the one process that matters.
+  const std::string named = rollcall_.address_of(leader_);
+  if (!named.empty() && asked.insert(named).second) out.mail.push_back({leader_, {}, pulse});
+  for (const std::string &seed : rollcall_.seeds())
+    if (seed != self_.address && asked.insert(seed).second) out.mail.push_back({0, seed, pulse});
 }
 
 bool Pilot::hears_leader(Instant now) const {
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -240,6 +240,40 @@
   }
 }
 
+// Guards against: a node whose membership misses the leader reports to all control processes but that one for
+// good, though others name it.
+TEST(Recovery, a_node_that_is_not_led_reports_to_the_leader_it_is_named_and_to_seeds_not_known_to_live) {
+  PilotRig rig;
+  PilotOutput out;
+  const auto control = [](NodeId id, const std::string &address, std::uint64_t beat) {
+    Member member;
+    member.id = id;
+    member.address = address;
+    member.role = static_cast<std::uint8_t>(Role::control);
+    member.beat = beat;
+    return member;
+  };
+  constexpr NodeId follower = 50, named = 60;
+  rig.pilot.receive({follower, "f", Muster{{control(follower, "f", 1), control(named, "n", 1)}, {}, {}}},
+                    rig.now, out);
+  rig.now += seconds(10);
+  rig.pilot.receive({follower, "f", Muster{{control(follower, "f", 2)}, {}, {}}}, rig.now, out);
+  rig.pilot.receive({follower, "f", NotLeader{named}}, rig.now, out);
+  out = {};
+  rig.pilot.tick(rig.now, out);
+  std::vector<NodeId> nodes;
+  std::vector<std::string> addresses;
+  for (const Posted &posted : out.mail) {
+    if (!std::holds_alternative<Pulse>(posted.signal)) continue;
+    if (posted.to != 0)
+      nodes.push_back(posted.to);
+    else
+      addresses.push_back(posted.address);
+  }
+  CHECK(nodes == (std::vector<NodeId>{follower, named}));
+  CHECK(addresses == std::vector<std::string>{"seed"});
+}
+
 TEST(Recovery, changed_runners_are_taken_only_on_top_of_what_they_changed) {
   PilotRig rig;
   PilotOutput out;
