Make a lost delta of the configuration good at once, though changes go on

Cause: the leader sends each change as a delta from the version that it sent last, and each newer version put off the moment at which an unread one counts as lost. A node that lost one delta got none that it could read as long as changes came faster than each 240 ms (with all of them lost to it in the test, none for 3 s), and nothing counted it. Class: a timer that the load itself keeps winding. A manifest that is there already is no longer taken for unreadable. Test: a_lost_delta_is_made_good_though_changes_go_on, failed before; without the loss it passed before, too.

--- a/packages/control/configuration_delivery.cpp
+++ b/packages/control/configuration_delivery.cpp
@@ -61,7 +61,7 @@
 void ControlNode::add_manifest(NodeSession &session, Orders &orders, Instant now) {
   const bool is_under_way = now < session.offered_until;
   if (is_under_way && session.offered == orders.version) return;
-  const Version had = is_under_way ? std::max(session.offered, session.version) : session.version;
+  const Version had = is_under_way ? std::max(session.offered, session.received) : session.received;
   orders.manifest_base = registry_.manifest_at(had) == nullptr ? 0 : had;
   orders.has_manifest = true;
   orders.manifest = delta_from(orders.manifest_base);
--- a/packages/control/control_node.hpp
+++ b/packages/control/control_node.hpp
@@ -191,6 +191,8 @@
     std::uint64_t stamp = 0;
     /// The version whose manifest was last sent to the node, and until when it is taken to be on its way.
     Version offered = 0;
+    /// The version whose manifest the node is known to have.
+    Version received = 0;
     Instant offered_until = 0;
     /// The same of the node set: sent again with each answer, it once filled the leader's link for good.
     Epoch offered_epoch = 0;
--- a/packages/pilot/configuration_in_force.cpp
+++ b/packages/pilot/configuration_in_force.cpp
@@ -75,8 +75,10 @@
     manifest_text_version_ = orders.version;
     return true;
   }
+  if (orders.version == manifest_text_version_) return true;
   if (orders.manifest_base != 0 && orders.manifest_base != manifest_text_version_) {
     count("manifest_base_missing");
+    has_missed_manifest_ = true;
     return false;
   }
   auto text = decode_delta(orders.manifest_base == 0 ? std::string_view() : manifest_text_, orders.manifest);
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -384,8 +384,9 @@
   for (const Member &member : rollcall_.living(now))
     if (member.group != 0 && member.role == static_cast<std::uint8_t>(Role::control))
       rollcall_.set_group(member.group);
-  const bool has_news = scheduler_.wants_mark() != told_wants_ && now - pulsed_at_ >= options_.pulse_least;
-  if (now >= pulse_at_ || has_news) send_pulse(now, out);
+  const bool has_news = scheduler_.wants_mark() != told_wants_ || has_missed_manifest_;
+  const bool may_tell_news = now - pulsed_at_ >= options_.pulse_least;
+  if (now >= pulse_at_ || (has_news && may_tell_news)) send_pulse(now, out);
   forget_newer_owners(now);
   purser_.tick(now, out.mail);
   scheduler_.set_isolated(is_isolated(now), now);
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -347,6 +347,8 @@
   /// The newest manifest received, in force or staged, and its version.
   std::string manifest_text_;
   Version manifest_text_version_ = 0;
+  /// A delta from another manifest came, and the leader has not been told so yet.
+  bool has_missed_manifest_ = false;
   /// Orders with a newer manifest that are put off, as the last switch was a moment ago.
   std::optional<std::pair<NodeId, Orders>> staged_;
   Instant switched_at_ = 0;
--- a/packages/pilot/reporting.cpp
+++ b/packages/pilot/reporting.cpp
@@ -36,6 +36,9 @@
   pulse.has_all_wants = has_all_wants;
   pulse.wants = wants_to_report(has_all_wants, now);
   pulse.up_for = now - born_;
+  pulse.has_missed_manifest = has_missed_manifest_;
+  pulse.received = manifest_text_version_;
+  has_missed_manifest_ = false;
   const auto note_replaced = [&](const std::vector<NodeId> &pilots,
                                  const std::vector<std::string> &addresses) {
     for (std::size_t at = 0; at < pilots.size() && at < addresses.size(); ++at)
--- a/packages/signals/placement_messages.hpp
+++ b/packages/signals/placement_messages.hpp
@@ -121,8 +121,15 @@
   NodeCapacity capacity;
   /// The node had a lease, and it ran out before this was sent.
   bool has_lost_lease = false;
-  WHARF_CARRY(sent_at, version, epoch, runners_stamp, runners_term, is_leaving, wants, has_all_wants,
-              replaces, up_for, soundings, capacity, has_lost_lease)
+  /// The node got a manifest as a delta from one that it does not have; what it has is of `received`.
+  bool has_missed_manifest = false;
+  Version received = 0;
+  static constexpr unsigned carried_version = 1;
+  template <typename Archive> void serialize(Archive &archive, unsigned carried) {
+    wharf::carry(archive, sent_at, version, epoch, runners_stamp, runners_term, is_leaving, wants,
+                 has_all_wants, replaces, up_for, soundings, capacity, has_lost_lease);
+    if (carried >= 1) wharf::carry(archive, has_missed_manifest, received);
+  }
 };
 
 /// The leader's answer: a freshness permit and whatever is newer than the pilot has.
--- a/tests/control_group_rig.hpp
+++ b/tests/control_group_rig.hpp
@@ -1,5 +1,6 @@
 #pragma once
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -29,6 +30,8 @@
   NodeId next_id = 100;
   std::uint64_t next_ticket = 1;
   ControlOptions options;
+  /// Gets what is sent to addresses of no machine of the group.
+  std::function<void(const std::string &to, const Envelope &)> to_outside;
 
   ControlGroupRig() = default;
   explicit ControlGroupRig(int count) {
@@ -206,6 +209,7 @@
       Parcel parcel = std::move(mail_.front());
       mail_.pop_front();
       const auto to = machines.find(parcel.to);
+      if (to == machines.end() && to_outside) to_outside(parcel.to, parcel.envelope);
       if (to == machines.end() || !to->second.node) continue;
       const Machine &from = machines.at(parcel.from);
       if (to->second.is_cut || to->second.is_frozen || from.is_cut || from.side != to->second.side) continue;
--- a/tests/worst_days_test.cpp
+++ b/tests/worst_days_test.cpp
@@ -1,6 +1,7 @@
 // The five troubles that control sides meet on their worst days, each brought about on a whole group in
 // virtual time.
 #include "control_group_rig.hpp"
+#include "pilot/pilot.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -192,6 +193,52 @@
   }
 }
 
+// Guards against: a node that lost one delta of the configuration gets none that it can read as long as
+// changes come faster than the delta is given up for lost.
+TEST(WorstDays, a_lost_delta_is_made_good_though_changes_go_on) {
+  ControlGroupRig rig(3);
+  LONGS_EQUAL(200, rig.put(1, 0, "mark-0"));
+  PilotOptions options;
+  Member self;
+  self.id = 900;
+  self.address = "edge";
+  self.role = static_cast<std::uint8_t>(Role::pilot);
+  Pilot node(self, {"m0"}, options, rig.now);
+  PilotOutput out;
+  bool must_lose = false;
+  rig.to_outside = [&](const std::string &to, const Envelope &envelope) {
+    if (to != self.address) return;
+    const auto *orders = std::get_if<Orders>(&envelope.signal);
+    const bool is_lost = must_lose && orders != nullptr && orders->has_manifest;
+    if (is_lost) must_lose = false;
+    if (!is_lost) node.receive(envelope, rig.now, out);
+  };
+  const auto report = [&] {
+    node.tick(rig.now, out);
+    Outbox sent = std::move(out.mail);
+    out = {};
+    for (Posted &posted : sent) {
+      const std::string to = posted.to == 0 ? posted.address : node.rollcall().address_of(posted.to);
+      const auto machine = rig.machines.find(to);
+      if (machine != rig.machines.end())
+        rig.send_to(machine->second, {self.id, self.address, std::move(posted.signal)});
+    }
+  };
+  const auto change = [&](int number) {
+    rig.ask(rig.leader(), order(number, number - 1, "mark-" + std::to_string(number)));
+  };
+  int number = 1;
+  for (int step = 0; step < 100; ++step, rig.pass(milliseconds(10))) report();
+  LONGS_EQUAL(1, node.in_force().version);
+  must_lose = true;
+  for (int step = 0; step < 300; ++step, rig.pass(milliseconds(10))) {
+    if (step % 20 == 0) change(++number);
+    report();
+  }
+  CHECK(!must_lose);
+  CHECK(node.in_force().version + 3 >= static_cast<Version>(number));
+}
+
 TEST(WorstDays, of_two_orders_under_one_number_one_is_confirmed_and_repeats_of_it_are_too) {
   ControlGroupRig rig(3);
   LONGS_EQUAL(200, rig.put(1, 0, "first"));
