--- a/packages/control/control_node.cpp
+++ b/packages/control/control_node.cpp
@@ -15,11 +15,11 @@
 
 ControlNode::ControlNode(const Member &self, std::vector<std::string> seeds, ControlOptions options,
                          std::uint64_t seed, const Recovered &recovered, Instant now)
-    : self_(self), options_(options), rollcall_(self, std::move(seeds), options.rollcall),
+    : self_(self), options_(options), membership_(self, std::move(seeds), options.membership),
       raft_(self.id, options.raft, seed, recovered, now), dice_(seed ^ (self.id * 31)), began_at_(now) {
   registry_.load(recovered.snapshot.body);
   applied_ = recovered.snapshot.index;
-  if (raft_.group() != 0) rollcall_.set_group(raft_.group());
+  if (raft_.group() != 0) membership_.set_group(raft_.group());
 }
 
 std::optional<std::uint64_t> ControlNode::propose(const Command &command, Instant now, ControlOutput &out) {
@@ -141,8 +141,8 @@
 
 void ControlNode::receive(const Envelope &envelope, Instant now, ControlOutput &out) {
   const Signal &signal = envelope.signal;
-  if (std::holds_alternative<Muster>(signal)) {
-    rollcall_.step(envelope, now, out.mail);
+  if (std::holds_alternative<MembershipGossip>(signal)) {
+    membership_.step(envelope, now, out.mail);
   } else if (const auto *ask = std::get_if<FoundAsk>(&signal)) {
     answer_founder(envelope, *ask, now, out);
   } else if (const auto *heard = std::get_if<FoundSay>(&signal)) {
@@ -204,8 +204,8 @@
 }
 
 void ControlNode::tick(Instant now, ControlOutput &out) {
-  rollcall_.seek(raft_.replicas());
-  rollcall_.tick(now, out.mail);
+  membership_.seek(raft_.replicas());
+  membership_.tick(now, out.mail);
   RaftOutput step;
   raft_.tick(now, step);
   absorb(std::move(step), now, out);
--- a/packages/control/control_node.hpp
+++ b/packages/control/control_node.hpp
@@ -9,8 +9,8 @@
 #include "charter/charter.hpp"
 #include "control/registry.hpp"
 #include "control/runner_views.hpp"
+#include "membership/membership.hpp"
 #include "raft/raft.hpp"
-#include "rollcall/rollcall.hpp"
 #include "seatrial/seatrial.hpp"
 #include "trace/trace.hpp"
 
@@ -97,7 +97,7 @@
   /// Whether each start and end of a runner is told in a line of the log.
   bool must_trace_runners = false;
   RaftOptions raft;
-  RollcallOptions rollcall;
+  MembershipOptions membership;
   Span fresh = seconds(2);
   /// How long a pilot may act as purser or scheduler on one permit; shorter, so that successors start sooner.
   Span duty = milliseconds(1200);
@@ -175,7 +175,7 @@
 
   const RaftNode &raft() const { return raft_; }
   const Registry &registry() const { return registry_; }
-  Rollcall &rollcall() { return rollcall_; }
+  Membership &membership() { return membership_; }
   /// True when this replica leads and its reads are of the newest state.
   bool is_leading() const { return raft_.is_settled(); }
   std::map<std::string, std::uint64_t> gauges(Instant now) const;
@@ -387,7 +387,7 @@
 
   Member self_;
   ControlOptions options_;
-  Rollcall rollcall_;
+  Membership membership_;
   RaftNode raft_;
   Registry registry_;
   Dice dice_;
--- a/packages/control/founding.cpp
+++ b/packages/control/founding.cpp
@@ -27,7 +27,7 @@
 void ControlNode::tell_founded(Instant now, ControlOutput &out) {
   bool is_done = true;
   for (const Replica &replica : founding_replicas_) {
-    const Member *member = rollcall_.find(replica.id);
+    const Member *member = membership_.find(replica.id);
     if (replica.id == self_.id || (member != nullptr && member->group == raft_.group())) continue;
     is_done = false;
     if (raft_.is_disk_well(now))
@@ -40,13 +40,13 @@
                               Instant now, ControlOutput &out) {
   RaftOutput step;
   raft_.found(group, std::move(replicas), now, step);
-  rollcall_.set_group(group);
+  membership_.set_group(group);
   out.lines.push_back(how + " group " + std::to_string(group));
   absorb(std::move(step), now, out);
 }
 
 bool ControlNode::join_known_group(Instant now, ControlOutput &out) {
-  for (const Member &member : rollcall_.living(now)) {
+  for (const Member &member : membership_.living(now)) {
     if (member.group == 0 || !is_control_node(member)) continue;
     enter_group(member.group, {}, "joins", now, out);
     return true;
@@ -55,13 +55,13 @@
 }
 
 bool ControlNode::knows_group(Instant now) const {
-  const auto living = rollcall_.living(now);
+  const auto living = membership_.living(now);
   return raft_.group() != 0 ||
          std::any_of(living.begin(), living.end(), [](const Member &member) { return member.group != 0; });
 }
 
 void ControlNode::try_to_found(Instant now, ControlOutput &out) {
-  const auto &seeds = rollcall_.seeds();
+  const auto &seeds = membership_.seeds();
   const auto place = std::find(seeds.begin(), seeds.end(), self_.address);
   if (!options_.may_found || place == seeds.end() || knows_group(now)) return;
   const bool is_promised = now < promised_until_ && promised_to_ != self_.address;
@@ -96,11 +96,11 @@
   say.group = raft_.group();
   say.id = self_.id;
   say.zone = self_.zone;
-  for (const Member &member : rollcall_.living(now))
+  for (const Member &member : membership_.living(now))
     if (member.group != 0) say.group = member.group;
   const bool is_free = now >= promised_until_ || promised_to_ == envelope.from_address;
   say.may_found = options_.may_found && options_.is_replica && !knows_group(now) && is_free &&
-                  ask.seeds == rollcall_.seeds();
+                  ask.seeds == membership_.seeds();
   if (say.may_found) {
     promised_to_ = envelope.from_address;
     promised_until_ = now + promise_valid;
@@ -112,7 +112,7 @@
   std::uint64_t other_group = 0;
   if (raft_.replicas().empty()) {
     // Joined by hearsay and never told anything: only of use while somebody else is in the group.
-    for (const Member &member : rollcall_.living(now)) {
+    for (const Member &member : membership_.living(now)) {
       if (!is_control_node(member) || member.group == 0) continue;
       if (member.group == raft_.group()) return 0;
       other_group = member.group;
@@ -121,7 +121,7 @@
   }
   std::size_t gone = 0;
   for (const Replica &replica : raft_.replicas()) {
-    const Member *member = rollcall_.find(replica.id);
+    const Member *member = membership_.find(replica.id);
     if (member == nullptr || member->group == 0 || member->group == raft_.group()) continue;
     ++gone;
     other_group = member->group;
--- a/packages/control/group_membership.cpp
+++ b/packages/control/group_membership.cpp
@@ -13,13 +13,13 @@
 
 bool ControlNode::is_lost(const Replica &replica, Span patience, Instant now) const {
   if (replica.id == self_.id) return false;
-  if (rollcall_.is_replaced(replica.id)) return true;
-  if (rollcall_.is_living(replica.id, now)) return false;
+  if (membership_.is_replaced(replica.id)) return true;
+  if (membership_.is_living(replica.id, now)) return false;
   return now - std::max(raft_.heard_from(replica.id), raft_.led_since()) > patience;
 }
 
 bool ControlNode::is_departing(NodeId id) const {
-  const Member *member = rollcall_.find(id);
+  const Member *member = membership_.find(id);
   return member != nullptr && member->is_leaving;
 }
 
@@ -58,9 +58,9 @@
 
 bool ControlNode::add_learner(Instant now, ControlOutput &out) {
   std::vector<Replica> replicas = raft_.replicas();
-  for (const Member &member : rollcall_.living(now)) {
+  for (const Member &member : membership_.living(now)) {
     const bool may_join = is_control_node(member) && member.is_replica && !member.is_leaving &&
-                          member.group == raft_.group() && !rollcall_.is_replaced(member.id);
+                          member.group == raft_.group() && !membership_.is_replaced(member.id);
     const bool is_known = std::any_of(replicas.begin(), replicas.end(),
                                       [&](const Replica &replica) { return replica.id == member.id; });
     if (!may_join || is_known) continue;
@@ -110,7 +110,7 @@
 }
 
 void ControlNode::set_leaving(Instant now, ControlOutput &out) {
-  rollcall_.set_leaving();
+  membership_.set_leaving();
   leaving_since_ = now;
   maintain_handover(now, out);
 }
@@ -133,7 +133,7 @@
     return replica.id == self_.id && replica.is_voter;
   });
   const bool has_successor = std::any_of(replicas.begin(), replicas.end(), [&](const Replica &replica) {
-    return !replica.is_voter && !is_departing(replica.id) && rollcall_.is_living(replica.id, now);
+    return !replica.is_voter && !is_departing(replica.id) && membership_.is_living(replica.id, now);
   });
   return !is_voter || (!has_successor && staying_voters(now) < voters_wanted(now));
 }
--- a/packages/control/operator_requests.cpp
+++ b/packages/control/operator_requests.cpp
@@ -84,13 +84,13 @@
 
 std::string ControlNode::leader_http(Instant now) const {
   if (!options_.is_replica) return replica_http(now);
-  const Member *member = rollcall_.find(raft_.leader());
+  const Member *member = membership_.find(raft_.leader());
   return member == nullptr || raft_.leader() == self_.id ? std::string() : member->http;
 }
 
 std::string ControlNode::replica_http(Instant now) const {
   std::vector<std::string> choices;
-  for (const Member &member : rollcall_.living(now))
+  for (const Member &member : membership_.living(now))
     if (is_control_node(member) && member.is_replica && !member.is_leaving && member.group != 0)
       choices.push_back(member.http);
   return choices.empty() ? std::string()
--- a/packages/control/status.cpp
+++ b/packages/control/status.cpp
@@ -22,8 +22,8 @@
   values["runners"] = registry_.runners().size();
   values["runners_ready"] = views_.size();
   values["sessions"] = sessions_.size();
-  values["members_living"] = rollcall_.living(now).size();
-  values["beats_passed_over"] = rollcall_.beats_passed_over();
+  values["members_living"] = membership_.living(now).size();
+  values["beats_passed_over"] = membership_.beats_passed_over();
   values["reports_of_ended"] = reports_of_ended_;
   if (is_leading()) values["nodes_living_unreported"] = living_unreported(now);
   values["replicas"] = raft_.replicas().size();
@@ -32,7 +32,7 @@
 }
 
 std::size_t ControlNode::living_unreported(Instant now) const {
-  const std::vector<Member> living = rollcall_.living(now);
+  const std::vector<Member> living = membership_.living(now);
   return static_cast<std::size_t>(std::count_if(living.begin(), living.end(), [&](const Member &member) {
     if (is_control_node(member) || ended_.contains(member.id)) return false;
     const auto session = sessions_.find(member.id);
@@ -68,17 +68,17 @@
   if (const std::string why = why_unheld(now); !why.empty()) root["why_not_held"] = why;
   root["replicas"] = Json::array();
   for (const Replica &replica : raft_.replicas()) {
-    const Member *member = rollcall_.find(replica.id);
+    const Member *member = membership_.find(replica.id);
     root["replicas"].push_back({{"id", std::to_string(replica.id)},
                                 {"address", member == nullptr ? "" : member->address},
                                 {"zone", replica.zone},
                                 {"is_voter", replica.is_voter},
                                 {"is_leader", replica.id == raft_.leader()},
-                                {"is_living", rollcall_.is_living(replica.id, now)}});
+                                {"is_living", membership_.is_living(replica.id, now)}});
   }
   root["pilots"] = Json::array();
   for (const auto &[pilot, session] : sessions_) {
-    const Member *member = rollcall_.find(pilot);
+    const Member *member = membership_.find(pilot);
     const auto &roster = registry_.roster().pilots;
     root["pilots"].push_back(
         {{"id", std::to_string(pilot)},
--- a/packages/drydock/world.cpp
+++ b/packages/drydock/world.cpp
@@ -135,7 +135,7 @@
   self.beat = first_beat_at(static_cast<std::uint64_t>((now_ + wall_offset_) / milliseconds(1)));
   ControlOptions options;
   options.platform_pace = shape_.pace;
-  options.rollcall.told_each = shape_.told_each;
+  options.membership.told_each = shape_.told_each;
   options.compact_entries = 400;
   if (defect_ == Defect::early_acknowledge) options.fresh = 0;
   options.by_worth = options.must_spread = !shape_.is_plain;
@@ -163,7 +163,7 @@
   node.self.role = static_cast<std::uint8_t>(Role::pilot);
   PilotOptions options;
   options.by_worth = !shape_.is_plain;
-  options.rollcall.told_each = shape_.told_each;
+  options.membership.told_each = shape_.told_each;
   if (defect_ == Defect::stale_permit) options.fresh = seconds(30);
   if (defect_ == Defect::free_seconds) options.scheduler.second_share = options.scheduler.second_most = 1000;
   if (defect_ == Defect::loose_quota) options.purser.slack = 1.5;
@@ -327,7 +327,7 @@
 void World::flush(int which, SimulatedControl &node, ControlOutput &out) {
   watch_raft(which);
   for (Posted &posted : out.mail) {
-    const std::string to = posted.to == 0 ? posted.address : node.core->rollcall().address_of(posted.to);
+    const std::string to = posted.to == 0 ? posted.address : node.core->membership().address_of(posted.to);
     send(control_name(which), to, {node.disk.identity, control_name(which), std::move(posted.signal)});
   }
   for (WriteBatch &save : out.batches) node.batches.push_back(std::move(save));
@@ -423,7 +423,7 @@
 
 void World::flush(int which, PilotNode &node, PilotOutput &out) {
   for (Posted &posted : out.mail) {
-    const std::string to = posted.to == 0 ? posted.address : node.core->rollcall().address_of(posted.to);
+    const std::string to = posted.to == 0 ? posted.address : node.core->membership().address_of(posted.to);
     send(pilot_name(which), to, {node.self.id, pilot_name(which), std::move(posted.signal)});
   }
   for (const Carry &item : out.carries) carry(which, item);
--- a/packages/helm/control_runtime.cpp
+++ b/packages/helm/control_runtime.cpp
@@ -66,7 +66,7 @@
   made.control.raft.snapshot_chunk_bytes = snapshot_chunk_bytes;
   made.control.compact_bytes = compact_bytes;
   made.control.duty = helm_duty;
-  made.control.rollcall.told_each = helm_told_each;
+  made.control.membership.told_each = helm_told_each;
   made.control.pilot_silence = milliseconds(900);
   made.control.enrol_gather = milliseconds(150);
   made.control.must_wait_roster = false;
@@ -77,7 +77,7 @@
 void ControlRuntime::build(const Recovered &recovered) {
   std::random_device source;
   Member self = self_;
-  if (control_) self.beat = control_->rollcall().self().beat + 1;
+  if (control_) self.beat = control_->membership().self().beat + 1;
   control_ = std::make_unique<ControlNode>(self, seeds_, helm_.control,
                                            (static_cast<std::uint64_t>(source()) << 32) | source(), recovered,
                                            tide_.now());
@@ -85,7 +85,7 @@
 
 void ControlRuntime::set_seeds(std::vector<std::string> seeds) {
   seeds_ = seeds;
-  control_->rollcall().set_seeds(std::move(seeds));
+  control_->membership().set_seeds(std::move(seeds));
 }
 
 void ControlRuntime::disk_said(DiskEvent &&word) {
@@ -231,7 +231,7 @@
     for (WriteBatch &save : taken.batches) disk_->give(std::move(save));
     for (Posted &posted : taken.mail) {
       const std::string address =
-          posted.to == 0 ? posted.address : control_->rollcall().address_of(posted.to);
+          posted.to == 0 ? posted.address : control_->membership().address_of(posted.to);
       if (address.empty()) continue;
       const Envelope envelope{self_.id, self_.address, std::move(posted.signal)};
       const std::string bytes = frame(envelope);
--- a/packages/helm/pilot_helm.cpp
+++ b/packages/helm/pilot_helm.cpp
@@ -66,7 +66,7 @@
   made.pilot.fallback_burst_s = 0.3;
   made.pilot.fallback_after = milliseconds(200);
   made.pilot.duty = helm_duty;
-  made.pilot.rollcall.told_each = helm_told_each;
+  made.pilot.membership.told_each = helm_told_each;
   made.pilot.report_again = milliseconds(250);
   made.pilot.switch_gap = milliseconds(300);
   made.pilot.sound_again = seconds(10);
@@ -183,7 +183,7 @@
     PilotOutput taken;
     std::swap(taken, out_);
     for (Posted &posted : taken.mail) {
-      const std::string address = posted.to == 0 ? posted.address : pilot_.rollcall().address_of(posted.to);
+      const std::string address = posted.to == 0 ? posted.address : pilot_.membership().address_of(posted.to);
       if (address.empty()) continue;
       const Envelope envelope{self_.id, self_.address, std::move(posted.signal)};
       const std::string bytes = frame(envelope);
--- a/packages/helm/pilot_helm.hpp
+++ b/packages/helm/pilot_helm.hpp
@@ -33,7 +33,7 @@
   ~PilotHelm() override;
   /// Serves until told to stop; the code to end with.
   int run();
-  void set_seeds(std::vector<std::string> seeds) { pilot_.rollcall().set_seeds(std::move(seeds)); }
+  void set_seeds(std::vector<std::string> seeds) { pilot_.membership().set_seeds(std::move(seeds)); }
   /// Called once a turn; where a process looks for signals.
   void set_watch(std::function<void()> watch) { watch_ = std::move(watch); }
 
--- a/packages/rollcall/rollcall.cpp
+++ b/packages/membership/membership.cpp
@@ -1,4 +1,4 @@
-#include "rollcall/rollcall.hpp"
+#include "membership/membership.hpp"
 
 #include <algorithm>
 
@@ -14,11 +14,11 @@
 }
 } // namespace
 
-Rollcall::Rollcall(Member self, std::vector<std::string> seeds, RollcallOptions options)
+Membership::Membership(Member self, std::vector<std::string> seeds, MembershipOptions options)
     : self_(std::move(self)), seeds_(std::move(seeds)), options_(options),
       seek_retry_(options.seek_again, options.seek_again_most) {}
 
-void Rollcall::seek(const std::vector<Replica> &replicas) {
+void Membership::seek(const std::vector<Replica> &replicas) {
   std::vector<NodeId> unknown;
   for (const Replica &replica : replicas)
     if (replica.id != self_.id && !known_.contains(replica.id)) unknown.push_back(replica.id);
@@ -27,17 +27,17 @@
   if (!is_same) seek_retry_.restart();
 }
 
-void Rollcall::ask_for_sought(Instant now, Outbox &out) {
+void Membership::ask_for_sought(Instant now, Outbox &out) {
   if (sought_.empty() || !seek_retry_.is_due(now)) return;
   seek_retry_.sent(now);
-  Muster question;
+  MembershipGossip question;
   question.members.push_back(self_);
   for (NodeId id : sought_) question.asks.push_back(short_id_of(id));
   for (const std::string &seed : seeds_)
     if (seed != self_.address) out.push_back({0, seed, question});
 }
 
-void Rollcall::learn(const Member &member, Instant now) {
+void Membership::learn(const Member &member, Instant now) {
   Known &known = known_[member.id];
   const Member &old = known.member;
   const bool is_other_era = old.id == 0 || beat_era_of(old.beat) != beat_era_of(member.beat);
@@ -52,39 +52,40 @@
   known.advanced = now;
 }
 
-void Rollcall::forget_short_era(const Member &member) {
+void Membership::forget_short_era(const Member &member) {
   const auto [first, last] = short_eras_.equal_range(short_era_of(member));
   const auto found = std::find_if(first, last, [&](const auto &item) { return item.second == member.id; });
   if (found != last) short_eras_.erase(found);
 }
 
-Rollcall::Known *Rollcall::find_short(ShortId era) {
+Membership::Known *Membership::find_short(ShortId era) {
   if (short_eras_.count(era) != 1) return nullptr;
   return &known_.at(short_eras_.find(era)->second);
 }
 
-bool Rollcall::is_ambiguous(const Member &member) const {
+bool Membership::is_ambiguous(const Member &member) const {
   const ShortId era = short_era_of(member);
   return short_eras_.count(era) > 1 || era == short_era_of(self_);
 }
 
-bool Rollcall::is_behind(const Known &known, const Member &told, bool is_told_by_itself, Instant now) const {
+bool Membership::is_behind(const Known &known, const Member &told, bool is_told_by_itself,
+                           Instant now) const {
   if (beat_era_of(told.beat) != beat_era_of(known.member.beat)) return true;
   const bool is_far = known.member.beat - told.beat > options_.beats_late;
   return is_told_by_itself && (is_far || now - known.advanced > silence());
 }
 
-std::vector<Member> Rollcall::members_named(ShortId name) const {
+std::vector<Member> Membership::members_named(ShortId name) const {
   std::vector<Member> named;
   for (const auto &[id, known] : known_)
     if (short_era_of(known.member) == name || short_id_of(id) == name) named.push_back(known.member);
   return named;
 }
 
-void Rollcall::step(const Envelope &envelope, Instant now, Outbox &out) {
-  const auto *muster = std::get_if<Muster>(&envelope.signal);
-  if (muster == nullptr) return;
-  for (const Member &member : muster->members) {
+void Membership::step(const Envelope &envelope, Instant now, Outbox &out) {
+  const auto *gossip = std::get_if<MembershipGossip>(&envelope.signal);
+  if (gossip == nullptr) return;
+  for (const Member &member : gossip->members) {
     if (member.id == self_.id) self_.beat = std::max(self_.beat, member.beat + 1);
     if (member.id == self_.id || member.id == 0) continue;
     const auto found = known_.find(member.id);
@@ -95,13 +96,13 @@
     }
     if (member.beat <= found->second.member.beat) {
       if (is_behind(found->second, member, member.id == envelope.from, now))
-        out.push_back({0, envelope.from_address, Muster{{found->second.member}, {}, {}}});
+        out.push_back({0, envelope.from_address, MembershipGossip{{found->second.member}, {}, {}}});
       continue;
     }
     learn(member, now);
   }
-  Muster reply;
-  for (const Beat &beat : muster->beats) {
+  MembershipGossip reply;
+  for (const Beat &beat : gossip->beats) {
     if (beat.id == short_era_of(self_)) {
       // Beyond any beat that others know.
       self_.beat = std::max(self_.beat, completed_beat(self_.beat, beat.beat) + 1);
@@ -121,7 +122,7 @@
     known->advanced = now;
   }
   bool is_sought = false;
-  for (ShortId name : muster->asks) {
+  for (ShortId name : gossip->asks) {
     is_sought = is_sought || name == short_id_of(self_.id) || name == short_era_of(self_);
     for (Member &member : members_named(name)) reply.members.push_back(std::move(member));
   }
@@ -130,26 +131,26 @@
   out.push_back({0, envelope.from_address, std::move(reply)});
 }
 
-Muster Rollcall::whole(Instant now) const {
-  Muster muster;
-  muster.members.push_back(self_);
+MembershipGossip Membership::whole(Instant now) const {
+  MembershipGossip gossip;
+  gossip.members.push_back(self_);
   for (const auto &[id, known] : known_)
-    if (now - known.advanced <= silence()) muster.members.push_back(known.member);
-  return muster;
+    if (now - known.advanced <= silence()) gossip.members.push_back(known.member);
+  return gossip;
 }
 
-std::size_t Rollcall::rounds() const {
+std::size_t Membership::rounds() const {
   std::size_t count = 1, reached = options_.told_each + 1;
   for (; reached < known_.size() + 1; reached *= options_.told_each + 1) ++count;
   return count;
 }
 
-Span Rollcall::silence() const {
+Span Membership::silence() const {
   const auto extra = static_cast<Span>(std::max(rounds(), usual_rounds) - usual_rounds);
   return options_.silent_after + extra * 2 * options_.every;
 }
 
-std::vector<const Rollcall::Known *> Rollcall::next_told() {
+std::vector<const Membership::Known *> Membership::next_told() {
   std::vector<const Known *> told;
   if (known_.empty()) return told;
   std::size_t stride = 1;
@@ -165,57 +166,57 @@
   return told;
 }
 
-void Rollcall::forget_silent(Instant now) {
+void Membership::forget_silent(Instant now) {
   const auto is_over = [&](const Known &known) { return now - known.advanced > options_.forget_after; };
   std::erase_if(short_eras_, [&](const auto &item) { return is_over(known_.at(item.second)); });
   std::erase_if(known_, [&](const auto &item) { return is_over(item.second); });
 }
 
-void Rollcall::tick(Instant now, Outbox &out) {
+void Membership::tick(Instant now, Outbox &out) {
   ask_for_sought(now, out);
   if (now < next_at_) return;
   next_at_ = now + options_.every;
   ++self_.beat;
   forget_silent(now);
-  Muster muster;
-  muster.members.push_back(self_);
+  MembershipGossip gossip;
+  gossip.members.push_back(self_);
   for (const auto &[id, known] : known_) {
     if (now - known.advanced > silence()) continue;
     if (now - known.learned <= options_.news_for || is_ambiguous(known.member))
-      muster.members.push_back(known.member);
+      gossip.members.push_back(known.member);
     else
-      muster.beats.push_back({short_era_of(known.member), static_cast<std::uint16_t>(known.member.beat)});
+      gossip.beats.push_back({short_era_of(known.member), static_cast<std::uint16_t>(known.member.beat)});
   }
-  for (const Known *known : next_told()) out.push_back({known->member.id, known->member.address, muster});
+  for (const Known *known : next_told()) out.push_back({known->member.id, known->member.address, gossip});
   for (const std::string &seed : seeds_) {
     const bool is_known =
         seed == self_.address || std::any_of(known_.begin(), known_.end(), [&](const auto &item) {
           return item.second.member.address == seed && now - item.second.advanced <= silence();
         });
-    if (!is_known) out.push_back({0, seed, Muster{{self_}, {}, {}}});
+    if (!is_known) out.push_back({0, seed, MembershipGossip{{self_}, {}, {}}});
   }
 }
 
-std::vector<Member> Rollcall::living(Instant now) const {
+std::vector<Member> Membership::living(Instant now) const {
   std::vector<Member> list;
   for (const auto &[id, known] : known_)
     if (now - known.advanced <= silence()) list.push_back(known.member);
   return list;
 }
 
-const Member *Rollcall::find(NodeId id) const {
+const Member *Membership::find(NodeId id) const {
   if (id == self_.id) return &self_;
   const auto found = known_.find(id);
   return found == known_.end() ? nullptr : &found->second.member;
 }
 
-bool Rollcall::is_living(NodeId id, Instant now) const {
+bool Membership::is_living(NodeId id, Instant now) const {
   if (id == self_.id) return true;
   const auto found = known_.find(id);
   return found != known_.end() && now - found->second.advanced <= silence();
 }
 
-bool Rollcall::is_replaced(NodeId id) const {
+bool Membership::is_replaced(NodeId id) const {
   const auto found = known_.find(id);
   if (found == known_.end()) return false;
   const Known &old = found->second;
@@ -226,7 +227,7 @@
   });
 }
 
-std::string Rollcall::address_of(NodeId id) const {
+std::string Membership::address_of(NodeId id) const {
   const Member *member = find(id);
   return member == nullptr ? std::string() : member->address;
 }
--- a/packages/rollcall/rollcall.hpp
+++ b/packages/membership/membership.hpp
@@ -8,7 +8,7 @@
 
 namespace wharf {
 
-struct RollcallOptions {
+struct MembershipOptions {
   Span every = milliseconds(250);
   Span silent_after = milliseconds(1500);
   Span forget_after = seconds(30);
@@ -25,9 +25,9 @@
 };
 
 /// Membership by gossip: any one living seed suffices to learn of all others.
-class Rollcall {
+class Membership {
 public:
-  Rollcall(Member self, std::vector<std::string> seeds, RollcallOptions options);
+  Membership(Member self, std::vector<std::string> seeds, MembershipOptions options);
   void step(const Envelope &envelope, Instant now, Outbox &out);
   void tick(Instant now, Outbox &out);
   void set_group(std::uint64_t group) { self_.group = group; }
@@ -56,7 +56,7 @@
     Member member;
     Instant advanced = 0, learned = 0;
   };
-  Muster whole(Instant now) const;
+  MembershipGossip whole(Instant now) const;
   /// How many beats news takes to reach everybody when all tell on what they hear.
   std::size_t rounds() const;
   /// How long a member may be unheard before it counts as silent; longer where news takes more rounds.
@@ -81,7 +81,7 @@
   std::vector<Member> members_named(ShortId name) const;
   Member self_;
   std::vector<std::string> seeds_;
-  RollcallOptions options_;
+  MembershipOptions options_;
   std::map<NodeId, Known> known_;
   std::multimap<ShortId, NodeId> short_eras_;
   std::vector<NodeId> sought_;
--- a/packages/pilot/mail_routes.cpp
+++ b/packages/pilot/mail_routes.cpp
@@ -9,7 +9,7 @@
 bool Pilot::is_out_of_reach(NodeId pilot, Instant now) const {
   const auto found = unanswered_.find(pilot);
   if (found == unanswered_.end() || now - found->second.since <= options_.unheard) return false;
-  return rollcall_.is_living(pilot, now) && is_or_was_counted(pilot);
+  return membership_.is_living(pilot, now) && is_or_was_counted(pilot);
 }
 
 bool Pilot::is_or_was_counted(NodeId pilot) const {
@@ -36,8 +36,8 @@
   }
   Outbox probes;
   for (Posted &posted : out.mail) {
-    const bool may_go =
-        !std::holds_alternative<PassOn>(posted.signal) && !std::holds_alternative<Muster>(posted.signal);
+    const bool may_go = !std::holds_alternative<PassOn>(posted.signal) &&
+                        !std::holds_alternative<MembershipGossip>(posted.signal);
     if (posted.to == 0 || posted.to == self_.id || !may_go) continue;
     Unanswered &unanswered = unanswered_.try_emplace(posted.to, Unanswered{now, now}).first->second;
     if (reached.empty() || !is_out_of_reach(posted.to, now)) continue;
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -14,7 +14,7 @@
 } // namespace
 
 Pilot::Pilot(Member self, std::vector<std::string> seeds, PilotOptions options, Instant now)
-    : self_(self), options_(options), rollcall_(self, std::move(seeds), options.rollcall),
+    : self_(self), options_(options), membership_(self, std::move(seeds), options.membership),
       purser_(self.id, options.purser), scheduler_(self.id, options.scheduler), born_(now) {}
 
 std::uint32_t Pilot::tenant_index(const std::string &name) {
@@ -49,12 +49,12 @@
   values["settled_epoch"] = settled_;
   values["is_fresh"] = is_fresh(now) ? 1 : 0;
   values["leader_unheard_ms"] = static_cast<std::uint64_t>((now - heard_leader_at_) / milliseconds(1));
-  values["beats_passed_over"] = rollcall_.beats_passed_over();
+  values["beats_passed_over"] = membership_.beats_passed_over();
   values["purses"] = rack_.size();
   values["soundings"] = soundings_.size();
   values["outlays"] = 0;
   for (const auto &[index, till] : tills_) values["outlays"] += till.outlays.size();
-  values["members_living"] = rollcall_.living(now).size();
+  values["members_living"] = membership_.living(now).size();
   values["permits_granted"] = purser_.granted();
   values["permits_denied"] = purser_.denied();
   values["tokens_granted"] = purser_.tokens_granted();
@@ -68,11 +68,11 @@
 void Pilot::set_leaving() {
   is_leaving_ = true;
   pulse_at_ = 0;
-  rollcall_.set_leaving();
+  membership_.set_leaving();
 }
 
 bool Pilot::is_quiet(Instant now) const {
-  const auto living = rollcall_.living(now);
+  const auto living = membership_.living(now);
   const bool has_successor = std::any_of(living.begin(), living.end(), [](const Member &member) {
     return member.role == static_cast<std::uint8_t>(Role::pilot) && !member.is_leaving;
   });
@@ -92,7 +92,7 @@
     if (passed->to != self_.id) {
       // A process that ended may still be known at the address that is ours now: its mail would come back for
       // ever.
-      if (is_out_of_reach(passed->to, now) || rollcall_.address_of(passed->to) == self_.address) return;
+      if (is_out_of_reach(passed->to, now) || membership_.address_of(passed->to) == self_.address) return;
       out.mail.push_back({passed->to, {}, *passed});
     } else if (unframe(passed->frame, inner, used) == FrameState::whole) {
       dispatch(inner, now, out);
@@ -105,8 +105,8 @@
 
 void Pilot::dispatch(const Envelope &envelope, Instant now, PilotOutput &out) {
   const Signal &signal = envelope.signal;
-  if (std::holds_alternative<Muster>(signal)) {
-    rollcall_.step(envelope, now, out.mail);
+  if (std::holds_alternative<MembershipGossip>(signal)) {
+    membership_.step(envelope, now, out.mail);
   } else if (const auto *orders = std::get_if<Orders>(&signal)) {
     handle(envelope.from, *orders, now, out);
   } else if (const auto *other = std::get_if<NotLeader>(&signal)) {
@@ -377,13 +377,13 @@
 void Pilot::tick(Instant now, PilotOutput &out) {
   std::erase_if(heard_, [now](const auto &item) { return now - item.second > seconds(60); });
   std::erase_if(unanswered_, [&](const auto &item) {
-    return now - item.second.since > seconds(60) || !rollcall_.is_living(item.first, now);
+    return now - item.second.since > seconds(60) || !membership_.is_living(item.first, now);
   });
-  rollcall_.tick(now, out.mail);
+  membership_.tick(now, out.mail);
   if (staged_ && now - switched_at_ >= options_.switch_gap) switch_staged(now, out);
-  for (const Member &member : rollcall_.living(now))
+  for (const Member &member : membership_.living(now))
     if (member.group != 0 && member.role == static_cast<std::uint8_t>(Role::control))
-      rollcall_.set_group(member.group);
+      membership_.set_group(member.group);
   const bool has_news = scheduler_.wants_mark() != told_wants_ || has_missed_manifest_;
   const bool may_tell_news = now - pulsed_at_ >= options_.pulse_least;
   if (now >= pulse_at_ || (has_news && may_tell_news)) send_pulse(now, out);
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -10,10 +10,10 @@
 #include <unordered_map>
 #include <vector>
 
+#include "membership/membership.hpp"
 #include "pilot/waybill.hpp"
 #include "purse/purse.hpp"
 #include "purser/purser.hpp"
-#include "rollcall/rollcall.hpp"
 #include "scheduler/scheduler.hpp"
 #include "scheduler/service_prices.hpp"
 #include "soundings/soundings.hpp"
@@ -128,7 +128,7 @@
   bool must_trace_calls = false;
   SchedulerOptions scheduler;
   PurserOptions purser;
-  RollcallOptions rollcall;
+  MembershipOptions membership;
 };
 
 /// The manifest a pilot has in force, shared with the threads at the door.
@@ -171,7 +171,7 @@
   const Roster &roster() const { return roster_; }
   /// The node that this one asks for slots of a service; 0 where there is none.
   NodeId owner_of_service(const std::string &service);
-  Rollcall &rollcall() { return rollcall_; }
+  Membership &membership() { return membership_; }
   Purser &purser() { return purser_; }
   Scheduler &scheduler() { return scheduler_; }
   /// The dense index of a tenant's name in this process.
@@ -328,7 +328,7 @@
 
   Member self_;
   PilotOptions options_;
-  Rollcall rollcall_;
+  Membership membership_;
   Purser purser_;
   Scheduler scheduler_;
   std::map<NodeId, Instant> heard_;
--- a/packages/pilot/reporting.cpp
+++ b/packages/pilot/reporting.cpp
@@ -60,7 +60,7 @@
 
 void Pilot::search_leader(const Pulse &pulse, bool is_regular, Instant now, PilotOutput &out) {
   std::set<std::string> asked;
-  for (const Member &member : rollcall_.living(now)) {
+  for (const Member &member : membership_.living(now)) {
     if (member.role != static_cast<std::uint8_t>(Role::control)) continue;
     out.mail.push_back({member.id, {}, pulse});
     asked.insert(member.address);
@@ -68,9 +68,9 @@
   tell_of_search(asked.size(), now, out);
   if (!is_regular) return;
   // Membership may be wrong about the one process that matters.
-  const std::string named = rollcall_.address_of(leader_);
+  const std::string named = membership_.address_of(leader_);
   if (!named.empty() && asked.insert(named).second) out.mail.push_back({leader_, {}, pulse});
-  for (const std::string &seed : rollcall_.seeds())
+  for (const std::string &seed : membership_.seeds())
     if (seed != self_.address && asked.insert(seed).second) out.mail.push_back({0, seed, pulse});
 }
 
@@ -93,7 +93,7 @@
   std::string line = "hears no leader, reports to " + std::to_string(asked) + " control processes";
   if (leader_ != 0)
     line += ", the last one named is " + std::to_string(leader_) +
-            (rollcall_.is_living(leader_, now) ? " and lives" : " and is not known to live");
+            (membership_.is_living(leader_, now) ? " and lives" : " and is not known to live");
   out.lines.push_back(line);
 }
 
--- a/packages/pilot/slot_client.cpp
+++ b/packages/pilot/slot_client.cpp
@@ -145,7 +145,7 @@
 
 void Pilot::forget_newer_owners(Instant now) {
   std::erase_if(newer_owners_, [&](const auto &item) {
-    return item.second.epoch <= roster_.epoch || !rollcall_.is_living(item.second.node, now);
+    return item.second.epoch <= roster_.epoch || !membership_.is_living(item.second.node, now);
   });
 }
 
--- a/packages/signals/membership_messages.hpp
+++ b/packages/signals/membership_messages.hpp
@@ -50,7 +50,7 @@
 };
 /// Membership gossip: the sender, what is new to it, the beats of all others it knows to live, and whom it
 /// knows only by a beat, or by identity alone, and asks about.
-struct Muster {
+struct MembershipGossip {
   std::vector<Member> members;
   std::vector<Beat> beats;
   std::vector<ShortId> asks;
--- a/packages/signals/signals.cpp
+++ b/packages/signals/signals.cpp
@@ -72,7 +72,7 @@
 }
 
 std::string_view signal_name_at(std::size_t kind) {
-  static constexpr std::array<std::string_view, std::variant_size_v<Signal>> names{"Muster",
+  static constexpr std::array<std::string_view, std::variant_size_v<Signal>> names{"MembershipGossip",
                                                                                    "FoundAsk",
                                                                                    "FoundSay",
                                                                                    "FoundOrder",
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -23,11 +23,12 @@
 };
 
 /// Everything our processes say to each other.
-using Signal = std::variant<Muster, FoundAsk, FoundSay, FoundOrder, RequestVoteRequest, RequestVoteResponse,
-                            AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, Pulse,
-                            Orders, NotLeader, ClaimAsk, ClaimSay, CloseAsk, CloseSay, PermitAsk, PermitSay,
-                            LedgerCopy, LedgerAck, SlotAsk, SlotSay, SlotFree, SlotFreed, InventoryAsk,
-                            InventorySay, InstallSnapshotResponse, PassOn, TimeoutNowRequest>;
+using Signal =
+    std::variant<MembershipGossip, FoundAsk, FoundSay, FoundOrder, RequestVoteRequest, RequestVoteResponse,
+                 AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, Pulse, Orders,
+                 NotLeader, ClaimAsk, ClaimSay, CloseAsk, CloseSay, PermitAsk, PermitSay, LedgerCopy,
+                 LedgerAck, SlotAsk, SlotSay, SlotFree, SlotFreed, InventoryAsk, InventorySay,
+                 InstallSnapshotResponse, PassOn, TimeoutNowRequest>;
 
 /// The name of the signal at a place in the list, for counters.
 std::string_view signal_name_at(std::size_t kind);
--- a/programs/harbourd/main.cpp
+++ b/programs/harbourd/main.cpp
@@ -125,7 +125,7 @@
     control_options.is_replica = options_.replica != 0;
     std::random_device source;
     Member self = self_;
-    if (control_) self.beat = control_->rollcall().self().beat + 1;
+    if (control_) self.beat = control_->membership().self().beat + 1;
     control_ = std::make_unique<ControlNode>(self, options_.seed_list(), control_options,
                                              (static_cast<std::uint64_t>(source()) << 32) | source(),
                                              recovered, tide_.now());
@@ -185,7 +185,7 @@
     for (WriteBatch &save : out.batches) disk_->give(std::move(save));
     for (Posted &posted : out.mail) {
       const std::string address =
-          posted.to == 0 ? posted.address : control_->rollcall().address_of(posted.to);
+          posted.to == 0 ? posted.address : control_->membership().address_of(posted.to);
       if (!address.empty()) hawser_.send(address, frame({self_.id, self_.address, std::move(posted.signal)}));
     }
     for (PlatformOrder &order : out.orders) order_ring_.offer(std::move(order));
--- a/programs/hollow/main.cpp
+++ b/programs/hollow/main.cpp
@@ -50,13 +50,13 @@
 }
 
 /// One member of a group of `size`, for ten seconds of beats: what it sends, by second.
-Cost run_rollcall(std::size_t size) {
+Cost run_membership(std::size_t size) {
   const double before = heap_now();
-  Rollcall rollcall(member(1, Role::pilot), {}, RollcallOptions{});
+  Membership membership(member(1, Role::pilot), {}, MembershipOptions{});
   Outbox replies;
-  Muster all;
+  MembershipGossip all;
   for (std::size_t id = 2; id <= size; ++id) all.members.push_back(member(id, Role::pilot));
-  rollcall.step({2, "x", all}, 0, replies);
+  membership.step({2, "x", all}, 0, replies);
   Cost cost;
   cost.state = heap_now() - before - static_cast<double>(all.members.capacity() * sizeof(Member));
   constexpr int seconds_run = 10;
@@ -64,12 +64,12 @@
   double framing = 0;
   for (int beat = 1; beat <= seconds_run * 4; ++beat) {
     const Instant now = seconds(5) + beat * milliseconds(250);
-    Muster beats;
+    MembershipGossip beats;
     for (std::size_t id = 2; id <= size; ++id)
       beats.beats.push_back({short_id_of(id), static_cast<std::uint16_t>(beat + 1)});
-    for (int times = 0; times < 4; ++times) rollcall.step({2, "x", beats}, now, replies);
+    for (int times = 0; times < 4; ++times) membership.step({2, "x", beats}, now, replies);
     Outbox mail;
-    rollcall.tick(now, mail);
+    membership.tick(now, mail);
     count_mail(mail, cost);
     framing = cpu_now_us() - started;
   }
@@ -366,7 +366,7 @@
   if (const auto *end = std::get_if<EndNow>(&read)) return end->say();
   if (runs < 1 || scale < 1) return EndNow{2, "hollow: --runs and --scale are at least 1\n"}.say();
   const std::vector<Measuring> trials = {
-      {"rollcall", "members", run_rollcall, {256, 512, 1024, 2048, 4096, 8192}},
+      {"membership", "members", run_membership, {256, 512, 1024, 2048, 4096, 8192}},
       {"leader", "pilots", run_leader, {64, 128, 256, 512, 1024}},
       {"listing", "runners", run_listing, {1'500, 3'000, 6'000, 12'000, 24'000}},
       {"registry", "runners", run_registry, {10'000, 20'000, 40'000, 80'000, 160'000}},
--- a/programs/pilotd/main.cpp
+++ b/programs/pilotd/main.cpp
@@ -159,7 +159,7 @@
 
   void carry_out(PilotOutput &out) {
     for (Posted &posted : out.mail) {
-      const std::string address = posted.to == 0 ? posted.address : pilot_.rollcall().address_of(posted.to);
+      const std::string address = posted.to == 0 ? posted.address : pilot_.membership().address_of(posted.to);
       if (!address.empty()) hawser_.send(address, frame({self_.id, self_.address, std::move(posted.signal)}));
     }
     for (Carry &carry : out.carries) {
--- a/tests/control_group_rig.hpp
+++ b/tests/control_group_rig.hpp
@@ -177,7 +177,7 @@
     while (true) {
       for (Posted &posted : out.mail) {
         const std::string to =
-            posted.to == 0 ? posted.address : machine.node->rollcall().address_of(posted.to);
+            posted.to == 0 ? posted.address : machine.node->membership().address_of(posted.to);
         if (!to.empty())
           mail_.push_back({machine.address, to, {machine.id, machine.address, std::move(posted.signal)}});
       }
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -2,7 +2,7 @@
 #include <map>
 #include <memory>
 
-#include "rollcall/rollcall.hpp"
+#include "membership/membership.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -13,12 +13,12 @@
 constexpr std::uint64_t usual_first_beat = 1'000'000'000;
 
 struct Members {
-  std::map<std::string, std::unique_ptr<Rollcall>> members;
+  std::map<std::string, std::unique_ptr<Membership>> members;
   Instant now = seconds(10);
   /// The most messages one member got at one beat.
   std::size_t received_most = 0;
   const std::vector<std::string> seeds{"m0", "m1", "m2"};
-  RollcallOptions options;
+  MembershipOptions options;
 
   explicit Members(int count, std::uint64_t seed = 7, std::uint64_t first_beat = usual_first_beat) {
     options.told_each = 4;
@@ -28,13 +28,13 @@
       self.id = dice.next() | 1;
       self.address = "m" + std::to_string(at);
       self.beat = first_beat;
-      members[self.address] = std::make_unique<Rollcall>(self, seeds, options);
+      members[self.address] = std::make_unique<Membership>(self, seeds, options);
     }
   }
   /// One beat of all members; what they send arrives before the next.
   void beat() {
     std::vector<std::pair<std::string, Envelope>> mail;
-    const auto take = [&](const Rollcall &from, Outbox &&out) {
+    const auto take = [&](const Membership &from, Outbox &&out) {
       for (Posted &posted : out)
         mail.push_back({posted.to == 0 ? posted.address : from.address_of(posted.to),
                         {from.self().id, from.self().address, std::move(posted.signal)}});
@@ -64,7 +64,7 @@
     const Instant until = now + pause;
     while (now < until) beat();
     self.beat = static_cast<std::uint64_t>(static_cast<std::int64_t>(self.beat) + beats_ahead);
-    members[address] = std::make_unique<Rollcall>(self, seeds, options);
+    members[address] = std::make_unique<Membership>(self, seeds, options);
   }
   /// How many others know a member to live.
   std::size_t knowing(const std::string &address) const {
@@ -124,19 +124,19 @@
   self.id = 1;
   other.id = 2;
   other.beat = 0xfffe;
-  Rollcall rollcall(self, {}, RollcallOptions{});
+  Membership membership(self, {}, MembershipOptions{});
   Outbox out;
   Instant now = seconds(10);
-  const Muster earlier{{}, {{short_era_of(other), 0xffff}}, {}};
-  rollcall.step({2, "b", Muster{{other}, {}, {}}}, now, out);
-  rollcall.step({3, "c", earlier}, now += seconds(1), out);
-  LONGS_EQUAL(0xffff, rollcall.find(2)->beat);
+  const MembershipGossip earlier{{}, {{short_era_of(other), 0xffff}}, {}};
+  membership.step({2, "b", MembershipGossip{{other}, {}, {}}}, now, out);
+  membership.step({3, "c", earlier}, now += seconds(1), out);
+  LONGS_EQUAL(0xffff, membership.find(2)->beat);
   other.beat = 0x10003;
-  rollcall.step({2, "b", Muster{{other}, {}, {}}}, now += seconds(1), out);
-  for (const Muster &late : {earlier, Muster{{}, {{short_era_of(other), 2}}, {}}}) {
-    rollcall.step({3, "c", late}, now + seconds(5), out);
-    LONGS_EQUAL(0x10003, rollcall.find(2)->beat);
-    CHECK(!rollcall.is_living(2, now + seconds(5)));
+  membership.step({2, "b", MembershipGossip{{other}, {}, {}}}, now += seconds(1), out);
+  for (const MembershipGossip &late : {earlier, MembershipGossip{{}, {{short_era_of(other), 2}}, {}}}) {
+    membership.step({3, "c", late}, now + seconds(5), out);
+    LONGS_EQUAL(0x10003, membership.find(2)->beat);
+    CHECK(!membership.is_living(2, now + seconds(5)));
   }
 }
 
@@ -159,26 +159,27 @@
   self.address = "a";
   sought.id = 2;
   sought.address = "b";
-  Rollcall rollcall(self, {"seed"}, RollcallOptions{});
+  Membership membership(self, {"seed"}, MembershipOptions{});
   const std::vector<Replica> replicas{{1, true, "a"}, {2, true, "b"}};
-  rollcall.seek(replicas);
+  membership.seek(replicas);
   Instant now = seconds(10);
   const auto questions = [&](Span span) {
     std::size_t count = 0;
     for (const Instant until = now + span; now < until; now += milliseconds(10)) {
       Outbox out;
-      rollcall.tick(now, out);
+      membership.tick(now, out);
       for (const Posted &posted : out)
-        count += std::get<Muster>(posted.signal).asks == std::vector<ShortId>{short_id_of(2)} ? 1 : 0;
+        count +=
+            std::get<MembershipGossip>(posted.signal).asks == std::vector<ShortId>{short_id_of(2)} ? 1 : 0;
     }
     return count;
   };
   LONGS_EQUAL(3, questions(milliseconds(200)));
   CHECK(questions(seconds(20)) <= 25);
   Outbox out;
-  rollcall.step({9, "seed", Muster{{sought}, {}, {}}}, now, out);
-  STRCMP_EQUAL("b", rollcall.address_of(2).c_str());
-  rollcall.seek(replicas);
+  membership.step({9, "seed", MembershipGossip{{sought}, {}, {}}}, now, out);
+  STRCMP_EQUAL("b", membership.address_of(2).c_str());
+  membership.seek(replicas);
   LONGS_EQUAL(0, questions(seconds(5)));
 }
 
@@ -188,13 +189,13 @@
   self.address = "seed";
   asker.id = 1;
   asker.address = "a";
-  Rollcall rollcall(self, {}, RollcallOptions{});
+  Membership membership(self, {}, MembershipOptions{});
   Outbox out;
-  rollcall.step({9, "x", Muster{{asker}, {}, {}}}, seconds(10), out);
+  membership.step({9, "x", MembershipGossip{{asker}, {}, {}}}, seconds(10), out);
   out.clear();
-  rollcall.step({1, "a", Muster{{asker}, {}, {short_id_of(2)}}}, seconds(11), out);
+  membership.step({1, "a", MembershipGossip{{asker}, {}, {short_id_of(2)}}}, seconds(11), out);
   LONGS_EQUAL(1, out.size());
-  LONGS_EQUAL(2, std::get<Muster>(out.front().signal).members.back().id);
+  LONGS_EQUAL(2, std::get<MembershipGossip>(out.front().signal).members.back().id);
 }
 
 TEST(Membership, members_with_the_same_short_identity_are_told_whole) {
@@ -205,20 +206,20 @@
   first.address = "f";
   second.address = "s";
   LONGS_EQUAL(short_id_of(first.id), short_id_of(second.id));
-  Rollcall rollcall(self, {}, RollcallOptions{});
+  Membership membership(self, {}, MembershipOptions{});
   Outbox out;
   const Instant now = seconds(10);
-  rollcall.step({9, "x", Muster{{first, second}, {}, {}}}, now, out);
+  membership.step({9, "x", MembershipGossip{{first, second}, {}, {}}}, now, out);
   // Nothing says which of the two lives.
-  rollcall.step({9, "x", Muster{{}, {{5, 7}}, {}}}, now + seconds(2), out);
-  CHECK(!rollcall.is_living(first.id, now + seconds(2)));
-  CHECK(!rollcall.is_living(second.id, now + seconds(2)));
+  membership.step({9, "x", MembershipGossip{{}, {{5, 7}}, {}}}, now + seconds(2), out);
+  CHECK(!membership.is_living(first.id, now + seconds(2)));
+  CHECK(!membership.is_living(second.id, now + seconds(2)));
   first.beat = second.beat = 3;
-  rollcall.step({9, "x", Muster{{first, second}, {}, {}}}, now + seconds(3), out);
+  membership.step({9, "x", MembershipGossip{{first, second}, {}, {}}}, now + seconds(3), out);
   out.clear();
-  rollcall.tick(now + seconds(4) + milliseconds(300), out);
+  membership.tick(now + seconds(4) + milliseconds(300), out);
   CHECK(!out.empty());
-  const Muster &told = std::get<Muster>(out.front().signal);
+  const MembershipGossip &told = std::get<MembershipGossip>(out.front().signal);
   LONGS_EQUAL(0, told.beats.size());
   LONGS_EQUAL(3, told.members.size());
 }
@@ -231,7 +232,7 @@
   Member fresh = members.members.at("m3")->self();
   fresh.id = 12345;
   members.members["m3"] =
-      std::make_unique<Rollcall>(fresh, std::vector<std::string>{"m0", "m1", "m2"}, RollcallOptions{});
+      std::make_unique<Membership>(fresh, std::vector<std::string>{"m0", "m1", "m2"}, MembershipOptions{});
   members.beat();
   CHECK(!members.members.at("m1")->is_replaced(old_identity));
   for (int beat = 0; beat < 8; ++beat) members.beat();
--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -233,14 +233,14 @@
   every_order(4, [](const std::vector<std::size_t> &order) {
     PilotRig rig;
     PilotOutput out;
-    Muster muster;
+    MembershipGossip gossip;
     Member other;
     other.id = rig_other;
     other.address = "q";
     other.role = static_cast<std::uint8_t>(Role::pilot);
     other.beat = 5;
-    muster.members = {other};
-    rig.pilot.receive({rig_other, "q", muster}, rig.now, out);
+    gossip.members = {other};
+    rig.pilot.receive({rig_other, "q", gossip}, rig.now, out);
     rig.pilot.arrive(rig.bill("e"), rig.now, out);
     rig.pilot.receive({rig_other, "q", rig.grant("e", "r1", 0)}, rig.now, out);
     LONGS_EQUAL(1, out.carries.size());
@@ -286,12 +286,12 @@
     out = {};
   }
   void hear_third(bool tells_of_owner) {
-    Muster muster;
-    muster.members.push_back(member(third, "r"));
-    if (tells_of_owner) muster.members.push_back(member(rig_other, "q"));
+    MembershipGossip gossip;
+    gossip.members.push_back(member(third, "r"));
+    if (tells_of_owner) gossip.members.push_back(member(rig_other, "q"));
     ++beat;
     PilotOutput unread;
-    rig.pilot.receive({third, "r", muster}, rig.now, unread);
+    rig.pilot.receive({third, "r", gossip}, rig.now, unread);
   }
   Member member(NodeId id, const std::string &address) const {
     Member made;
@@ -344,8 +344,8 @@
   pilots.hear_third(true);
   LONGS_EQUAL(3, pilots.way_of_ask("e4"));
   PilotOutput out;
-  Muster muster;
-  muster.members.push_back(pilots.member(rig_other, "q"));
-  pilots.rig.pilot.receive({rig_other, "q", muster}, pilots.rig.now, out);
+  MembershipGossip gossip;
+  gossip.members.push_back(pilots.member(rig_other, "q"));
+  pilots.rig.pilot.receive({rig_other, "q", gossip}, pilots.rig.now, out);
   LONGS_EQUAL(1, pilots.way_of_ask("e5"));
 }
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -254,10 +254,11 @@
     return member;
   };
   constexpr NodeId follower = 50, named = 60;
-  rig.pilot.receive({follower, "f", Muster{{control(follower, "f", 1), control(named, "n", 1)}, {}, {}}},
-                    rig.now, out);
+  rig.pilot.receive(
+      {follower, "f", MembershipGossip{{control(follower, "f", 1), control(named, "n", 1)}, {}, {}}}, rig.now,
+      out);
   rig.now += seconds(10);
-  rig.pilot.receive({follower, "f", Muster{{control(follower, "f", 2)}, {}, {}}}, rig.now, out);
+  rig.pilot.receive({follower, "f", MembershipGossip{{control(follower, "f", 2)}, {}, {}}}, rig.now, out);
   rig.pilot.receive({follower, "f", NotLeader{named}}, rig.now, out);
   out = {};
   rig.pilot.tick(rig.now, out);
@@ -571,7 +572,7 @@
   Member other = ended;
   other.id = 78;
   other.address = "elsewhere";
-  rig.pilot.receive({rig_other, "q", Muster{{ended, other}, {}, {}}}, rig.now, out);
+  rig.pilot.receive({rig_other, "q", MembershipGossip{{ended, other}, {}, {}}}, rig.now, out);
   const auto passed_on = [&](NodeId to) {
     out = {};
     rig.pilot.receive({rig_other, "q", PassOn{to, "frame"}}, rig.now, out);
@@ -714,21 +715,21 @@
   self.address = "a";
   other.id = 2;
   other.address = "b";
-  Rollcall rollcall(self, {}, RollcallOptions{});
+  Membership membership(self, {}, MembershipOptions{});
   Outbox out;
-  rollcall.step({2, "b", Muster{{other}, {{3, 7}}, {}}}, start, out);
-  CHECK(rollcall.is_living(2, start));
-  CHECK(!rollcall.is_living(3, start));
+  membership.step({2, "b", MembershipGossip{{other}, {{3, 7}}, {}}}, start, out);
+  CHECK(membership.is_living(2, start));
+  CHECK(!membership.is_living(3, start));
   const auto asks = std::any_of(out.begin(), out.end(), [](const Posted &posted) {
-    const auto *muster = std::get_if<Muster>(&posted.signal);
-    return muster != nullptr && muster->asks == std::vector<ShortId>{3};
+    const auto *gossip = std::get_if<MembershipGossip>(&posted.signal);
+    return gossip != nullptr && gossip->asks == std::vector<ShortId>{3};
   });
   CHECK(asks);
   out.clear();
-  rollcall.step({4, "d", Muster{{}, {}, {2}}}, start, out);
-  CHECK(!out.empty() && std::get<Muster>(out.back().signal).members.front().id == 2);
-  rollcall.step({2, "b", Muster{{}, {{2, 9}}, {}}}, start + seconds(1), out);
-  CHECK(rollcall.is_living(2, start + seconds(2)));
+  membership.step({4, "d", MembershipGossip{{}, {}, {2}}}, start, out);
+  CHECK(!out.empty() && std::get<MembershipGossip>(out.back().signal).members.front().id == 2);
+  membership.step({2, "b", MembershipGossip{{}, {{2, 9}}, {}}}, start + seconds(1), out);
+  CHECK(membership.is_living(2, start + seconds(2)));
 }
 
 TEST(Recovery, a_replica_takes_single_charges_on_top_of_a_whole_ledger_and_names_just_these) {
--- a/tests/worst_days_test.cpp
+++ b/tests/worst_days_test.cpp
@@ -218,7 +218,7 @@
     Outbox sent = std::move(out.mail);
     out = {};
     for (Posted &posted : sent) {
-      const std::string to = posted.to == 0 ? posted.address : node.rollcall().address_of(posted.to);
+      const std::string to = posted.to == 0 ? posted.address : node.membership().address_of(posted.to);
       const auto machine = rig.machines.find(to);
       if (machine != rig.machines.end())
         rig.send_to(machine->second, {self.id, self.address, std::move(posted.signal)});
