Put a manifest in force only under its own number, and never take an older text

Found by reading the change again: since a manifest is taken without its node set, its text could replace that of a change that still waited for its moment, which was then put in force under its number with the later text; and an older text, late on its way, could take the place of a newer one that was not in force yet. Change: text and version are kept in one place, which drops orders that were put off with the text before; an older text is not taken. Test: a_manifest_is_in_force_only_under_its_own_number_whatever_comes_meanwhile, failed before (version 2 in force with the key of version 3).

--- a/packages/pilot/configuration_in_force.cpp
+++ b/packages/pilot/configuration_in_force.cpp
@@ -74,12 +74,12 @@
 }
 
 bool Pilot::take_manifest_text(const Orders &orders) {
+  if (orders.version == manifest_text_version_) return true;
+  if (orders.version < manifest_text_version_) return false;
   if (!is_delta(orders.manifest)) {
-    manifest_text_ = orders.manifest;
-    manifest_text_version_ = orders.version;
+    keep_manifest_text(orders.manifest, orders.version);
     return true;
   }
-  if (orders.version == manifest_text_version_) return true;
   if (orders.manifest_base != 0 && orders.manifest_base != manifest_text_version_) {
     count("manifest_base_missing");
     has_missed_manifest_ = true;
@@ -90,11 +90,17 @@
     count("manifest_unreadable");
     return false;
   }
-  manifest_text_ = std::move(*text);
-  manifest_text_version_ = orders.version;
+  keep_manifest_text(std::move(*text), orders.version);
   return true;
 }
 
+void Pilot::keep_manifest_text(std::string text, Version version) {
+  manifest_text_ = std::move(text);
+  manifest_text_version_ = version;
+  // Orders that were put off are of the text before.
+  staged_.reset();
+}
+
 void Pilot::switch_staged(Instant now, PilotOutput &out) {
   const auto [from, orders] = std::move(*staged_);
   staged_.reset();
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -264,6 +264,7 @@
   void follow_orders(NodeId from, const Orders &orders, bool is_switched, Instant now, PilotOutput &out);
   /// Puts the manifest's text together from the orders' delta; false when this node lacks the base.
   bool take_manifest_text(const Orders &orders);
+  void keep_manifest_text(std::string text, Version version);
   /// Switches to the newest manifest that was put off.
   void switch_staged(Instant now, PilotOutput &out);
   void switch_manifest(Version version, Instant now, PilotOutput &out);
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -298,6 +298,31 @@
   }
 }
 
+// Guards against: a change that waits for its moment is put in force under its number with the text of a
+// later one, or an older text, late on its way, takes the place of a newer one.
+TEST(Recovery, a_manifest_is_in_force_only_under_its_own_number_whatever_comes_meanwhile) {
+  for (const bool is_older_last : {false, true}) {
+    PilotOptions options;
+    options.switch_gap = milliseconds(300);
+    PilotRig rig(options);
+    PilotOutput out;
+    const auto key_in_force = [&] { return rig.pilot.in_force().charter->tenants.front().keys.front(); };
+    const std::string first_key = key_in_force();
+    Orders waiting = rig.orders(2, "second-key-0000000");
+    rig.pilot.receive({rig_leader, "h", waiting}, rig.now, out);
+    Orders next = rig.orders(3, "third-key-00000000");
+    next.has_roster = is_older_last;
+    next.roster.epoch = is_older_last ? 1 : 2;
+    rig.pilot.receive({rig_leader, "h", next}, rig.now, out);
+    if (is_older_last) rig.pilot.receive({rig_leader, "h", waiting}, rig.now, out);
+    rig.now += milliseconds(400);
+    rig.pilot.tick(rig.now, out);
+    const Version version = rig.pilot.in_force().version;
+    LONGS_EQUAL(is_older_last ? 3 : 1, version);
+    CHECK((key_in_force() == first_key) == (version == 1));
+  }
+}
+
 TEST(Recovery, changed_runners_are_taken_only_on_top_of_what_they_changed) {
   PilotRig rig;
   PilotOutput out;
--- a/tests/rig.hpp
+++ b/tests/rig.hpp
@@ -16,7 +16,7 @@
   Pilot pilot;
   std::string service, tenant;
 
-  PilotRig() : pilot(make_self(), {"seed"}, PilotOptions{}, seconds(10)) {
+  explicit PilotRig(const PilotOptions &options = {}) : pilot(make_self(), {"seed"}, options, seconds(10)) {
     for (int at = 0; service.empty(); ++at) {
       const std::string name = "s" + std::to_string(at);
       if (rank_nodes({rig_self, rig_other}, name, scheduler_salt)[0] == rig_other) service = name;
