Make a delta after a missed one from the manifest that the node names

Found by reading the change again: the leader kept the highest version that a node had ever reported as received, so a node that names an older one as it misses a delta would have got deltas from a base that it lacks for good. Change: with a missed delta the version in the report counts as it is. Test: a_delta_after_a_missed_one_is_made_from_the_manifest_that_the_node_names, failed before (base 3, 2 wanted).

--- a/packages/control/node_leases.cpp
+++ b/packages/control/node_leases.cpp
@@ -104,7 +104,10 @@
   session.last_sent_at = std::max(session.last_sent_at, pulse.sent_at);
   session.version = std::max(session.version, pulse.version);
   session.received = std::max({session.received, pulse.received, pulse.version});
-  if (pulse.has_missed_manifest) session.offered_until = 0;
+  if (pulse.has_missed_manifest) {
+    session.received = pulse.received;
+    session.offered_until = 0;
+  }
   session.epoch = std::max(session.epoch, pulse.epoch);
   session.stamp = pulse.runners_term == raft_.term() ? pulse.runners_stamp : 0;
   session.is_leaving = pulse.is_leaving;
--- a/tests/worst_days_test.cpp
+++ b/tests/worst_days_test.cpp
@@ -239,6 +239,25 @@
   CHECK(node.in_force().version + 3 >= static_cast<Version>(number));
 }
 
+// Guards against: a leader that takes a node for further than it says goes on sending deltas that it cannot
+// read.
+TEST(WorstDays, a_delta_after_a_missed_one_is_made_from_the_manifest_that_the_node_names) {
+  ControlGroupRig rig(3);
+  Pulse pulse;
+  for (int number = 1; number <= 4; ++number)
+    LONGS_EQUAL(200, rig.put(number, number - 1, "mark-" + std::to_string(number)));
+  pulse.version = 1;
+  pulse.received = 3;
+  rig.send_to_leader({900, "edge", pulse});
+  pulse.received = 2;
+  pulse.has_missed_manifest = true;
+  Version base = 0;
+  for (const Posted &posted : rig.send_to_leader({900, "edge", pulse}))
+    if (const auto *orders = std::get_if<Orders>(&posted.signal); orders != nullptr && posted.to == 900)
+      base = orders->manifest_base;
+  LONGS_EQUAL(2, base);
+}
+
 TEST(WorstDays, of_two_orders_under_one_number_one_is_confirmed_and_repeats_of_it_are_too) {
   ControlGroupRig rig(3);
   LONGS_EQUAL(200, rig.put(1, 0, "first"));
