Let owners of tenants go on by their witnesses' word while no leader is heard

What callers saw: while the core had no majority, most requests of tenants with a quota were refused for want of a token, and for some seconds after its return as well.

Cause: an owner of tenants granted only under the leader's lease (2 s). Without a leader all owners stopped, nodes had their small fallback left, and after the leader's return some ledgers began unknown, which is strict.

Change: each node set has witnesses, up to nine of its owners, found alike by all. An owner whose lease runs out asks them; a witness vouches where it hears no leader and knows of no newer node set, for one second. A majority lets the owner go on, for 20 s after its lease at most. Nodes report for how long their word still holds; a leader says that a node set is settled only once of each earlier one fewer than a majority of witnesses can vouch, or all its owners know the newest, have ended, or are beyond the longest extension. Where all nodes keep their leader this waits for nothing.

--- a/packages/control/control_node.cpp
+++ b/packages/control/control_node.cpp
@@ -71,6 +71,7 @@
   platform_at_ = 0;
   is_roster_proposed_ = is_runners_proposed_ = is_secret_proposed_ = false;
   roster_differs_since_ = 0;
+  taken_over_epoch_ = 0;
   if (is_leader) {
     floor_ = now + options_.fresh + options_.drift;
     duty_floor_ = now + std::max(options_.fresh, options_.duty) + options_.drift;
--- a/packages/control/control_node.hpp
+++ b/packages/control/control_node.hpp
@@ -13,6 +13,7 @@
 #include "raft/raft.hpp"
 #include "seatrial/seatrial.hpp"
 #include "trace/trace.hpp"
+#include "witness/witness_set.hpp"
 
 namespace wharf {
 
@@ -136,8 +137,9 @@
   /// True where a new leader waits until it may settle a roster before it changes it; else successors are
   /// named at once, and those that must wait for a settled roster do so themselves.
   bool must_wait_roster = true;
+  WitnessOptions witness;
   /// False only to show that a checker can fail.
-  bool must_try = true;
+  bool must_try = true, must_wait_for_witnesses = true;
   /// False for first come, first served and the first worker that fits: the plain way, to measure against.
   bool by_worth = true, must_spread = true;
   /// Least time between two moves of runners, over all services.
@@ -198,6 +200,10 @@
     Epoch offered_epoch = 0;
     Instant roster_offered_until = 0;
     bool is_leaving = false;
+    /// A replica of the group runs on its machine.
+    bool is_beside_control = false;
+    /// Until when owners may rely on what it granted as a witness.
+    Instant witness_granted_until = 0;
     std::string address;
     NodeCapacity capacity;
     /// Since when its reports have said that its lease ran out; 0 when the last one did not.
@@ -269,6 +275,22 @@
   /// the group's own clock. With every permit goes the newest roster, so older ones have ended with their
   /// permits.
   std::vector<const std::vector<NodeId> *> rosters_at_risk() const;
+  /// Node sets that the newest one took the place of, by the group's own clock, within a span; newest first.
+  std::vector<const PastRoster *> rosters_replaced_within(Span span) const;
+  /// When the last of some nodes ended; nothing where one may live.
+  std::optional<Instant> all_ended_at(const std::vector<NodeId> &nodes) const;
+  /// When the last owner of an older node set can have acted, as its witnesses have ended; nothing where it
+  /// may act on their word still.
+  std::optional<Instant> extensions_ended_at(const PastRoster &past) const;
+  /// How long after its last lease an owner may still act, on its witnesses' word included.
+  Span longest_ownership() const;
+  /// True where owners of an earlier node set may still act on their witnesses' word.
+  bool may_former_owners_act(Instant now) const;
+  bool may_owners_act(const PastRoster &past, Instant now) const;
+  /// The owner has ended, knows the newest node set, or has been without a lease for too long.
+  bool is_owner_over(NodeId owner, Instant now) const;
+  /// The witness can't vouch for any node set but the newest.
+  bool is_witness_over(NodeId witness, Instant now) const;
   /// True when no pilot of any roster could act on a permit that this leader does not know of.
   bool is_all_known() const;
   std::string address_of_pilot(NodeId pilot) const;
@@ -400,6 +422,8 @@
   bool was_leader_ = false;
   /// Until when permits, and duties, of leaders before may run.
   Instant floor_ = 0, duty_floor_ = 0;
+  /// The newest node set of which it was found that no owner of an earlier one acts any more.
+  Epoch taken_over_epoch_ = 0;
   /// When this process began to leave; 0 while it stays.
   Instant leaving_since_ = 0;
   std::map<NodeId, NodeSession> sessions_;
--- a/packages/control/node_leases.cpp
+++ b/packages/control/node_leases.cpp
@@ -23,32 +23,97 @@
 }
 
 std::vector<const std::vector<NodeId> *> ControlNode::rosters_at_risk() const {
+  const Span span = std::max(options_.fresh, options_.duty) + options_.drift + options_.clock_every;
+  std::vector<const std::vector<NodeId> *> list{&registry_.roster().pilots};
+  for (const PastRoster *past : rosters_replaced_within(span)) list.push_back(&past->pilots);
+  return list;
+}
+
+std::vector<const PastRoster *> ControlNode::rosters_replaced_within(Span span) const {
   const Roster &roster = registry_.roster();
-  const std::int64_t span_ms =
-      (std::max(options_.fresh, options_.duty) + options_.drift + options_.clock_every) / 1'000'000;
-  std::vector<const std::vector<NodeId> *> list{&roster.pilots};
+  std::vector<const PastRoster *> list;
   std::int64_t replaced_ms = roster.taken_ms;
   for (auto past = roster.past.rbegin(); past != roster.past.rend(); ++past) {
-    if (registry_.clock_ms() - replaced_ms > span_ms) break;
-    list.push_back(&past->pilots);
+    if (milliseconds(registry_.clock_ms() - replaced_ms) > span) break;
+    list.push_back(&*past);
     replaced_ms = past->taken_ms;
   }
   return list;
 }
 
-Span ControlNode::quiet_for(Instant now) const {
+Span ControlNode::longest_ownership() const {
+  return std::max(options_.fresh, options_.duty) + options_.drift + options_.witness.extension_most;
+}
+
+bool ControlNode::is_owner_over(NodeId owner, Instant now) const {
+  if (ended_.contains(owner)) return true;
+  const auto found = sessions_.find(owner);
+  if (found == sessions_.end()) return now >= raft_.led_since() + longest_ownership();
+  const NodeSession &session = found->second;
+  const Instant lease_until = std::max(session.duty_until, raft_.led_since());
+  return session.epoch >= registry_.roster().epoch || now >= lease_until + longest_ownership();
+}
+
+bool ControlNode::is_witness_over(NodeId witness, Instant now) const {
+  if (ended_.contains(witness)) return true;
+  const auto found = sessions_.find(witness);
+  if (found == sessions_.end()) return false;
+  return found->second.epoch >= registry_.roster().epoch && now >= found->second.witness_granted_until;
+}
+
+bool ControlNode::may_owners_act(const PastRoster &past, Instant now) const {
+  const std::vector<NodeId> &owners = past.owners();
+  const std::vector<NodeId> witnesses = witnesses_of(owners);
+  const auto may_vouch = std::count_if(witnesses.begin(), witnesses.end(),
+                                       [&](NodeId witness) { return !is_witness_over(witness, now); });
+  if (witnesses.empty() || static_cast<std::size_t>(may_vouch) < witness_majority(witnesses.size()))
+    return false;
+  return !std::all_of(owners.begin(), owners.end(), [&](NodeId owner) { return is_owner_over(owner, now); });
+}
+
+bool ControlNode::may_former_owners_act(Instant now) const {
+  if (!options_.must_wait_for_witnesses || taken_over_epoch_ == registry_.roster().epoch) return false;
+  for (const PastRoster *past : rosters_replaced_within(longest_ownership() + options_.clock_every))
+    if (may_owners_act(*past, now)) return true;
+  return false;
+}
+
+std::optional<Instant> ControlNode::all_ended_at(const std::vector<NodeId> &nodes) const {
+  Instant last = 0;
+  for (NodeId node : nodes) {
+    const auto found = ended_.find(node);
+    if (found == ended_.end()) return std::nullopt;
+    last = std::max(last, found->second);
+  }
+  return last;
+}
+
+std::optional<Instant> ControlNode::extensions_ended_at(const PastRoster &past) const {
   Instant last = 0;
+  std::size_t may_vouch = 0;
+  const std::vector<NodeId> witnesses = witnesses_of(past.owners());
+  for (NodeId witness : witnesses) {
+    const auto found = ended_.find(witness);
+    if (found == ended_.end())
+      ++may_vouch;
+    else
+      last = std::max(last, found->second);
+  }
+  if (may_vouch >= witness_majority(witnesses.size())) return all_ended_at(past.pilots);
+  return last + options_.witness.grant;
+}
+
+Span ControlNode::quiet_for(Instant now) const {
   const Roster &roster = registry_.roster();
   if (roster.past.empty()) return 0;
-  auto earlier = rosters_at_risk();
-  earlier.front() = &roster.past.back().pilots;
-  for (const std::vector<NodeId> *pilots : earlier)
-    for (NodeId pilot : *pilots) {
-      const auto found = ended_.find(pilot);
-      if (found == ended_.end()) return 0;
-      last = std::max(last, found->second);
-    }
-  return last == 0 ? 0 : std::max<Span>(0, now - last);
+  std::optional<Instant> last = all_ended_at(roster.past.back().pilots);
+  const std::size_t leased = rosters_at_risk().size() - 1;
+  const auto older = rosters_replaced_within(longest_ownership() + options_.clock_every);
+  for (std::size_t at = 0; last && at < older.size(); ++at) {
+    const auto ended = at < leased ? all_ended_at(older[at]->pilots) : extensions_ended_at(*older[at]);
+    last = ended ? std::optional(std::max(*last, *ended)) : std::nullopt;
+  }
+  return !last || *last == 0 ? 0 : std::max<Span>(0, now - *last);
 }
 
 bool ControlNode::is_in_doubt(Instant now) const {
@@ -112,6 +177,8 @@
   session.stamp = pulse.runners_term == raft_.term() ? pulse.runners_stamp : 0;
   session.is_leaving = pulse.is_leaving;
   session.capacity = pulse.capacity;
+  session.is_beside_control = pulse.is_beside_control;
+  session.witness_granted_until = now + pulse.witness_granted_for;
   note_lateness(session, pulse, now);
   std::map<std::string, Want> wants;
   if (!pulse.has_all_wants) wants = std::move(session.wants);
@@ -123,6 +190,8 @@
     wants[want.service] = want;
   }
   session.wants = std::move(wants);
+  // Once it is so it stays so: only the newest node set can be vouched for then.
+  if (!may_former_owners_act(now)) taken_over_epoch_ = registry_.roster().epoch;
   Orders orders = orders_for(from, session, now);
   // A late node is to know that it owns nothing before it gets a lease again, or its successors would wait
   // for it.
@@ -161,7 +230,7 @@
 }
 
 Epoch ControlNode::settled_epoch(Instant now) const {
-  if (!is_leading() || (now < duty_floor_ && !is_all_known())) return 0;
+  if (!is_leading() || (now < duty_floor_ && !is_all_known()) || may_former_owners_act(now)) return 0;
   Epoch lowest = registry_.roster().epoch;
   for (const auto &[pilot, session] : sessions_)
     if (session.duty_until > now) lowest = std::min(lowest, session.epoch);
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -15,7 +15,8 @@
 
 Pilot::Pilot(Member self, std::vector<std::string> seeds, PilotOptions options, Instant now)
     : self_(self), options_(options), membership_(self, std::move(seeds), options.membership),
-      purser_(self.id, options.purser), scheduler_(self.id, options.scheduler), born_(now) {}
+      purser_(self.id, options.purser), scheduler_(self.id, options.scheduler), witness_(options.witness),
+      lease_extension_(self.id, options.witness), born_(now) {}
 
 std::uint32_t Pilot::tenant_index(const std::string &name) {
   std::lock_guard guard(in_force_mutex_);
@@ -62,6 +63,8 @@
   values["ledger_unknown_starts"] = purser_.unknown_starts();
   scheduler_.counters().report(values);
   values["runners_known"] = runners_.size();
+  values["witness_grants"] = witness_.grants();
+  values["is_owner_lease_extended"] = is_extended_ ? 1 : 0;
   return values;
 }
 
@@ -133,6 +136,11 @@
   } else if (std::holds_alternative<SlotAsk>(signal) || std::holds_alternative<SlotFree>(signal) ||
              std::holds_alternative<InventorySay>(signal)) {
     scheduler_.step(envelope.from, signal, now, out.mail);
+  } else if (const auto *request = std::get_if<WitnessRequest>(&signal)) {
+    out.mail.push_back({envelope.from, {}, witness_.answer(*request, roster_.epoch, hears_leader(now), now)});
+  } else if (const auto *response = std::get_if<WitnessResponse>(&signal)) {
+    lease_extension_.take(envelope.from, *response);
+    renew_owner_lease(now, out);
   }
 }
 
@@ -388,6 +396,8 @@
   const bool may_tell_news = now - pulsed_at_ >= options_.pulse_least;
   if (now >= pulse_at_ || (has_news && may_tell_news)) send_pulse(now, out);
   forget_newer_owners(now);
+  lease_extension_.tick(owner_lease_until(), now, out.mail);
+  renew_owner_lease(now, out);
   purser_.tick(now, out.mail);
   scheduler_.set_isolated(is_isolated(now), now);
   scheduler_.tick(now, out.mail);
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -18,6 +18,8 @@
 #include "scheduler/service_prices.hpp"
 #include "soundings/soundings.hpp"
 #include "tide/backoff.hpp"
+#include "witness/lease_extension.hpp"
+#include "witness/witness.hpp"
 
 namespace wharf {
 
@@ -70,6 +72,8 @@
 struct PilotOptions {
   /// What this machine has, as the leader is told.
   NodeCapacity capacity;
+  /// A replica of the control group runs on this machine.
+  bool is_beside_control = false;
   Span pulse = milliseconds(250);
   Span pulse_least = milliseconds(30);
   /// A living pilot that has not answered directly for this long is reached through another.
@@ -129,6 +133,7 @@
   SchedulerOptions scheduler;
   PurserOptions purser;
   MembershipOptions membership;
+  WitnessOptions witness;
 };
 
 /// The manifest a pilot has in force, shared with the threads at the door.
@@ -260,6 +265,10 @@
   bool is_or_was_counted(NodeId pilot) const;
   /// No other process has been heard of for `unheard`.
   bool is_isolated(Instant now) const;
+  /// Until when the leader's lease lets this node act as an owner.
+  Instant owner_lease_until() const { return fresh_until_ - options_.fresh + options_.duty; }
+  /// Lets the owner of tenants act on the leader's lease, or on the word of witnesses where there is none.
+  void renew_owner_lease(Instant now, PilotOutput &out);
   /// Takes what orders hold beside the manifest.
   void follow_orders(NodeId from, const Orders &orders, bool is_switched, Instant now, PilotOutput &out);
   /// Puts the manifest's text together from the orders' delta; false when this node lacks the base.
@@ -332,6 +341,10 @@
   Membership membership_;
   Purser purser_;
   Scheduler scheduler_;
+  Witness witness_;
+  LeaseExtension lease_extension_;
+  /// This node acts as an owner on its witnesses' word.
+  bool is_extended_ = false;
   std::map<NodeId, Instant> heard_;
   /// Pilots sent to since they were last heard from: since when, and when the direct way was last tried
   /// again.
--- a/packages/signals/placement_messages.hpp
+++ b/packages/signals/placement_messages.hpp
@@ -124,11 +124,16 @@
   /// The node got a manifest as a delta from one that it does not have; what it has is of `received`.
   bool has_missed_manifest = false;
   Version received = 0;
-  static constexpr unsigned carried_version = 1;
+  /// A replica of the control group runs on the node's machine, so that the two are lost together.
+  bool is_beside_control = false;
+  /// For how long owners may go on relying on what this node granted as a witness.
+  Span witness_granted_for = 0;
+  static constexpr unsigned carried_version = 2;
   template <typename Archive> void serialize(Archive &archive, unsigned carried) {
     wharf::carry(archive, sent_at, version, epoch, runners_stamp, runners_term, is_leaving, wants,
                  has_all_wants, replaces, up_for, soundings, capacity, has_lost_lease);
     if (carried >= 1) wharf::carry(archive, has_missed_manifest, received);
+    if (carried >= 2) wharf::carry(archive, is_beside_control, witness_granted_for);
   }
 };
 
--- a/packages/signals/signals.cpp
+++ b/packages/signals/signals.cpp
@@ -100,7 +100,9 @@
                                                                                    "InventorySay",
                                                                                    "InstallSnapshotResponse",
                                                                                    "PassOn",
-                                                                                   "TimeoutNowRequest"};
+                                                                                   "TimeoutNowRequest",
+                                                                                   "WitnessRequest",
+                                                                                   "WitnessResponse"};
   return names[kind];
 }
 
--- a/packages/signals/signals.hpp
+++ b/packages/signals/signals.hpp
@@ -12,6 +12,7 @@
 #include "signals/quota_messages.hpp"
 #include "signals/raft_messages.hpp"
 #include "signals/slot_messages.hpp"
+#include "signals/witness_messages.hpp"
 
 namespace wharf {
 
@@ -28,7 +29,7 @@
                  AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, Pulse, Orders,
                  NotLeader, ClaimAsk, ClaimSay, CloseAsk, CloseSay, PermitAsk, PermitSay, LedgerCopy,
                  LedgerAck, SlotAsk, SlotSay, SlotFree, SlotFreed, InventoryAsk, InventorySay,
-                 InstallSnapshotResponse, PassOn, TimeoutNowRequest>;
+                 InstallSnapshotResponse, PassOn, TimeoutNowRequest, WitnessRequest, WitnessResponse>;
 
 /// The name of the signal at a place in the list, for counters.
 std::string_view signal_name_at(std::size_t kind);
