Own tenants and services apart from the control group's machines where others can

What callers saw: when machines of the core were lost, tenants and services that nodes on them owned had no owner until a new leader had made a node set: requests waited out or were refused for some 8 s.

Cause: owners were placed without regard to which machines carry the control group, so that one fault took the leader and up to a third of the owners.

The test fails without the change.

--- a/packages/bosun/options.hpp
+++ b/packages/bosun/options.hpp
@@ -31,6 +31,8 @@
   NUMBER(in_memory, 0, 0, 1,                                                                                 \
          "Whether state is kept in memory only, 1 or 0, where there is no disk; harbourd only.")             \
   NUMBER(replica, 1, 0, 1, "Whether this process is a replica of the group, 1 or 0; harbourd only.")         \
+  NUMBER(beside_control, 0, 0, 1,                                                                            \
+         "Whether a replica of the group runs on this machine, 1 or 0; pilotd only.")                        \
   NUMBER(start_price, 0, 0, 1000000,                                                                         \
          "What one start costs, in thousandths of a call's worth, where operators name no prices; pilotd "   \
          "only.")                                                                                            \
--- a/packages/control/control_node.hpp
+++ b/packages/control/control_node.hpp
@@ -369,6 +369,9 @@
   /// Those whose machines are not far below the best; nodes that have not reported to this leader yet keep
   /// the part that they had.
   std::vector<NodeId> nodes_of_capacity(const std::vector<NodeId> &pilots) const;
+  /// Those of some nodes whose machines run no replica of this group, so that owners outlive the loss of the
+  /// group's machines; all of them where too few would be left.
+  std::vector<NodeId> apart_from_control(const std::vector<NodeId> &nodes) const;
   /// The best link and the best processor among those that have reported.
   NodeCapacity best_capacity(const std::vector<NodeId> &pilots) const;
   bool is_all_reported(const std::vector<NodeId> &pilots) const;
--- a/packages/control/placement_epochs.cpp
+++ b/packages/control/placement_epochs.cpp
@@ -56,11 +56,20 @@
 }
 
 std::vector<NodeId> ControlNode::owner_candidates(const std::vector<NodeId> &pilots) const {
-  std::vector<NodeId> candidates = nodes_of_capacity(pilots);
+  std::vector<NodeId> candidates = apart_from_control(nodes_of_capacity(pilots));
   const bool has_enough = candidates.size() >= options_.owners_least && candidates.size() < pilots.size();
   return has_enough ? candidates : std::vector<NodeId>{};
 }
 
+std::vector<NodeId> ControlNode::apart_from_control(const std::vector<NodeId> &nodes) const {
+  std::vector<NodeId> apart;
+  for (NodeId node : nodes) {
+    const auto session = sessions_.find(node);
+    if (session == sessions_.end() || !session->second.is_beside_control) apart.push_back(node);
+  }
+  return apart.size() >= options_.owners_least ? apart : nodes;
+}
+
 NodeCapacity ControlNode::best_capacity(const std::vector<NodeId> &pilots) const {
   NodeCapacity best;
   for (NodeId pilot : pilots) {
--- a/packages/helm/pilot_helm.cpp
+++ b/packages/helm/pilot_helm.cpp
@@ -54,6 +54,7 @@
 PilotHelmOptions pilot_helm_options(const ProcessOptions &options) {
   PilotHelmOptions made;
   made.pilot.capacity = {thousandths_of(options.link_mbps), thousandths_of(options.cpu_share)};
+  made.pilot.is_beside_control = options.beside_control != 0;
   made.pilot.prices = prices_of(options.start_price, options.memory_price);
   made.pilot.must_trace_calls = must_trace(options);
   made.pilot.purser.life = seconds(1);
--- a/tests/worst_days_test.cpp
+++ b/tests/worst_days_test.cpp
@@ -24,7 +24,7 @@
     std::string address;
     NodeCapacity capacity;
     std::vector<NodeId> replaces;
-    bool is_silent = false, has_lost_lease = false;
+    bool is_silent = false, has_lost_lease = false, is_beside_control = false;
     /// The node set it was told of, and whether the last answer brought a lease.
     Epoch epoch = 0;
     bool has_lease = false;
@@ -55,6 +55,7 @@
     pulse.capacity = node.capacity;
     pulse.replaces = node.replaces;
     pulse.has_lost_lease = node.has_lost_lease;
+    pulse.is_beside_control = node.is_beside_control;
     return {node.id, node.address, pulse};
   }
   void report(Node &node) {
@@ -460,6 +461,20 @@
   LONGS_EQUAL(chosen, edge.roster().epoch);
 }
 
+// Guards against: the loss of the control group's machines takes owners of tenants and services along.
+TEST(WorstDays, machines_of_the_control_group_own_nothing_while_enough_others_are_there) {
+  ControlGroupRig rig(3);
+  ReportingNodes edge(rig, 9);
+  for (std::size_t at = 0; at < 3; ++at) edge.nodes[at].is_beside_control = true;
+  edge.report_for(seconds(3));
+  LONGS_EQUAL(9, edge.roster().pilots.size());
+  LONGS_EQUAL(6, edge.roster().owner_candidates.size());
+  for (const NodeId id : edge.roster().owner_candidates) CHECK(id > edge.nodes[2].id);
+  for (ReportingNodes::Node &node : edge.nodes) node.is_beside_control = true;
+  edge.report_for(seconds(3));
+  LONGS_EQUAL(0, edge.roster().owner_candidates.size());
+}
+
 TEST(WorstDays, a_node_whose_reports_come_too_late_for_a_lease_owns_nothing_and_holds_up_no_successor) {
   ControlGroupRig rig(3);
   ReportingNodes edge(rig, 9);
