Take back nothing of a witness's word when reports overtake each other

Cause: the leader took the span for which a node vouched from the report that came last. A report that was passed around a cut can come after a newer one, and then said that nothing was vouched for; a successor could have begun up to a second beside the owner. The test failed before (settled after 5 s though witnesses had vouched for 9 s).

--- a/packages/control/node_leases.cpp
+++ b/packages/control/node_leases.cpp
@@ -178,7 +178,8 @@
   session.is_leaving = pulse.is_leaving;
   session.capacity = pulse.capacity;
   session.is_beside_control = pulse.is_beside_control;
-  session.witness_granted_until = now + pulse.witness_granted_for;
+  // Reports may overtake each other.
+  session.witness_granted_until = std::max(session.witness_granted_until, now + pulse.witness_granted_for);
   note_lateness(session, pulse, now);
   std::map<std::string, Want> wants;
   if (!pulse.has_all_wants) wants = std::move(session.wants);
--- a/tests/worst_days_test.cpp
+++ b/tests/worst_days_test.cpp
@@ -28,6 +28,10 @@
     /// The node set it was told of, and whether the last answer brought a lease.
     Epoch epoch = 0;
     bool has_lease = false;
+    /// The newest node set of which the last answer said that its owners may begin.
+    Epoch settled = 0;
+    /// For how long owners may rely on its word as a witness, as its reports say.
+    Span witness_granted_for = 0;
   };
   ControlGroupRig &rig;
   std::vector<Node> nodes;
@@ -56,6 +60,7 @@
     pulse.replaces = node.replaces;
     pulse.has_lost_lease = node.has_lost_lease;
     pulse.is_beside_control = node.is_beside_control;
+    pulse.witness_granted_for = node.witness_granted_for;
     return {node.id, node.address, pulse};
   }
   void report(Node &node) {
@@ -64,6 +69,7 @@
       if (orders == nullptr || posted.to != node.id) continue;
       node.epoch = std::max(node.epoch, orders->roster.epoch);
       node.has_lease = orders->sent_at != 0;
+      node.settled = orders->settled;
     }
   }
   void report_for(Span span) {
@@ -475,6 +481,24 @@
   LONGS_EQUAL(0, edge.roster().owner_candidates.size());
 }
 
+// Guards against: a successor begins while witnesses have vouched for the owner before it, as a report that
+// came late said that they had not.
+TEST(WorstDays, a_late_report_takes_nothing_back_of_what_a_witness_vouched_for) {
+  for (const bool has_vouched : {false, true}) {
+    ControlGroupRig rig(3);
+    ReportingNodes edge(rig, 9);
+    edge.nodes.front().is_silent = true;
+    for (ReportingNodes::Node &node : edge.nodes) node.witness_granted_for = has_vouched ? seconds(9) : 0;
+    edge.report_for(milliseconds(100));
+    for (ReportingNodes::Node &node : edge.nodes) node.witness_granted_for = 0;
+    edge.report_for(seconds(5));
+    LONGS_EQUAL(8, edge.roster().pilots.size());
+    CHECK_EQUAL(!has_vouched, edge.nodes.back().settled == edge.roster().epoch);
+    edge.report_for(seconds(5));
+    LONGS_EQUAL(edge.roster().epoch, edge.nodes.back().settled);
+  }
+}
+
 TEST(WorstDays, a_node_whose_reports_come_too_late_for_a_lease_owns_nothing_and_holds_up_no_successor) {
   ControlGroupRig rig(3);
   ReportingNodes edge(rig, 9);
