Count owners that have ended as quiet from their end, whatever left before

Cause: since owners may act on their witnesses' word, node sets of the last 23 s are looked at when the leader tells how long all earlier owners have been quiet. For the older of them a second was added for grants of their witnesses, also where every owner had ended; new ledgers began a second of the rate poorer. Change: where all owners of a node set have ended, their end counts; witnesses only where one has not. The test failed before.

--- a/packages/control/node_leases.cpp
+++ b/packages/control/node_leases.cpp
@@ -94,6 +94,7 @@
 }
 
 std::optional<Instant> ControlNode::extensions_ended_at(const PastRoster &past) const {
+  if (const auto owners_ended = all_ended_at(past.owners())) return owners_ended;
   Instant last = 0;
   std::size_t may_vouch = 0;
   const std::vector<NodeId> witnesses = witnesses_of(past.owners());
@@ -104,7 +105,7 @@
     else
       last = std::max(last, found->second);
   }
-  if (may_vouch >= witness_majority(witnesses.size())) return all_ended_at(past.pilots);
+  if (may_vouch >= witness_majority(witnesses.size())) return std::nullopt;
   return last + options_.witness.grant;
 }
 
--- a/tests/worst_days_test.cpp
+++ b/tests/worst_days_test.cpp
@@ -30,6 +30,8 @@
     bool has_lease = false;
     /// The newest node set of which the last answer said that its owners may begin.
     Epoch settled = 0;
+    /// How long ago all nodes of earlier node sets had ended, by the last answer.
+    Span quiet = 0;
     /// For how long owners may rely on its word as a witness, as its reports say.
     Span witness_granted_for = 0;
   };
@@ -70,6 +72,7 @@
       node.epoch = std::max(node.epoch, orders->roster.epoch);
       node.has_lease = orders->sent_at != 0;
       node.settled = orders->settled;
+      node.quiet = orders->quiet;
     }
   }
   void report_for(Span span) {
@@ -499,6 +502,24 @@
   }
 }
 
+// Guards against: quotas are strict for a second longer after the loss of all nodes, as a node that owned
+// nothing had left before.
+TEST(WorstDays, owners_that_have_ended_are_not_waited_for_whatever_left_before) {
+  ControlGroupRig rig(3);
+  ReportingNodes edge(rig, 9);
+  for (std::size_t at = 0; at < 3; ++at) edge.nodes[at].is_beside_control = true;
+  edge.report_for(seconds(30));
+  edge.nodes.front().is_silent = true;
+  edge.report_for(seconds(8));
+  for (ReportingNodes::Node &node : edge.nodes) {
+    if (node.is_silent) continue;
+    node.replaces = {node.id};
+    node.id += 100;
+  }
+  edge.report_for(seconds(1));
+  CHECK(edge.nodes.back().quiet >= milliseconds(800));
+}
+
 TEST(WorstDays, a_node_whose_reports_come_too_late_for_a_lease_owns_nothing_and_holds_up_no_successor) {
   ControlGroupRig rig(3);
   ReportingNodes edge(rig, 9);
