Wait for what a witness granted also where the witness has ended since

Cause: the leader counted a witness as unable to vouch from the moment at which it knew that its process had ended. An owner may rely on the last grant for a second from its question, so a successor could begin up to a second beside it: all nodes without a leader, most witnesses restarted, the owner cut off. Class: a lease taken for over with its giver. Change: a witness that has ended is over once a grant, and what clocks may run apart in it, has passed since. The test failed before (settled 0.9 s after the restarts); all of worst_days_test, recovery_test pass after.

--- a/packages/control/control_node.hpp
+++ b/packages/control/control_node.hpp
@@ -291,7 +291,7 @@
   bool may_owners_act(const PastRoster &past, Instant now) const;
   /// The owner has ended, knows the newest node set, or has been without a lease for too long.
   bool is_owner_over(NodeId owner, Instant now) const;
-  /// The witness can't vouch for any node set but the newest.
+  /// The witness can't vouch for any node set but the newest, and what it granted has run out.
   bool is_witness_over(NodeId witness, Instant now) const;
   /// True when no pilot of any roster could act on a permit that this leader does not know of.
   bool is_all_known() const;
--- a/packages/control/node_leases.cpp
+++ b/packages/control/node_leases.cpp
@@ -55,7 +55,8 @@
 }
 
 bool ControlNode::is_witness_over(NodeId witness, Instant now) const {
-  if (ended_.contains(witness)) return true;
+  const auto ended = ended_.find(witness);
+  if (ended != ended_.end()) return now >= ended->second + options_.witness.grant + options_.witness.drift;
   const auto found = sessions_.find(witness);
   if (found == sessions_.end()) return false;
   return found->second.epoch >= registry_.roster().epoch && now >= found->second.witness_granted_until;
--- a/tests/worst_days_test.cpp
+++ b/tests/worst_days_test.cpp
@@ -502,6 +502,26 @@
   }
 }
 
+// Guards against: a successor begins beside an owner that still relies on what witnesses granted just before
+// they ended.
+TEST(WorstDays, what_a_witness_granted_holds_for_its_span_though_the_witness_has_ended) {
+  ControlGroupRig rig(3);
+  ReportingNodes edge(rig, 9);
+  // None hears the leader; meanwhile each may have vouched for the first node, which stays cut off.
+  rig.pass(seconds(4));
+  edge.nodes.front().is_silent = true;
+  for (std::size_t at = 1; at <= 5; ++at) {
+    edge.nodes[at].replaces = {edge.nodes[at].id};
+    edge.nodes[at].id += 100;
+  }
+  const Epoch before = edge.roster().epoch;
+  edge.report_for(milliseconds(900));
+  CHECK(edge.roster().epoch > before);
+  CHECK(edge.nodes.back().settled < edge.roster().epoch);
+  edge.report_for(seconds(4));
+  LONGS_EQUAL(edge.roster().epoch, edge.nodes.back().settled);
+}
+
 // Guards against: quotas are strict for a second longer after the loss of all nodes, as a node that owned
 // nothing had left before.
 TEST(WorstDays, owners_that_have_ended_are_not_waited_for_whatever_left_before) {
