--- a/packages/control/control_node.cpp
+++ b/packages/control/control_node.cpp
@@ -74,7 +74,7 @@
   taken_over_epoch_ = 0;
   if (is_leader) {
     floor_ = now + options_.fresh + options_.drift;
-    duty_floor_ = now + std::max(options_.fresh, options_.duty) + options_.drift;
+    duty_floor_ = now + longest_lease();
     clock_at_ = now;
     pace_at_ = now;
     pace_ = 0;
--- a/packages/control/control_node.hpp
+++ b/packages/control/control_node.hpp
@@ -275,19 +275,24 @@
   /// the group's own clock. With every permit goes the newest roster, so older ones have ended with their
   /// permits.
   std::vector<const std::vector<NodeId> *> rosters_at_risk() const;
-  /// Node sets that the newest one took the place of, by the group's own clock, within a span; newest first.
+  /// Node sets that the newest one took the place of within a span, by the group's own clock, which may be
+  /// late by its own step; newest first.
   std::vector<const PastRoster *> rosters_replaced_within(Span span) const;
   /// When the last of some nodes ended; nothing where one may live.
   std::optional<Instant> all_ended_at(const std::vector<NodeId> &nodes) const;
   /// When the last owner of an older node set can have acted, as its witnesses have ended; nothing where it
   /// may act on their word still.
   std::optional<Instant> extensions_ended_at(const PastRoster &past) const;
-  /// How long after its last lease an owner may still act, on its witnesses' word included.
+  /// How long after it was given a lease may be acted on, by the node's clock.
+  Span longest_lease() const;
+  /// How long after its last lease was given an owner may still act, on its witnesses' word included.
   Span longest_ownership() const;
   /// Notes once no owner of an earlier node set can act on its witnesses' word any more. Once it is so it
   /// stays so: only the newest node set can be vouched for then.
   void note_taken_over(Instant now);
+  /// True where an owner of any earlier node set may act on its witnesses' word.
   bool may_former_owners_act(Instant now) const;
+  /// The same for the owners of one earlier node set.
   bool may_owners_act(const PastRoster &past, Instant now) const;
   /// The owner has ended, knows the newest node set, or has been without a lease for too long.
   bool is_owner_over(NodeId owner, Instant now) const;
--- a/packages/control/node_leases.cpp
+++ b/packages/control/node_leases.cpp
@@ -23,27 +23,27 @@
 }
 
 std::vector<const std::vector<NodeId> *> ControlNode::rosters_at_risk() const {
-  const Span span = std::max(options_.fresh, options_.duty) + options_.drift + options_.clock_every;
   std::vector<const std::vector<NodeId> *> list{&registry_.roster().pilots};
-  for (const PastRoster *past : rosters_replaced_within(span)) list.push_back(&past->pilots);
+  for (const PastRoster *past : rosters_replaced_within(longest_lease())) list.push_back(&past->pilots);
   return list;
 }
 
 std::vector<const PastRoster *> ControlNode::rosters_replaced_within(Span span) const {
   const Roster &roster = registry_.roster();
+  const Span clock_span = span + options_.clock_every;
   std::vector<const PastRoster *> list;
   std::int64_t replaced_ms = roster.taken_ms;
   for (auto past = roster.past.rbegin(); past != roster.past.rend(); ++past) {
-    if (milliseconds(registry_.clock_ms() - replaced_ms) > span) break;
+    if (milliseconds(registry_.clock_ms() - replaced_ms) > clock_span) break;
     list.push_back(&*past);
     replaced_ms = past->taken_ms;
   }
   return list;
 }
 
-Span ControlNode::longest_ownership() const {
-  return std::max(options_.fresh, options_.duty) + options_.drift + options_.witness.extension_most;
-}
+Span ControlNode::longest_lease() const { return std::max(options_.fresh, options_.duty) + options_.drift; }
+
+Span ControlNode::longest_ownership() const { return longest_lease() + options_.witness.extension_most; }
 
 bool ControlNode::is_owner_over(NodeId owner, Instant now) const {
   if (ended_.contains(owner)) return true;
@@ -73,7 +73,7 @@
 }
 
 bool ControlNode::may_former_owners_act(Instant now) const {
-  const auto past_sets = rosters_replaced_within(longest_ownership() + options_.clock_every);
+  const auto past_sets = rosters_replaced_within(longest_ownership());
   return std::any_of(past_sets.begin(), past_sets.end(),
                      [&](const PastRoster *past) { return may_owners_act(*past, now); });
 }
@@ -114,8 +114,9 @@
   const Roster &roster = registry_.roster();
   if (roster.past.empty()) return 0;
   std::optional<Instant> last = all_ended_at(roster.past.back().pilots);
+  if (!last) return 0;
   const std::size_t leased = rosters_at_risk().size() - 1;
-  const auto older = rosters_replaced_within(longest_ownership() + options_.clock_every);
+  const auto older = rosters_replaced_within(longest_ownership());
   for (std::size_t at = 0; last && at < older.size(); ++at) {
     const auto ended = at < leased ? all_ended_at(older[at]->pilots) : extensions_ended_at(*older[at]);
     last = ended ? std::optional(std::max(*last, *ended)) : std::nullopt;
--- a/packages/pilot/configuration_in_force.cpp
+++ b/packages/pilot/configuration_in_force.cpp
@@ -126,13 +126,11 @@
   }
   if (orders.sent_at != 0)
     fresh_until_ = std::max(fresh_until_.load(), orders.sent_at + options_.fresh - orders.age);
-  renew_owner_lease(now, out);
   scheduler_.set_fresh_until(owner_lease_until() + cut_off_);
   purser_.set_quiet(orders.quiet);
   if (orders.roster.epoch > roster_.epoch) {
     roster_ = orders.roster;
     lease_extension_.set_node_set(roster_.epoch, roster_.owners());
-    renew_owner_lease(now, out);
     forget_newer_owners(now);
     is_switched = true;
     for (auto &[id, errand] : afloat_) errand.retry.restart();
@@ -142,6 +140,7 @@
     }
     for (Freeing &item : freeing_) item.retry.restart();
   }
+  renew_owner_lease(now, out);
   settled_ = std::max(settled_, orders.settled);
   purser_.set_roster(roster_, orders.settled, now, out.mail);
   if (takes_runners) {
--- a/packages/pilot/reporting.cpp
+++ b/packages/pilot/reporting.cpp
@@ -76,17 +76,6 @@
     if (seed != self_.address && asked.insert(seed).second) out.mail.push_back({0, seed, pulse});
 }
 
-void Pilot::renew_owner_lease(Instant now, PilotOutput &out) {
-  const Instant lease_until = owner_lease_until();
-  const Instant extended_until = lease_extension_.until(lease_until);
-  purser_.set_fresh_until(std::max(lease_until, extended_until));
-  const bool is_extended = now >= lease_until && now < extended_until;
-  if (is_extended != is_extended_)
-    out.lines.push_back(is_extended ? "goes on as an owner on its witnesses' word"
-                                    : "acts no more on its witnesses' word");
-  is_extended_ = is_extended;
-}
-
 bool Pilot::hears_leader(Instant now) const {
   return leader_ != 0 && now - heard_leader_at_ < options_.leader_silence;
 }
--- a/packages/witness/lease_extension.hpp
+++ b/packages/witness/lease_extension.hpp
@@ -19,6 +19,7 @@
   void set_node_set(Epoch epoch, const std::vector<NodeId> &owners);
   /// Asks the witnesses where the leader's lease is about to end or has ended; never without having had one.
   void tick(Instant lease_until, Instant now, Outbox &out);
+  /// Takes a witness's answer; only grants for the node set in force by its own witnesses count.
   void take(NodeId from, const WitnessResponse &response);
   /// Until when the owner may act on its witnesses' word; 0 where no majority has vouched.
   Instant until(Instant lease_until) const;
--- a/packages/witness/witness.hpp
+++ b/packages/witness/witness.hpp
@@ -6,6 +6,7 @@
 
 namespace wharf {
 
+/// Answers owners that ask this node to vouch for their node set.
 class Witness {
 public:
   explicit Witness(WitnessOptions options) : options_(options) {}
@@ -13,6 +14,7 @@
   WitnessResponse answer(const WitnessRequest &request, Epoch known_epoch, bool hears_leader, Instant now);
   /// For how long an owner may go on relying on a grant of this node; 0 where none can.
   Span granted_for(Instant now) const { return std::max<Span>(0, granted_until_ - now); }
+  /// Grants given since the process began.
   std::uint64_t grants() const { return grants_; }
 
 private:
