--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Exits with 1 if CONFIG was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the disruption.
+# Exits with 1 if ONE was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 [ -x "$root/target/review-2/case-6" ] || exit 2
