--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -17,7 +17,8 @@
   std::vector<string> routes{route_json("r-first", "huvo11a")};
   const std::vector<string> services{service_json("huvo11a", 300)};
   int generation = 5;
-  if (deployment.order("PUT", config_json(generation, routes, services), "0", 20).status != 200) deployment.end(2);
+  if (deployment.order("PUT", config_json(generation, routes, services), "0", 20).status != 200)
+    deployment.end(2);
   if (!deployment.wait_ready(15)) deployment.end(2);
   record.line("generation 5 is acknowledged, all fronts are ready");
   if (client_try(deployment.machines[0].ip, "r-first", "warm", 4000).status() == 0) deployment.end(2);
@@ -30,10 +31,10 @@
     const string first_route = "r-a" + std::to_string(first), second_route = "r-b" + std::to_string(second);
     std::vector<string> whole = routes;
     whole.push_back(route_json(first_route, "huvo11a"));
-    const string first_body =
-        is_put_first ? config_json(first, whole, services)
-                     : "{\"generation\":" + std::to_string(first) + ",\"upsert\":{\"routeTable\":[" +
-                           route_json(first_route, "huvo11a") + "]}}";
+    const string first_body = is_put_first ? config_json(first, whole, services)
+                                           : "{\"generation\":" + std::to_string(first) +
+                                                 ",\"upsert\":{\"routeTable\":[" +
+                                                 route_json(first_route, "huvo11a") + "]}}";
     const string second_body = "{\"generation\":" + std::to_string(second) + ",\"upsert\":{\"routeTable\":[" +
                                route_json(second_route, "huvo11a") + "]}}";
     const string first_method = is_put_first ? "PUT" : "PATCH";
@@ -42,13 +43,15 @@
       record.line("operator sends " + first_method + " generation " + std::to_string(first) + ", If-Match " +
                   std::to_string(base) + ", adds route " + first_route);
       first_answer = deployment.order(first_method, first_body, std::to_string(base));
-      record.line("generation " + std::to_string(first) + " is answered with " + std::to_string(first_answer.status));
+      record.line("generation " + std::to_string(first) + " is answered with " +
+                  std::to_string(first_answer.status));
     };
     const auto send_second = [&] {
-      record.line("operator sends PATCH generation " + std::to_string(second) + ", If-Match " + std::to_string(first) +
-                  ", adds route " + second_route);
+      record.line("operator sends PATCH generation " + std::to_string(second) + ", If-Match " +
+                  std::to_string(first) + ", adds route " + second_route);
       second_answer = deployment.order("PATCH", second_body, std::to_string(first));
-      record.line("generation " + std::to_string(second) + " is answered with " + std::to_string(second_answer.status));
+      record.line("generation " + std::to_string(second) + " is answered with " +
+                  std::to_string(second_answer.status));
     };
     if (has_trouble()) {
       std::thread other(send_first);
@@ -75,9 +78,11 @@
     if (!was_shown) {
       while (seconds_now() < acknowledged_at + 5.5) sleep_ms(50);
       for (const Machine &machine : deployment.machines) {
-        const int status = client_try(machine.ip, first_route, "c-" + first_route + machine.name, 4000).status();
-        record.line("client asks " + machine.name + " on route " + first_route + " of the acknowledged generation " +
-                    std::to_string(first) + ": " + std::to_string(status));
+        const int status =
+            client_try(machine.ip, first_route, "c-" + first_route + machine.name, 4000).status();
+        record.line("client asks " + machine.name + " on route " + first_route +
+                    " of the acknowledged generation " + std::to_string(first) + ": " +
+                    std::to_string(status));
       }
       was_shown = true;
     }
--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,6 +1,6 @@
-// The leader's machine is cut off from the other core machines while a crowd's runners are being started. It goes on
-// ordering starts for the function after its successor has done so with a higher fence.
-// With TROUBLE=0 nothing is cut.
+// The leader's machine is cut off from the other core machines while a crowd's runners are being started. It
+// goes on ordering starts for the function after its successor has done so with a higher fence. With
+// TROUBLE=0 nothing is cut.
 #include "../standins-2/lab.hpp"
 
 using namespace lab;
@@ -52,7 +52,8 @@
     routes.push_back(route_json("r-" + name, name));
     services.push_back(service_json(name, 500, 1));
   }
-  if (deployment.order("PUT", config_json(5, routes, services, 1000), "0", 20).status != 200) deployment.end(2);
+  if (deployment.order("PUT", config_json(5, routes, services, 1000), "0", 20).status != 200)
+    deployment.end(2);
   if (!deployment.wait_ready(15)) deployment.end(2);
   if (client_try(deployment.machines[0].ip, "r-first", "warm", 4000).status() != 200) deployment.end(2);
   if (platform.calls().empty()) deployment.end(2);
@@ -69,10 +70,12 @@
       clients.emplace_back([&, service, one] {
         const string route = "r-xano" + std::to_string(service);
         const Machine &machine = deployment.machines[static_cast<std::size_t>(3 + one % 2)];
-        if (client_try(machine.ip, route, "c" + std::to_string(service) + "-" + std::to_string(one), 4000).status() == 200)
+        if (client_try(machine.ip, route, "c" + std::to_string(service) + "-" + std::to_string(one), 4000)
+                .status() == 200)
           ++served;
       });
-  record.line("a crowd of " + std::to_string(crowd) + " clients comes to each of " + std::to_string(services_count) + " functions");
+  record.line("a crowd of " + std::to_string(crowd) + " clients comes to each of " +
+              std::to_string(services_count) + " functions");
   sleep_ms(500);
   const double cut_at = seconds_now();
   if (has_trouble()) {
@@ -85,7 +88,8 @@
   is_on = false;
   for (std::thread &client : clients) client.join();
   sleep_ms(3000);
-  record.line(std::to_string(served.load()) + " of " + std::to_string(services_count * crowd) + " clients were served");
+  record.line(std::to_string(served.load()) + " of " + std::to_string(services_count * crowd) +
+              " clients were served");
 
   bool is_broken = false;
   std::map<string, DutyCall> highest;
@@ -98,13 +102,16 @@
     if (call.fence < top.fence) {
       is_broken = true;
       char text[256];
-      std::snprintf(text, sizeof text,
-                    "ONE: %s by %s with fence %ld at %.3f (%.3f s after the cut), after fence %ld by %s at %.3f", key.c_str(),
-                    call.holder.c_str(), call.fence, call.at, call.at - cut_at, top.fence, top.holder.c_str(), top.at);
+      std::snprintf(
+          text, sizeof text,
+          "ONE: %s by %s with fence %ld at %.3f (%.3f s after the cut), after fence %ld by %s at %.3f",
+          key.c_str(), call.holder.c_str(), call.fence, call.at, call.at - cut_at, top.fence,
+          top.holder.c_str(), top.at);
       record.line(text);
     } else if (!top.holder.empty() && call.fence == top.fence && call.holder != top.holder) {
       is_broken = true;
-      record.line("ONE: " + key + ": " + call.holder + " and " + top.holder + " send the same fence " + std::to_string(call.fence));
+      record.line("ONE: " + key + ": " + call.holder + " and " + top.holder + " send the same fence " +
+                  std::to_string(call.fence));
     }
     if (call.fence >= top.fence) top = call;
     auto &seen = turns[key];
@@ -114,7 +121,8 @@
       has_other = has_other || old->holder != call.holder;
       if (!has_other || old->holder != call.holder) continue;
       is_broken = true;
-      record.line("ONE: " + key + ": holders act in turn, " + call.holder + " again at " + std::to_string(call.at));
+      record.line("ONE: " + key + ": holders act in turn, " + call.holder + " again at " +
+                  std::to_string(call.at));
       break;
     }
     seen.push_back(call);
--- a/review/standins-2/lab.hpp
+++ b/review/standins-2/lab.hpp
@@ -1,6 +1,6 @@
-// A small deployment on loopback addresses for the scripts of this review: it starts the project's two programs
-// with the templates of the deploy file, and holds the stand-ins for the platform, the runners, the operator and
-// the clients. Everything runs on the real clock; all processes end with this one.
+// A small deployment on loopback addresses for the scripts of this review: it starts the project's two
+// programs with the templates of the deploy file, and holds the stand-ins for the platform, the runners, the
+// operator and the clients. Everything runs on the real clock; all processes end with this one.
 #pragma once
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -80,7 +80,8 @@
   }
 };
 
-inline string fill(const string &text, const Fields &fields, const string *entry = nullptr, bool is_last = false) {
+inline string fill(const string &text, const Fields &fields, const string *entry = nullptr,
+                   bool is_last = false) {
   string made;
   std::size_t at = 0;
   while (at < text.size()) {
@@ -158,7 +159,8 @@
   pollfd waits{fd, POLLOUT, 0};
   int error = 0;
   socklen_t size = sizeof error;
-  if (poll(&waits, 1, timeout_ms) != 1 || getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) {
+  if (poll(&waits, 1, timeout_ms) != 1 || getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 ||
+      error != 0) {
     close(fd);
     return -1;
   }
@@ -217,7 +219,8 @@
       const auto from = line.find_first_not_of(' ', colon + 1);
       message.headers.emplace_back(line.substr(0, colon), from == string::npos ? "" : line.substr(from));
     }
-    const std::size_t length = is_bodiless ? 0 : std::strtoul(message.header("Content-Length").c_str(), nullptr, 10);
+    const std::size_t length =
+        is_bodiless ? 0 : std::strtoul(message.header("Content-Length").c_str(), nullptr, 10);
     while (buffer_.size() < length)
       if (!more(until)) return false;
     message.body = buffer_.substr(0, length);
@@ -251,7 +254,8 @@
   const int fd = connect_to(ip, port, timeout_ms);
   if (fd < 0) return answer;
   Reader reader(fd);
-  if (send_all(fd, bytes) && !reader.read(answer, Clock::now() + std::chrono::milliseconds(timeout_ms))) answer = {};
+  if (send_all(fd, bytes) && !reader.read(answer, Clock::now() + std::chrono::milliseconds(timeout_ms)))
+    answer = {};
   close(fd);
   return answer;
 }
@@ -281,12 +285,13 @@
   string what;
 };
 
-/// Serves the platform's list, its workers, and starts and stops of runners. Each runner is a small server that
-/// answers what it is sent with its seal.
+/// Serves the platform's list, its workers, and starts and stops of runners. Each runner is a small server
+/// that answers what it is sent with its seal.
 class Platform {
 public:
   Platform(Record &record, string ip, string runner_ip, double per_s, int boot_ms)
-      : record_(record), ip_(std::move(ip)), runner_ip_(std::move(runner_ip)), per_s_(per_s), boot_ms_(boot_ms) {}
+      : record_(record), ip_(std::move(ip)), runner_ip_(std::move(runner_ip)), per_s_(per_s),
+        boot_ms_(boot_ms) {}
   std::atomic<int> answer_after_ms{0};
 
   bool start() {
@@ -333,7 +338,9 @@
     string list;
     for (int at = 0; at < 12; ++at)
       list += string(at == 0 ? "" : ",") + "{\"name\":\"w-" + std::to_string(at) + "\",\"zone\":\"" +
-              (at % 3 == 0 ? "zg-trnje" : at % 3 == 1 ? "zg-dubrava" : "zg-novi") +
+              (at % 3 == 0   ? "zg-trnje"
+               : at % 3 == 1 ? "zg-dubrava"
+                             : "zg-novi") +
               "\",\"memoryMb\":6289,\"freeMemoryMb\":6000,\"phase\":\"ready\"}";
     return "{\"workerPool\":[" + list + "]}";
   }
@@ -343,9 +350,10 @@
     string list;
     for (const auto &[id, runner] : runners_) {
       if (runner.is_over || seconds_now() < runner.ready_at) continue;
-      list += string(list.empty() ? "" : ",") + "{\"target\":\"" + runner.service + "\",\"address\":\"" + runner.address +
-              "\",\"zone\":\"zg-trnje\",\"generation\":\"v1\",\"capacity\":4,\"phase\":\"" + runner.phase +
-              "\",\"coldLeftMs\":0,\"workerId\":\"" + runner.worker + "\",\"id\":\"" + id + "\"}";
+      list += string(list.empty() ? "" : ",") + "{\"target\":\"" + runner.service + "\",\"address\":\"" +
+              runner.address + "\",\"zone\":\"zg-trnje\",\"generation\":\"v1\",\"capacity\":4,\"phase\":\"" +
+              runner.phase + "\",\"coldLeftMs\":0,\"workerId\":\"" + runner.worker + "\",\"id\":\"" + id +
+              "\"}";
     }
     return "{\"runners\":[" + list + "],\"nextToken\":null}";
   }
@@ -358,7 +366,8 @@
     call.holder = ask.header("Wharfjunction-Duty-Holder");
     call.fence = std::atol(ask.header("Wharfjunction-Fence-Token").c_str());
     call.kind = ask.target() == "/begin" ? "start" : "stop";
-    if (call.holder.empty() || ask.header("Wharfjunction-Fence-Token").empty()) return answer_bytes(400, "{}");
+    if (call.holder.empty() || ask.header("Wharfjunction-Fence-Token").empty())
+      return answer_bytes(400, "{}");
     std::erase_if(recent_, [now](double at) { return now - at > 1.0; });
     if (static_cast<double>(recent_.size()) >= per_s_) return answer_bytes(429, "{}");
     recent_.push_back(now);
@@ -394,8 +403,8 @@
 
   void note(const DutyCall &call) {
     calls_.push_back(call);
-    record_.line("platform takes a " + call.kind + " of " + call.subject + " (" + call.what + ") by " + call.holder +
-                 ", fence " + std::to_string(call.fence));
+    record_.line("platform takes a " + call.kind + " of " + call.subject + " (" + call.what + ") by " +
+                 call.holder + ", fence " + std::to_string(call.fence));
   }
 
   /// The runner's port answers from the moment at which it has started.
@@ -413,14 +422,16 @@
         const string attempt = ask.header("Wharfjunction-Attempt-Id");
         const string expected = ask.header("Wharfjunction-Expect-Runner");
         const string echo = "Wharfjunction-Attempt-Id: " + attempt + "\r\n";
-        if (!expected.empty() && expected != id) return answer_bytes(421, "", echo + "Wharfjunction-Not-Run: 1\r\n");
+        if (!expected.empty() && expected != id)
+          return answer_bytes(421, "", echo + "Wharfjunction-Not-Run: 1\r\n");
         {
           std::lock_guard guard(mutex_);
           runs_.emplace_back(service, attempt);
         }
         record_.line("runner " + id + " of " + service + " runs " + attempt);
         sleep_ms(20);
-        return answer_bytes(200, "done " + attempt, echo + "Wharfjunction-Runner-Seal: " + id + "." + attempt + "\r\n");
+        return answer_bytes(200, "done " + attempt,
+                            echo + "Wharfjunction-Runner-Seal: " + id + "." + attempt + "\r\n");
       });
     }).detach();
   }
@@ -439,14 +450,16 @@
 
 // ---- a proxy before a process's inner port that can be cut ----
 
-/// Passes connections on. Who sends is read from the first frame of a connection, which names its sender's address;
-/// while the sender is cut off from this machine nothing passes either way. Nothing is closed by a cut, as a silent
-/// network does it, and what it held up goes on afterwards.
+/// Passes connections on. Who sends is read from the first frame of a connection, which names its sender's
+/// address; while the sender is cut off from this machine nothing passes either way. Nothing is closed by a
+/// cut, as a silent network does it, and what it held up goes on afterwards.
 class Proxy {
 public:
   Proxy(string ip, int port, int to_port) : ip_(std::move(ip)), port_(port), to_port_(to_port) {}
   /// Whether nothing passes between these two machines, by their addresses.
-  std::function<bool(const string &from, const string &to)> is_cut = [](const string &, const string &) { return false; };
+  std::function<bool(const string &from, const string &to)> is_cut = [](const string &, const string &) {
+    return false;
+  };
   /// The addresses of all machines.
   std::vector<string> known;
   bool start() {
@@ -556,35 +569,40 @@
   string folder() const { return folder_; }
 
   /// Lines added to a process's settings, by role and machine.
-  std::function<string(const string &role, const Machine &)> more = [](const string &, const Machine &) { return string(); };
+  std::function<string(const string &role, const Machine &)> more = [](const string &, const Machine &) {
+    return string();
+  };
 
   void start_all() {
     for (Machine &machine : machines) {
-      if (machine.has_disk) machine.control = start("control", "target/bin/wharf_control_node", machine, true);
+      if (machine.has_disk)
+        machine.control = start("control", "target/bin/wharf_control_node", machine, true);
       machine.edge = start("pilot", "target/bin/wharf_edge", machine, true);
     }
   }
   pid_t start(const string &role, const string &program, const Machine &machine, bool is_first) {
     const string settings = folder_ + "/" + role + "-" + machine.name + ".conf";
     Fields fields;
-    fields.values = {{"nodeName", machine.name},
-                     {"ip", machine.ip},
-                     {"zone", machine.zone},
-                     {"bindAddrs.front", machine.ip + ":8702"},
-                     {"bindAddrs.readiness", machine.ip + ":8707"},
-                     {"bindAddrs.control", machine.ip + ":8706"},
-                     {"bootstrap", is_first ? "true" : "false"},
-                     {"quorumMember", machine.has_disk ? "true" : "false"},
-                     {"limits.cpuShare", "0.45"},
-                     {"limits.linkMbps", "1000.0"},
-                     {"platformApi.address", platform_ip() + ":8705"},
-                     {"platformApi.dutyRateS", "78.0"},
-                     {"dataDir", machine.has_disk && role == "control" ? folder_ + "/data-" + machine.name : ""}};
+    fields.values = {
+        {"nodeName", machine.name},
+        {"ip", machine.ip},
+        {"zone", machine.zone},
+        {"bindAddrs.front", machine.ip + ":8702"},
+        {"bindAddrs.readiness", machine.ip + ":8707"},
+        {"bindAddrs.control", machine.ip + ":8706"},
+        {"bootstrap", is_first ? "true" : "false"},
+        {"quorumMember", machine.has_disk ? "true" : "false"},
+        {"limits.cpuShare", "0.45"},
+        {"limits.linkMbps", "1000.0"},
+        {"platformApi.address", platform_ip() + ":8705"},
+        {"platformApi.dutyRateS", "78.0"},
+        {"dataDir", machine.has_disk && role == "control" ? folder_ + "/data-" + machine.name : ""}};
     fields.lists["innerPortRange"] = {"7480", "7495"};
     for (std::size_t at = 0; at < machines.size() && at < 3; ++at)
       fields.lists["seedNodes"].push_back(machines[at].ip + ":8706");
-    std::ofstream(settings, std::ios::trunc) << fill(read_file(root_ + "/deploy/" + role + ".options"), fields) << "\n"
-                                             << more(role, machine);
+    std::ofstream(settings, std::ios::trunc)
+        << fill(read_file(root_ + "/deploy/" + role + ".options"), fields) << "\n"
+        << more(role, machine);
     const string log = folder_ + "/" + role + "-" + machine.name + ".log";
     const string variable = "WHARFJUNCTION_SETTINGS=" + settings;
     const pid_t parent = getpid();
@@ -612,7 +630,8 @@
     string body, from;
   };
   /// One call of the operator: follows 307 twice; status 0 when there was no clear answer within a second.
-  Answer operate(const string &method, std::size_t first, const string &body = {}, const string &if_match = {}) {
+  Answer operate(const string &method, std::size_t first, const string &body = {},
+                 const string &if_match = {}) {
     string ip = machines[first].ip;
     for (int hop = 0; hop < 3; ++hop) {
       string bytes = method + " /config HTTP/1.1\r\nHost: " + ip + ":8706\r\n";
@@ -633,21 +652,24 @@
     Answer answer;
     for (std::size_t at = 0; seconds_now() < until; ++at) {
       answer = operate(method, at % cores(), body, if_match);
-      if (answer.status == 200 || (answer.status >= 400 && answer.status < 500 && answer.status != 408 && answer.status != 429))
+      if (answer.status == 200 ||
+          (answer.status >= 400 && answer.status < 500 && answer.status != 408 && answer.status != 429))
         return answer;
       sleep_ms(static_cast<int>(std::min<std::size_t>(100 * (at + 1), 500)));
     }
     return answer;
   }
   std::size_t cores() const {
-    return static_cast<std::size_t>(std::count_if(machines.begin(), machines.end(), [](const Machine &one) { return one.has_disk; }));
+    return static_cast<std::size_t>(
+        std::count_if(machines.begin(), machines.end(), [](const Machine &one) { return one.has_disk; }));
   }
   bool wait_ready(double for_s) {
     const double until = seconds_now() + for_s;
     for (; seconds_now() < until; sleep_ms(100)) {
       bool is_ready = true;
       for (const Machine &machine : machines)
-        is_ready = is_ready && ask(machine.ip, 8707, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n", 500).status() == 200;
+        is_ready =
+            is_ready && ask(machine.ip, 8707, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n", 500).status() == 200;
       if (is_ready) return true;
     }
     return false;
@@ -661,25 +683,30 @@
 };
 
 inline string route_json(const string &name, const string &service, const string &kind = "pure") {
-  return "{\"name\":\"" + name + "\",\"authority\":\"dese56.example\",\"pathPrefix\":\"/" + name + "/\",\"routeKind\":\"" +
-         kind + "\",\"deadlineMs\":4000,\"targetLatencyMs\":500,\"rank\":2,\"target\":\"" + service +
+  return "{\"name\":\"" + name + "\",\"authority\":\"dese56.example\",\"pathPrefix\":\"/" + name +
+         "/\",\"routeKind\":\"" + kind +
+         "\",\"deadlineMs\":4000,\"targetLatencyMs\":500,\"rank\":2,\"target\":\"" + service +
          "\",\"maxTries\":" + (kind == "pure" ? "2" : "1") + ",\"anonymous\":false}";
 }
 inline string service_json(const string &name, int boot_ms, int concurrency = 4) {
-  return "{\"name\":\"" + name + "\",\"healthPath\":null,\"maxConns\":75,\"protocol\":\"h1\",\"tls\":false,\"memoryMb\":128,"
-         "\"bootMs\":" + std::to_string(boot_ms) + ",\"concurrency\":" + std::to_string(concurrency) + "}";
+  return "{\"name\":\"" + name +
+         "\",\"healthPath\":null,\"maxConns\":75,\"protocol\":\"h1\",\"tls\":false,\"memoryMb\":128,"
+         "\"bootMs\":" +
+         std::to_string(boot_ms) + ",\"concurrency\":" + std::to_string(concurrency) + "}";
 }
-inline string config_json(int generation, const std::vector<string> &routes, const std::vector<string> &services,
-                          int per_s = 106) {
+inline string config_json(int generation, const std::vector<string> &routes,
+                          const std::vector<string> &services, int per_s = 106) {
   const auto join = [](const std::vector<string> &items) {
     string text;
     for (const string &item : items) text += (text.empty() ? "" : ",") + item;
     return text;
   };
-  return "{\"generation\":" + std::to_string(generation) + ",\"routeTable\":[" + join(routes) + "],\"serviceTable\":[" +
-         join(services) +
-         "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerReadMs\":3000,\"idleMs\":15000},"
-         "\"tenantTable\":[{\"name\":\"delo800\",\"apiKeys\":[\"if3882p5wbr9bc582dm2\"],\"rank\":1,\"ratePerS\":" +
+  return "{\"generation\":" + std::to_string(generation) + ",\"routeTable\":[" + join(routes) +
+         "],\"serviceTable\":[" + join(services) +
+         "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerReadMs\":3000,\"idleMs\":"
+         "15000},"
+         "\"tenantTable\":[{\"name\":\"delo800\",\"apiKeys\":[\"if3882p5wbr9bc582dm2\"],\"rank\":1,"
+         "\"ratePerS\":" +
          std::to_string(per_s) + ",\"burst\":" + std::to_string(per_s) + "}]}";
 }
 
