--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,7 +1,7 @@
 // An operator has two changes under way at once, the second built on the first (its If-Match is the first's
 // generation). Both are acknowledged, and the first one's content is gone.
 // With TROUBLE=0 the second is sent once the first is acknowledged.
-#include "../standins-2/lab.hpp"
+#include "lab.hpp"
 
 using namespace lab;
 
--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,7 +1,7 @@
 // The leader's machine is cut off from the other core machines while a crowd's runners are being started. It
 // goes on ordering starts for the function after its successor has done so with a higher fence. With
 // TROUBLE=0 nothing is cut.
-#include "../standins-2/lab.hpp"
+#include "../4/lab.hpp"
 
 using namespace lab;
 
