Merge a change of named items at the moment its base is checked, one write at a time

What callers saw: an operator had a change under way and sent a PATCH built on it.

Cause: the translation carried a PATCH out in two steps. It read the configuration (one confirmed read), merged the change into it, and sent the whole on as a PUT, which waited for a second confirmation. If-Match was compared with the version in force by then. Where the version that it names was committed between the two steps, the PUT took its place with a text made from its predecessor. A PATCH without If-Match was bound to nothing at all, so the same befell it with any other change in between.

The leader merges it into the text in force when it compares If-Match and binds the entry to that version, so the log refuses it if anything else comes first. There is no second step: an operator's call is one question and one answer (OperatorsWire::read, tell). Writes wait while one is undecided, so that each is decided on what the one before came to: an order built on one under way is now taken after it, where it would get 412.

Why it works: between the comparison and the proposal nothing runs, and between proposal and commit Registry::may_take compares the same version again on every replica.

The test of the translation described the two steps. It now checks the one: same statuses, mark, If-Match, redirection, and that the merge gives manifest and text of one configuration. That a PATCH that cannot be merged gets 412 where another version is in force is now decided by the group and tested there.

--- a/packages/control/control_node.cpp
+++ b/packages/control/control_node.cpp
@@ -87,6 +87,7 @@
       refuse_operator(proposal.operator_ticket, 503, "unknown",
                       "the lead was lost before the outcome was known", out);
   proposals_.clear();
+  write_index_ = 0;
   for (const WaitingWrite &write : writes_)
     refuse_operator(write.ticket, 503, "unknown", "the lead was lost before every pilot had switched", out);
   writes_.clear();
@@ -99,12 +100,14 @@
   applied_ = entry.index;
   bytes_since_snapshot_ += entry.body.size() + 64;
   Applied applied;
+  const Version replaced = registry_.version();
   if (entry.kind == static_cast<std::uint8_t>(EntryKind::command)) {
     Command command;
     if (unpack_command(entry.body, command)) applied = registry_.apply(command);
   } else {
     settle_at_ = now;
   }
+  if (entry.index == write_index_) write_index_ = 0;
   if (entry.index == roster_index_) is_roster_proposed_ = false;
   if (entry.index == runners_index_) {
     is_runners_proposed_ = false;
@@ -135,7 +138,10 @@
     charter_ = std::move(proposal.charter);
     charter_version_ = registry_.version();
   }
-  writes_.push_back({proposal.operator_ticket, applied.version, std::move(proposal.trial), false});
+  writes_.push_back({proposal.operator_ticket, applied.version, std::move(proposal.trial)});
+  if (registry_.version() != replaced)
+    out.lines.push_back("configuration " + std::to_string(registry_.version()) + " takes the place of " +
+                        std::to_string(replaced));
   outlook_ = {applied.version, now, false, std::move(proposal.foretold), {}, 0};
   push_orders(now, out);
 }
@@ -194,6 +200,7 @@
   RaftOutput step;
   raft_.saved(ticket, now, step);
   absorb(std::move(step), now, out);
+  carry_out_confirmed(now, out);
   compact_if_due(out);
 }
 
--- a/packages/control/control_node.hpp
+++ b/packages/control/control_node.hpp
@@ -1,9 +1,11 @@
 #pragma once
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "charter/charter.hpp"
@@ -32,6 +34,15 @@
   try_patch
 };
 
+/// A manifest, and the text that its writer keeps with it and gets back with it.
+struct ConfigurationText {
+  std::string manifest, origin;
+};
+/// Makes the next configuration by a writer's own rules out of the text that is kept with the one in force,
+/// or says what is wrong. That text is empty before the first.
+using ConfigurationMerge =
+    std::function<std::variant<ConfigurationText, CharterErrors>(const std::string &origin)>;
+
 /// One call of the operators' API, already read.
 struct OperatorAsk {
   std::uint64_t ticket = 0;
@@ -39,6 +50,8 @@
   std::string body, if_match, write_id;
   /// What the writer keeps with the manifest and gets back with it: any text.
   std::string origin{};
+  /// How a patch is merged; where there is none, `body` is a merge patch of the manifest.
+  ConfigurationMerge merge{};
 };
 struct OperatorSay {
   std::uint64_t ticket = 0;
@@ -47,8 +60,6 @@
   std::string body;
   /// Where the leader's API is, when this replica cannot answer.
   std::string leader_http;
-  /// True when a write was found to have been taken before, however it was read this time.
-  bool is_repeat = false;
   /// What the manifest's writer keeps with it, for reads.
   std::string origin{};
 };
@@ -227,7 +238,6 @@
     std::uint64_t ticket = 0;
     Version version = 0;
     std::string trial;
-    bool is_repeat = false;
   };
   /// The newest change's trial, to be set beside what came of it.
   struct Outlook {
@@ -323,16 +333,28 @@
   Epoch settled_epoch(Instant now) const;
   void settle_writes(Instant now, ControlOutput &out);
   /// Carries out the requests that were asked before the moment at which a majority last confirmed this
-  /// leader.
+  /// leader; one write at a time, so that each is decided on what the one before it came to.
   void carry_out_confirmed(Instant now, ControlOutput &out);
+  /// Takes the first of these requests out of the line; nothing when none may be carried out now.
+  std::optional<OperatorAsk> next_confirmed(Instant now);
   void carry_out(OperatorAsk ask, Instant now, ControlOutput &out);
-  void read_manifest(const OperatorAsk &ask, Instant now, ControlOutput &out);
+  void read_manifest(const OperatorAsk &ask, ControlOutput &out);
   void refuse_version(std::uint64_t ticket, ControlOutput &out);
   /// Answers a write that was taken before as it was answered then; false when it was not.
   bool acknowledge_again(const OperatorAsk &ask, Instant now, ControlOutput &out);
   /// True when an order so old may have been taken without its mark being kept until now.
   bool may_be_forgotten(Version number) const;
   void write_manifest(OperatorAsk ask, Instant now, ControlOutput &out);
+  /// Refuses a write that builds on another version than the one in force; true when it was refused.
+  bool refuse_other_base(const OperatorAsk &ask, ControlOutput &out);
+  /// What a write would put in force: its own text, or the one in force with the change merged into it.
+  std::variant<ConfigurationText, CharterErrors> next_configuration(const OperatorAsk &ask) const;
+  void refuse_faulty(std::uint64_t ticket, const CharterErrors &errors, ControlOutput &out);
+  void refuse_forgotten(std::uint64_t ticket, ControlOutput &out);
+  /// Answers with what was foretold of a change that is not taken, or was only to be tried.
+  void tell_trial(const OperatorAsk &ask, const Trial &trial, const std::string &figures, ControlOutput &out);
+  void propose_write(Proposal proposal, const PutConfiguration &configuration, Instant now,
+                     ControlOutput &out);
   PutConfiguration configuration_of(PutManifest put, const std::string &origin, const Charter &charter) const;
   Yard yard() const;
   /// Sets what was foretold of the newest change beside what was measured since.
@@ -446,6 +468,8 @@
   std::vector<UnconfirmedRequest> unconfirmed_;
   bool is_roster_proposed_ = false, is_runners_proposed_ = false, is_secret_proposed_ = false;
   std::uint64_t roster_index_ = 0, runners_index_ = 0;
+  /// The log index of the operator's write that is not decided yet; 0 when there is none.
+  std::uint64_t write_index_ = 0;
   std::vector<NodeId> roster_wanted_;
   Instant roster_steady_since_ = 0;
   /// When this leader was last without a majority that confirms it.
--- a/packages/control/operator_requests.cpp
+++ b/packages/control/operator_requests.cpp
@@ -21,6 +21,13 @@
   return verb == OperatorVerb::put_manifest || verb == OperatorVerb::patch_manifest;
 }
 
+bool is_patch(OperatorVerb verb) {
+  return verb == OperatorVerb::patch_manifest || verb == OperatorVerb::try_patch;
+}
+
+/// What `If-Match` says for whatever version is in force.
+constexpr std::string_view any_version = "*";
+
 std::string figure_text(double figure) {
   std::string text = std::to_string(figure);
   return text.substr(0, text.find('.') + 2);
@@ -46,26 +53,29 @@
     Json answer{{"outcome", "taken"}, {"version", write.version}};
     if (!write.trial.empty()) answer["trial"] = Json::parse(write.trial);
     say.body = answer.dump(2) + "\n";
-    say.is_repeat = write.is_repeat;
     out.answers.push_back(std::move(say));
     return true;
   });
 }
 
-void ControlNode::carry_out_confirmed(Instant now, ControlOutput &out) {
-  if (unconfirmed_.empty() || !is_leading()) return;
+std::optional<OperatorAsk> ControlNode::next_confirmed(Instant now) {
+  if (unconfirmed_.empty() || !is_leading()) return std::nullopt;
   const Instant confirmed = raft_.confirmed_at(now);
-  std::vector<OperatorAsk> due;
-  std::erase_if(unconfirmed_, [&](UnconfirmedRequest &request) {
-    if (confirmed < request.asked_at) return false;
-    due.push_back(std::move(request.ask));
-    return true;
-  });
-  for (OperatorAsk &ask : due) carry_out(std::move(ask), now, out);
+  const auto may_be_carried_out = [&](const UnconfirmedRequest &request) {
+    return confirmed >= request.asked_at && (write_index_ == 0 || !is_writing(request.ask.verb));
+  };
+  const auto found = std::find_if(unconfirmed_.begin(), unconfirmed_.end(), may_be_carried_out);
+  if (found == unconfirmed_.end()) return std::nullopt;
+  OperatorAsk ask = std::move(found->ask);
+  unconfirmed_.erase(found);
+  return ask;
+}
+
+void ControlNode::carry_out_confirmed(Instant now, ControlOutput &out) {
+  while (auto ask = next_confirmed(now)) carry_out(std::move(*ask), now, out);
 }
 
-void ControlNode::read_manifest(const OperatorAsk &ask, Instant now, ControlOutput &out) {
-  if (acknowledge_again(ask, now, out)) return;
+void ControlNode::read_manifest(const OperatorAsk &ask, ControlOutput &out) {
   OperatorSay say{ask.ticket, 200, registry_.version(), registry_.manifest(), {}};
   say.origin = registry_.origin();
   if (registry_.version() == 0) {
@@ -114,7 +124,7 @@
 void ControlNode::carry_out(OperatorAsk ask, Instant now, ControlOutput &out) {
   switch (ask.verb) {
   case OperatorVerb::get_manifest:
-    read_manifest(ask, now, out);
+    read_manifest(ask, out);
     return;
   case OperatorVerb::get_version: {
     OperatorSay say{ask.ticket, 200, registry_.version(), {}, {}};
@@ -139,7 +149,7 @@
   if (ask.write_id.empty()) return false;
   const Version earlier = registry_.version_of_write(ask.write_id);
   if (earlier == 0) return false;
-  writes_.push_back({ask.ticket, earlier, {}, true});
+  writes_.push_back({ask.ticket, earlier, {}});
   settle_writes(now, out);
   return true;
 }
@@ -168,79 +178,93 @@
   return configuration;
 }
 
+bool ControlNode::refuse_other_base(const OperatorAsk &ask, ControlOutput &out) {
+  if (ask.if_match.empty()) return false;
+  const bool is_any = ask.if_match == any_version;
+  const auto version = is_any ? std::optional<Version>(registry_.version()) : version_of_tag(ask.if_match);
+  const bool is_in_force = version && *version == registry_.version();
+  if (is_in_force && !(is_any && *version == 0)) return false;
+  if (version && may_be_forgotten(*version) && !ask.write_id.empty())
+    refuse_forgotten(ask.ticket, out);
+  else
+    refuse_version(ask.ticket, out);
+  return true;
+}
+
+std::variant<ConfigurationText, CharterErrors> ControlNode::next_configuration(const OperatorAsk &ask) const {
+  if (!is_patch(ask.verb)) return ConfigurationText{ask.body, ask.origin};
+  if (ask.merge) return ask.merge(registry_.origin());
+  auto merged = merge_charter(registry_.manifest(), ask.body);
+  if (auto *errors = std::get_if<CharterErrors>(&merged)) return std::move(*errors);
+  return ConfigurationText{std::get<std::string>(std::move(merged)),
+                           ask.origin.empty() ? registry_.origin() : ask.origin};
+}
+
+void ControlNode::refuse_faulty(std::uint64_t ticket, const CharterErrors &errors, ControlOutput &out) {
+  out.answers.push_back(
+      {ticket, errors.is_syntax ? 400 : 422, registry_.version(), faults_json(errors.faults), {}});
+}
+
+void ControlNode::refuse_forgotten(std::uint64_t ticket, ControlOutput &out) {
+  refuse_operator(ticket, 503, "unknown", "too long ago to say whether it was taken", out);
+}
+
+void ControlNode::tell_trial(const OperatorAsk &ask, const Trial &trial, const std::string &figures,
+                             ControlOutput &out) {
+  const bool is_good = trial.breaches.empty();
+  Json answer{{"outcome", is_writing(ask.verb) ? "not-taken"
+                          : is_good            ? "would-be-taken"
+                                               : "would-not-be-taken"},
+              {"version", registry_.version()},
+              {"trial", Json::parse(figures)}};
+  if (!is_good) {
+    answer["why"] = "the trial on measured behaviour breaks a declared bound";
+    for (const Breach &breach : trial.breaches)
+      answer["faults"].push_back(
+          {{"path", breach.what},
+           {"what", "foretold " + figure_text(breach.figure) + ", bound " + figure_text(breach.bound)}});
+  }
+  out.answers.push_back({ask.ticket, is_good ? 200 : 422, registry_.version(), answer.dump(2) + "\n", {}});
+}
+
 void ControlNode::write_manifest(OperatorAsk ask, Instant now, ControlOutput &out) {
-  const bool is_try = ask.verb == OperatorVerb::try_manifest || ask.verb == OperatorVerb::try_patch;
-  const bool is_patch = ask.verb == OperatorVerb::patch_manifest || ask.verb == OperatorVerb::try_patch;
+  const bool is_try = !is_writing(ask.verb);
   if (!is_try && acknowledge_again(ask, now, out)) return;
-  PutManifest put;
-  put.write_id = ask.write_id;
-  put.base = registry_.version();
-  put.is_bound = is_patch;
-  if (!ask.if_match.empty()) {
-    const bool is_any = ask.if_match == "*";
-    const auto version = is_any ? std::optional<Version>(registry_.version()) : version_of_tag(ask.if_match);
-    if (!version || *version != registry_.version() || (is_any && *version == 0)) {
-      if (version && may_be_forgotten(*version) && !ask.write_id.empty())
-        refuse_operator(ask.ticket, 503, "unknown", "too long ago to say whether it was taken", out);
-      else
-        refuse_version(ask.ticket, out);
-      return;
-    }
-    put.is_bound = put.is_bound || !is_any;
-  }
-  put.bytes = ask.body;
-  std::optional<CharterErrors> errors;
-  if (is_patch) {
-    auto merged = merge_charter(registry_.manifest(), ask.body);
-    if (auto *faults = std::get_if<CharterErrors>(&merged))
-      errors = *faults;
-    else
-      put.bytes = std::get<std::string>(std::move(merged));
-  }
-  std::shared_ptr<const Charter> next;
-  if (!errors) {
-    auto read = read_charter(put.bytes);
-    if (auto *faults = std::get_if<CharterErrors>(&read))
-      errors = *faults;
-    else
-      next = std::get<std::shared_ptr<const Charter>>(std::move(read));
+  if (refuse_other_base(ask, out)) return;
+  auto made = next_configuration(ask);
+  if (const auto *errors = std::get_if<CharterErrors>(&made)) {
+    refuse_faulty(ask.ticket, *errors, out);
+    return;
   }
-  if (errors) {
-    out.answers.push_back(
-        {ask.ticket, errors->is_syntax ? 400 : 422, registry_.version(), faults_json(errors->faults), {}});
+  auto &text = std::get<ConfigurationText>(made);
+  auto read = read_charter(text.manifest);
+  if (const auto *errors = std::get_if<CharterErrors>(&read)) {
+    refuse_faulty(ask.ticket, *errors, out);
     return;
   }
+  const auto next = std::get<std::shared_ptr<const Charter>>(std::move(read));
   if (may_be_forgotten(next->number) && !ask.write_id.empty()) {
-    refuse_operator(ask.ticket, 503, "unknown", "too long ago to say whether it was taken", out);
+    refuse_forgotten(ask.ticket, out);
     return;
   }
   if (next->number != 0 && next->number <= registry_.version()) {
-    const CharterErrors behind{false, {{"$.number", "is not above the version in force"}}};
-    out.answers.push_back({ask.ticket, 422, registry_.version(), faults_json(behind.faults), {}});
+    refuse_faulty(ask.ticket, {false, {{"$.number", "is not above the version in force"}}}, out);
     return;
   }
-  put.number = next->number;
-  const std::string origin = is_patch && ask.origin.empty() ? registry_.origin() : ask.origin;
   Trial trial = try_change(charter_.get(), *next, almanac_.measured(now), yard());
   if (!options_.must_try) trial.breaches.clear();
   const std::string figures = trial_json(trial);
   if (is_try || !trial.breaches.empty()) {
-    Json answer{{"outcome", !is_try                  ? "not-taken"
-                            : trial.breaches.empty() ? "would-be-taken"
-                                                     : "would-not-be-taken"},
-                {"version", registry_.version()},
-                {"trial", Json::parse(figures)}};
-    if (!trial.breaches.empty()) {
-      answer["why"] = "the trial on measured behaviour breaks a declared bound";
-      for (const Breach &breach : trial.breaches)
-        answer["faults"].push_back(
-            {{"path", breach.what},
-             {"what", "foretold " + figure_text(breach.figure) + ", bound " + figure_text(breach.bound)}});
-    }
-    out.answers.push_back(
-        {ask.ticket, trial.breaches.empty() ? 200 : 422, registry_.version(), answer.dump(2) + "\n", {}});
+    tell_trial(ask, trial, figures, out);
     return;
   }
+  PutManifest put;
+  put.bytes = std::move(text.manifest);
+  put.write_id = ask.write_id;
+  put.base = registry_.version();
+  put.is_bound = is_patch(ask.verb) || (!ask.if_match.empty() && ask.if_match != any_version);
+  put.number = next->number;
+  const PutConfiguration configuration = configuration_of(std::move(put), text.origin, *next);
   Proposal proposal;
   proposal.trial = figures;
   proposal.foretold = std::move(trial);
@@ -248,12 +272,19 @@
   proposal.term = raft_.term();
   proposal.operator_ticket = ask.ticket;
   proposal.ask = std::move(ask);
+  propose_write(std::move(proposal), configuration, now, out);
+}
+
+void ControlNode::propose_write(Proposal proposal, const PutConfiguration &configuration, Instant now,
+                                ControlOutput &out) {
+  const std::uint64_t ticket = proposal.operator_ticket;
   const std::uint64_t expected = raft_.last_index() + 1;
-  proposals_[expected] = proposal;
-  if (const auto index = propose(configuration_of(std::move(put), origin, *next), now, out); !index) {
-    proposals_.erase(expected);
-    refuse_operator(proposal.operator_ticket, 503, "not-taken", "this replica cannot write now", out);
-  }
+  proposals_[expected] = std::move(proposal);
+  write_index_ = expected;
+  if (propose(configuration, now, out)) return;
+  proposals_.erase(expected);
+  write_index_ = 0;
+  refuse_operator(ticket, 503, "not-taken", "this replica cannot write now", out);
 }
 
 Yard ControlNode::yard() const {
--- a/packages/helm/control_runtime.cpp
+++ b/packages/helm/control_runtime.cpp
@@ -108,39 +108,25 @@
     door_.answer(link, metrics_response(metrics(tide_.now())), true);
     return;
   }
-  auto begun = operators_.begin(request);
-  if (auto *response = std::get_if<HttpMessage>(&begun)) {
+  auto read = operators_.read(request);
+  if (const auto *response = std::get_if<HttpMessage>(&read)) {
     door_.answer(link, *response, true);
     return;
   }
-  const std::uint64_t ticket = next_ticket_++;
-  talks_[ticket] = {link, std::move(request), {}, tide_.now() + helm_.operator_within};
-  ask_group(ticket, std::get<OperatorAsk>(std::move(begun)));
+  auto &ask = std::get<OperatorAsk>(read);
+  ask.ticket = next_ticket_++;
+  talks_[ask.ticket] = {link, std::move(request), tide_.now() + helm_.operator_within};
+  control_->operate(std::move(ask), tide_.now(), out_);
 }
 
 void ControlRuntime::left(LinkId link) {
   std::erase_if(talks_, [link](const auto &item) { return item.second.link == link; });
 }
 
-void ControlRuntime::ask_group(std::uint64_t ticket, OperatorAsk ask) {
-  ask.ticket = ticket;
-  talks_[ticket].asked = ask;
-  control_->operate(std::move(ask), tide_.now(), out_);
-}
-
 void ControlRuntime::answered(const OperatorSay &say) {
   const auto found = talks_.find(say.ticket);
   if (found == talks_.end()) return;
-  auto next = operators_.go_on(found->second.request, found->second.asked, say);
-  if (auto *ask = std::get_if<OperatorAsk>(&next)) {
-    Talk talk = std::move(found->second);
-    talks_.erase(found);
-    const std::uint64_t ticket = next_ticket_++;
-    talks_[ticket] = std::move(talk);
-    ask_group(ticket, std::move(*ask));
-    return;
-  }
-  door_.answer(found->second.link, std::get<HttpMessage>(next), true);
+  door_.answer(found->second.link, operators_.tell(found->second.request, say), true);
   talks_.erase(found);
 }
 
--- a/packages/helm/control_runtime.hpp
+++ b/packages/helm/control_runtime.hpp
@@ -43,14 +43,12 @@
   struct Talk {
     LinkId link = 0;
     HttpMessage request;
-    OperatorAsk asked;
     Instant until = 0;
   };
   void build(const Recovered &recovered);
   bool is_over(Instant now) const;
   void disk_said(DiskEvent &&word);
   void carry_out();
-  void ask_group(std::uint64_t ticket, OperatorAsk ask);
   void answered(const OperatorSay &say);
   void maintain_talks(Instant now);
   void maintain_lists(Instant now);
--- a/packages/helm/wires.hpp
+++ b/packages/helm/wires.hpp
@@ -46,11 +46,10 @@
 class OperatorsWire {
 public:
   virtual ~OperatorsWire() = default;
-  /// The first thing to ask of the group, or the answer at once.
-  virtual std::variant<OperatorAsk, HttpMessage> begin(const HttpMessage &request) = 0;
-  /// What comes after the group's answer: another ask, or the end.
-  virtual std::variant<OperatorAsk, HttpMessage> go_on(const HttpMessage &request, const OperatorAsk &asked,
-                                                       const OperatorSay &say) = 0;
+  /// Reads a request: what to ask of the group, or the answer at once.
+  virtual std::variant<OperatorAsk, HttpMessage> read(const HttpMessage &request) = 0;
+  /// Puts the group's answer into words.
+  virtual HttpMessage tell(const HttpMessage &request, const OperatorSay &say) = 0;
   /// The answer when the group gave none in time.
   virtual HttpMessage silent(const HttpMessage &request) = 0;
 };
--- a/tests/operator_door_rig.hpp
+++ b/tests/operator_door_rig.hpp
@@ -16,7 +16,6 @@
 struct OperatorDoorRig {
   struct Order {
     HttpMessage request;
-    OperatorAsk asked;
     std::uint64_t ticket = 0;
     Instant sent_at = 0;
     std::optional<HttpMessage> response;
@@ -61,7 +60,7 @@
 
   /// Sends an order to the leader, which must be there; the place of it in `orders`.
   std::size_t send(HttpMessage request) {
-    orders.push_back({std::move(request), {}, 0, 0, {}});
+    orders.push_back({std::move(request), 0, 0, {}});
     send_try(orders.back());
     return orders.size() - 1;
   }
@@ -110,24 +109,15 @@
   void send_try(Order &order) {
     order.response.reset();
     order.sent_at = group.now;
-    auto begun = operators.begin(order.request);
-    if (auto *response = std::get_if<HttpMessage>(&begun))
+    auto read = operators.read(order.request);
+    if (auto *response = std::get_if<HttpMessage>(&read))
       order.response = std::move(*response);
     else
-      ask(order, std::get<OperatorAsk>(std::move(begun)));
-  }
-  void ask(Order &order, OperatorAsk asked) {
-    order.asked = asked;
-    order.ticket = group.ask(group.wait_leader(), std::move(asked));
+      order.ticket = group.ask(group.wait_leader(), std::get<OperatorAsk>(std::move(read)));
   }
   void take_answer(Order &order) {
     const OperatorSay *say = order.response ? nullptr : group.answer_to(order.ticket);
-    if (say == nullptr) return;
-    auto next = operators.go_on(order.request, order.asked, *say);
-    if (auto *response = std::get_if<HttpMessage>(&next))
-      order.response = std::move(*response);
-    else
-      ask(order, std::get<OperatorAsk>(std::move(next)));
+    if (say != nullptr) order.response = operators.tell(order.request, *say);
   }
 };
 
--- a/tests/operator_orders_test.cpp
+++ b/tests/operator_orders_test.cpp
@@ -28,7 +28,7 @@
     const nlohmann::json before = rig_.read_back();
     const Version base = before.at("generation").get<Version>();
     rig_.orders.clear();
-    names_.clear();
+    intents_.clear();
     const bool is_chain = dice_.chance(0.75);
     const std::uint64_t count = 2 + dice_.below(7);
     const std::uint64_t trouble_at = has_troubles_ && dice_.chance(0.5) ? dice_.below(count) : count;
@@ -47,18 +47,26 @@
       heal(struck, trouble);
     }
     finish();
-    check(is_chain);
+    check(is_chain, Rig::names_of(before));
   }
 
 private:
+  /// What an order makes of the routes in force.
+  struct Intent {
+    std::string name;
+    bool is_whole = false;
+    Names whole;
+  };
+
   void send(Version generation, Version built_on, bool is_chain, Names &whole) {
     const std::string name = "n" + std::to_string(generation);
     const bool names_version = !is_chain || dice_.chance(0.8);
-    names_.push_back(name);
     if (is_chain) whole.insert(name);
     Names held = whole;
     held.insert(name);
-    if (names_version && dice_.chance(0.4))
+    const bool is_put = names_version && dice_.chance(0.4);
+    intents_.push_back({name, is_put, held});
+    if (is_put)
       rig_.send(Rig::put(generation, built_on, held));
     else
       rig_.send(Rig::patch(generation, names_version ? std::optional(built_on) : std::nullopt, name));
@@ -85,26 +93,29 @@
     }
     FAIL((label_ + ": orders got no clear answer").c_str());
   }
-  void check(bool is_chain) {
+  /// What is in force must be what the acknowledged orders make of what was, in the order of their
+  /// generations, to the last route.
+  void check(bool is_chain, Names expected) {
     const std::vector<Rig::Order> answered = rig_.orders;
-    const nlohmann::json after = rig_.read_back();
-    const Names held = Rig::names_of(after);
-    CHECK_TEXT(held.contains("r"), (label_ + ": the first route is gone").c_str());
+    std::string told;
     std::size_t taken = 0;
     for (std::size_t at = 0; at < answered.size(); ++at) {
-      const int status = answered[at].status();
-      const std::string what = label_ + ": " + names_[at] + " was answered " + std::to_string(status);
-      CHECK_EQUAL_TEXT(status == 200, held.contains(names_[at]), what.c_str());
-      taken += status == 200 ? 1 : 0;
+      const Intent &intent = intents_[at];
+      told += ", " + intent.name + " " + std::to_string(answered[at].status());
+      if (answered[at].status() != 200) continue;
+      ++taken;
+      if (intent.is_whole) expected = intent.whole;
+      expected.insert(intent.name);
     }
-    CHECK_TEXT(is_chain ? taken >= 1 : taken == 1, (label_ + ": orders taken").c_str());
+    CHECK_TEXT(Rig::names_of(rig_.read_back()) == expected, (label_ + told).c_str());
+    CHECK_TEXT(is_chain ? taken >= 1 : taken == 1, (label_ + told).c_str());
   }
 
   Rig rig_;
   Dice dice_;
   bool has_troubles_;
   std::string label_;
-  std::vector<std::string> names_;
+  std::vector<Intent> intents_;
 };
 
 /// How many seeds are played: a few, or as many as the environment asks for.
@@ -141,6 +152,36 @@
   }
 }
 
+// Guards against: an order that builds on one under way is refused, though the other is taken before it.
+TEST(OperatorOrders, orders_under_way_that_build_on_each_other_are_taken_one_after_the_other) {
+  Rig rig;
+  LONGS_EQUAL(200, rig.status_of(Rig::put(1, 0, {"r"})));
+  rig.orders.clear();
+  Names all{"r"};
+  for (Version generation = 2; generation < 10; ++generation) {
+    const std::string name = "n" + std::to_string(generation);
+    all.insert(name);
+    rig.send(generation % 2 == 0 ? Rig::put(generation, generation - 1, all)
+                                 : Rig::patch(generation, generation - 1, name));
+  }
+  rig.settle();
+  for (const Rig::Order &order : rig.orders) LONGS_EQUAL(200, order.status());
+  CHECK(Rig::names_of(rig.read_back()) == all);
+}
+
+// Guards against: a change that cannot be merged is called invalid though another version than the one it
+// builds on is in force.
+TEST(OperatorOrders, a_change_that_cannot_be_merged_is_refused_and_changes_nothing) {
+  Rig rig;
+  LONGS_EQUAL(200, rig.status_of(Rig::put(5, 0, {"r"})));
+  const nlohmann::json broken{{"generation", 7}, {"upsert", {{"routeTable", {{{"name", "a"}}}}}}};
+  const nlohmann::json behind{{"generation", 5}, {"upsert", {{"routeTable", Rig::routes({"a"})}}}};
+  LONGS_EQUAL(400, rig.status_of(Rig::order("PATCH", 5, broken)));
+  LONGS_EQUAL(412, rig.status_of(Rig::order("PATCH", 3, broken)));
+  LONGS_EQUAL(400, rig.status_of(Rig::order("PATCH", 5, behind)));
+  CHECK(Rig::names_of(rig.read_back()) == Names{"r"});
+}
+
 // Guards against: a change that names no version was merged into one version and took the place of a later
 // one.
 TEST(OperatorOrders, changes_that_name_no_version_keep_what_others_under_way_hold) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -205,7 +205,7 @@
   CHECK(charter->tenant_named("free")->unbounded);
   Operators operators;
   const HttpMessage put = message("PUT", "/config", {}, config().dump());
-  CHECK(Json::parse(std::get<OperatorAsk>(operators.begin(put)).origin) == config());
+  CHECK(Json::parse(std::get<OperatorAsk>(operators.read(put)).origin) == config());
 }
 
 TEST(Platform, the_longest_prefix_wins_and_nothing_but_what_it_begins_matches) {
@@ -307,53 +307,52 @@
 TEST(Platform, an_operators_order_is_put_read_changed_and_sent_on) {
   Operators operators;
   const HttpMessage put = message("PUT", "/config", {{"If-Match", "5"}}, config().dump());
-  const auto ask = std::get<OperatorAsk>(operators.begin(put));
+  const auto ask = std::get<OperatorAsk>(operators.read(put));
   CHECK(ask.verb == OperatorVerb::put_manifest);
   STRCMP_EQUAL("5", ask.if_match.c_str());
-  STRCMP_EQUAL(ask.write_id.c_str(), std::get<OperatorAsk>(operators.begin(put)).write_id.c_str());
-  const auto status = [&](const HttpMessage &request, const OperatorAsk &asked, OperatorSay say) {
-    return std::get<HttpMessage>(operators.go_on(request, asked, say)).status;
+  STRCMP_EQUAL(ask.write_id.c_str(), std::get<OperatorAsk>(operators.read(put)).write_id.c_str());
+  const auto status = [&](const HttpMessage &request, OperatorSay say) {
+    return operators.tell(request, say).status;
   };
-  LONGS_EQUAL(200, status(put, ask, {1, 200, 7, "{}", {}}));
-  LONGS_EQUAL(412, status(put, ask, {1, 412, 6, "{}", {}}));
-  LONGS_EQUAL(400, status(put, ask, {1, 422, 6, "{}", {}}));
-  LONGS_EQUAL(503, status(put, ask, {1, 503, 0, {}, {}}));
-  const auto moved = std::get<HttpMessage>(operators.go_on(put, ask, {1, 503, 0, {}, "10.0.0.4:8080"}));
+  LONGS_EQUAL(200, status(put, {1, 200, 7, "{}", {}}));
+  LONGS_EQUAL(412, status(put, {1, 412, 6, "{}", {}}));
+  LONGS_EQUAL(400, status(put, {1, 422, 6, "{}", {}}));
+  LONGS_EQUAL(503, status(put, {1, 503, 0, {}, {}}));
+  const HttpMessage moved = operators.tell(put, {1, 503, 0, {}, "10.0.0.4:8080"});
   LONGS_EQUAL(307, moved.status);
   STRCMP_EQUAL("http://10.0.0.4:8080/config", moved.find("Location")->c_str());
 
   const HttpMessage get = message("GET", "/config");
-  const auto read = std::get<OperatorAsk>(operators.begin(get));
-  const std::string manifest = std::get<std::string>(manifest_of(config()));
-  const auto in_force = [&](std::uint64_t ticket, Version version) {
-    OperatorSay say{ticket, 200, version, manifest, {}};
-    say.origin = config().dump();
-    return say;
-  };
-  const auto told = std::get<HttpMessage>(operators.go_on(get, read, in_force(2, 7)));
-  CHECK(Json::parse(told.body) == config());
-  LONGS_EQUAL(404, status(get, read, {2, 404, 0, {}, {}}));
+  CHECK(std::get<OperatorAsk>(operators.read(get)).verb == OperatorVerb::get_manifest);
+  OperatorSay in_force{2, 200, 7, std::get<std::string>(manifest_of(config())), {}};
+  in_force.origin = config().dump();
+  CHECK(Json::parse(operators.tell(get, in_force).body) == config());
+  LONGS_EQUAL(404, status(get, {2, 404, 0, {}, {}}));
 
   const HttpMessage patch = message("PATCH", "/config", {{"If-Match", "7"}},
                                     R"({"generation": 9, "remove": {"routeTable": ["r-2"]}})");
-  const auto first = std::get<OperatorAsk>(operators.begin(patch));
-  CHECK(first.verb == OperatorVerb::get_manifest);
-  const auto second = std::get<OperatorAsk>(operators.go_on(patch, first, in_force(3, 7)));
-  CHECK(second.verb == OperatorVerb::put_manifest);
-  STRCMP_EQUAL("7", second.if_match.c_str());
-  LONGS_EQUAL(1, Json::parse(second.origin)["routeTable"].size());
-  OperatorSay repeated{4, 200, 9, "{}", {}};
-  repeated.is_repeat = true;
-  CHECK(!first.write_id.empty() && first.write_id == second.write_id);
-  LONGS_EQUAL(200, status(patch, first, repeated));
-  HttpMessage broken = patch;
-  broken.body = R"({"generation": 9, "upsert": {"routeTable": [{"name": "r-1"}]}})";
-  LONGS_EQUAL(400, status(broken, first, in_force(3, 7)));
-  LONGS_EQUAL(412, status(broken, first, in_force(3, 8)));
+  const auto change = std::get<OperatorAsk>(operators.read(patch));
+  CHECK(change.verb == OperatorVerb::patch_manifest);
+  STRCMP_EQUAL("7", change.if_match.c_str());
+  CHECK(!change.write_id.empty());
+  STRCMP_EQUAL(change.write_id.c_str(), std::get<OperatorAsk>(operators.read(patch)).write_id.c_str());
+  const auto merged = std::get<ConfigurationText>(change.merge(config().dump()));
+  LONGS_EQUAL(9, Json::parse(merged.origin)["generation"].get<int>());
+  LONGS_EQUAL(1, Json::parse(merged.origin)["routeTable"].size());
+  STRCMP_EQUAL(std::get<std::string>(manifest_of(Json::parse(merged.origin))).c_str(),
+               merged.manifest.c_str());
+  LONGS_EQUAL(200, status(patch, {3, 200, 9, "{}", {}}));
+  LONGS_EQUAL(412, status(patch, {3, 412, 8, "{}", {}}));
+  const HttpMessage broken = message("PATCH", "/config", {{"If-Match", "7"}},
+                                     R"({"generation": 9, "upsert": {"routeTable": [{"name": "r-1"}]}})");
+  const auto refused = std::get<OperatorAsk>(operators.read(broken)).merge(config().dump());
+  CHECK(std::get<CharterErrors>(refused).is_syntax);
+  LONGS_EQUAL(400, status(broken, {3, 400, 7, "{}", {}}));
 
-  LONGS_EQUAL(400, std::get<HttpMessage>(operators.begin(message("PUT", "/config", {}, "{"))).status);
-  LONGS_EQUAL(404, std::get<HttpMessage>(operators.begin(message("GET", "/other"))).status);
-  LONGS_EQUAL(405, std::get<HttpMessage>(operators.begin(message("DELETE", "/config"))).status);
+  for (const char *method : {"PUT", "PATCH"})
+    LONGS_EQUAL(400, std::get<HttpMessage>(operators.read(message(method, "/config", {}, "{"))).status);
+  LONGS_EQUAL(404, std::get<HttpMessage>(operators.read(message("GET", "/other"))).status);
+  LONGS_EQUAL(405, std::get<HttpMessage>(operators.read(message("DELETE", "/config"))).status);
   LONGS_EQUAL(503, operators.silent(put).status);
 }
 
