Let the soak's operators send chains of changes and compare what is read to the route

Its operators now also send up to five changes at once, each built on the one before, 0 to 160 ms apart, and every configuration that is read back must hold just the routes that were sent under its version.

--- a/packages/soak/checks.cpp
+++ b/packages/soak/checks.cpp
@@ -178,6 +178,44 @@
   return findings;
 }
 
+namespace {
+/// The routes of each version that was sent, as its operator meant them.
+std::map<std::int64_t, std::set<std::string>> routes_by_version(const Records &records) {
+  std::vector<const ChangeRecord *> changes;
+  for (const ChangeRecord &change : records.changes)
+    if (!change.is_invalid) changes.push_back(&change);
+  std::sort(changes.begin(), changes.end(),
+            [](const ChangeRecord *one, const ChangeRecord *other) { return one->version < other->version; });
+  std::map<std::int64_t, std::set<std::string>> routes;
+  for (const ChangeRecord *change : changes) {
+    std::set<std::string> held = change->is_named ? routes[change->base] : std::set<std::string>();
+    for (const std::string &name : change->removed) held.erase(name);
+    held.insert(change->routes.begin(), change->routes.end());
+    routes[change->version] = std::move(held);
+  }
+  return routes;
+}
+} // namespace
+
+std::vector<Finding> check_content(const Records &records) {
+  std::vector<Finding> findings;
+  const auto sent = routes_by_version(records);
+  for (const ReadRecord &read : records.reads) {
+    const auto found = sent.find(read.version);
+    if (read.status != 200 || found == sent.end()) continue;
+    const std::set<std::string> held(read.routes.begin(), read.routes.end());
+    if (held == found->second) continue;
+    std::string told;
+    for (const std::string &name : found->second)
+      if (!held.contains(name)) told += " without " + name;
+    for (const std::string &name : held)
+      if (!found->second.contains(name)) told += " with " + name;
+    findings.push_back({"configuration", "version " + std::to_string(read.version) + " was read" + told,
+                        std::to_string(read.version)});
+  }
+  return findings;
+}
+
 std::vector<Finding> check_configuration(const Records &records, const Bounds &) {
   std::vector<Finding> findings;
   std::map<int, int> taken_by_race;
@@ -282,6 +320,7 @@
   append(all, check_work_ends_with_client(records, bounds));
   append(all, check_runner_limit(records, bounds));
   append(all, check_configuration(records, bounds));
+  append(all, check_content(records));
   append(all, check_in_force(records, bounds));
   append(all, check_recovery(records, bounds));
   append(all, check_processes(records, bounds));
--- a/packages/soak/checks.hpp
+++ b/packages/soak/checks.hpp
@@ -37,6 +37,8 @@
 std::vector<Finding> check_work_ends_with_client(const Records &records, const Bounds &bounds);
 std::vector<Finding> check_runner_limit(const Records &records, const Bounds &bounds);
 std::vector<Finding> check_configuration(const Records &records, const Bounds &bounds);
+/// A configuration is read back with just the routes that were sent under its version.
+std::vector<Finding> check_content(const Records &records);
 std::vector<Finding> check_in_force(const Records &records, const Bounds &bounds);
 std::vector<Finding> check_recovery(const Records &records, const Bounds &bounds);
 std::vector<Finding> check_processes(const Records &records, const Bounds &bounds);
--- a/packages/soak/operators.cpp
+++ b/packages/soak/operators.cpp
@@ -8,6 +8,9 @@
 constexpr Span order_lasts = seconds(20), answer_within = milliseconds(1200), order_again = milliseconds(150);
 constexpr Span read_each = milliseconds(700);
 constexpr int redirects_most = 2;
+/// Changes in a chain beside its first, and the longest pause between two of them.
+constexpr std::int64_t chain_most = 4;
+constexpr Span chain_gap_most = milliseconds(160);
 /// Probe routes kept beside the newest one.
 constexpr std::size_t probes_kept = 3;
 /// Every so many milliseconds of work the routes allow at most.
@@ -42,32 +45,56 @@
   return options_.controls[random_.index(options_.controls.size())];
 }
 
-void Operators::begin(HttpMessage request, std::int64_t version, int race, bool is_invalid, Instant now) {
+void Operators::begin(HttpMessage request, ChangeRecord record, Instant at) {
+  record.sent = at;
+  const std::int64_t version = record.version;
+  changes_.push_back(std::move(record));
+  const std::uint64_t number = next_order_++;
+  Order &order = under_way_[number];
+  order = {changes_.size() - 1, std::move(request), version, 0, 0, at, at + order_lasts, false};
+}
+
+void Operators::put(std::int64_t version, std::int64_t base, int race, Instant at) {
+  const ConfigurationSpec spec = configuration(version);
   ChangeRecord record;
   record.version = version;
-  record.sent = now;
+  record.base = base;
   record.race = race;
-  record.is_invalid = is_invalid;
-  changes_.push_back(record);
-  const std::uint64_t number = next_order_++;
-  Order &order = under_way_[number];
-  order = {changes_.size() - 1, std::move(request), version, 0, 0, now, now + order_lasts, false};
+  for (const RouteSpec &route : spec.routes) record.routes.push_back(route.name);
+  begin(wire_.put_configuration(spec, base), std::move(record), at);
 }
 
-void Operators::put(std::int64_t version, std::int64_t base, int race, Instant now) {
-  begin(wire_.put_configuration(configuration(version), base), version, race, false, now);
+void Operators::change_named(std::int64_t version, std::int64_t base, std::vector<std::string> removed,
+                             Instant at) {
+  ChangeRecord record;
+  record.version = version;
+  record.base = base;
+  record.is_named = true;
+  record.routes = {name_of_probe(version)};
+  record.removed = removed;
+  begin(wire_.change_routes(version, base, probe_route(version), removed), std::move(record), at);
 }
 
-void Operators::change_named(std::int64_t version, std::int64_t base, Instant now) {
-  std::vector<std::string> removed;
-  if (probes_.size() >= probes_kept) removed.push_back(name_of_probe(probes_.front()));
-  begin(wire_.change_routes(version, base, probe_route(version), removed), version, 0, false, now);
+void Operators::change_in_chain(Instant now) {
+  std::int64_t base = base_;
+  Instant at = now;
+  put(highest_, base, 0, at);
+  for (std::int64_t more = random_.between(1, chain_most); more > 0; --more) {
+    base = highest_;
+    highest_ += random_.between(1, 3);
+    at += random_.span(0, chain_gap_most);
+    change_named(highest_, base, {}, at);
+  }
 }
 
 void Operators::put_invalid(std::int64_t base, Instant now) {
   ConfigurationSpec spec = configuration(highest_);
   spec.routes.front().service = "nobody";
-  begin(wire_.put_configuration(spec, base), highest_, 0, true, now);
+  ChangeRecord record;
+  record.version = highest_;
+  record.base = base;
+  record.is_invalid = true;
+  begin(wire_.put_configuration(spec, base), std::move(record), now);
 }
 
 void Operators::make_change(Instant now) {
@@ -76,7 +103,12 @@
   // What is in force is only known whole where the newest version was acknowledged here.
   if (base_ != acknowledged_ || base_ == 0) return put(highest_, base_, 0, now);
   const std::int64_t draw = random_.between(1, 10);
-  if (draw <= 4) return change_named(highest_, base_, now);
+  if (draw <= 2) return change_in_chain(now);
+  if (draw <= 4) {
+    std::vector<std::string> removed;
+    if (probes_.size() >= probes_kept) removed.push_back(name_of_probe(probes_.front()));
+    return change_named(highest_, base_, std::move(removed), now);
+  }
   if (draw == 5) return put_invalid(base_, now);
   if (draw > 6) return put(highest_, base_, 0, now);
   ++races_;
@@ -138,7 +170,7 @@
 
 void Operators::read(Instant now) {
   read_at_ = now + read_each;
-  reads_.push_back({now, 0, 0, 0});
+  reads_.push_back({now, 0, 0, 0, {}});
   ask_reading(reads_.size() - 1, any_control(), 0);
 }
 
@@ -156,7 +188,10 @@
     }
     reads_[at].answered = clock_.now();
     reads_[at].status = answer.response.status;
-    if (answer.response.status == 200) reads_[at].version = wire_.version_of(answer.response);
+    if (answer.response.status == 200) {
+      reads_[at].version = wire_.version_of(answer.response);
+      reads_[at].routes = wire_.routes_of(answer.response);
+    }
     base_ = std::max(base_, reads_[at].version);
   };
   calls_.call(std::move(call));
--- a/packages/soak/operators.hpp
+++ b/packages/soak/operators.hpp
@@ -48,10 +48,13 @@
     bool is_out = false;
   };
   void make_change(Instant now);
-  void put(std::int64_t version, std::int64_t base, int race, Instant now);
-  void change_named(std::int64_t version, std::int64_t base, Instant now);
+  void put(std::int64_t version, std::int64_t base, int race, Instant at);
+  void change_named(std::int64_t version, std::int64_t base, std::vector<std::string> removed, Instant at);
   void put_invalid(std::int64_t base, Instant now);
-  void begin(HttpMessage request, std::int64_t version, int race, bool is_invalid, Instant now);
+  /// Changes that are under way at once, each built on the one before.
+  void change_in_chain(Instant now);
+  /// Adds an order that is sent at a moment.
+  void begin(HttpMessage request, ChangeRecord record, Instant at);
   void send(std::uint64_t number, const std::string &address, Instant now);
   void answered(std::uint64_t number, CallAnswer &&answer);
   void read(Instant now);
--- a/packages/soak/records.hpp
+++ b/packages/soak/records.hpp
@@ -57,6 +57,11 @@
   int status = 0;
   /// Changes that were sent on top of the same version at once share a number above 0.
   int race = 0;
+  /// The version it builds on.
+  std::int64_t base = 0;
+  /// Adds `routes` to those of its base and takes out `removed`; else `routes` are all there are.
+  bool is_named = false;
+  std::vector<std::string> routes{}, removed{};
 };
 
 /// A reading of the configuration.
@@ -64,6 +69,8 @@
   Instant asked = 0, answered = 0;
   int status = 0;
   std::int64_t version = 0;
+  /// Names of the routes that were read.
+  std::vector<std::string> routes{};
 };
 
 /// Something done to processes; planned work counts apart from trouble.
--- a/packages/soak/wire.hpp
+++ b/packages/soak/wire.hpp
@@ -105,6 +105,8 @@
   virtual HttpMessage read_configuration() const = 0;
   /// The version of a configuration that was read; 0 where it is none.
   virtual std::int64_t version_of(const HttpMessage &response) const = 0;
+  /// The names of its routes.
+  virtual std::vector<std::string> routes_of(const HttpMessage &response) const = 0;
 };
 
 } // namespace wharf::soak
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -157,6 +157,21 @@
   check_one(check_configuration(records, bounds), "configuration");
 }
 
+// Guards against: a change under way drops what the one that it builds on holds.
+TEST(Soak, a_version_read_with_other_routes_than_were_sent_is_found) {
+  ChangeRecord whole{5, seconds(110), seconds(111), false, 200, 0};
+  whole.routes = {"again", "probe-5"};
+  ChangeRecord named{7, seconds(110), seconds(111), false, 200, 0, 5, true, {"probe-7"}, {"again"}};
+  for (const std::vector<std::string> &read :
+       {std::vector<std::string>{"probe-5", "probe-7"}, {"probe-7"}, {"again", "probe-5", "probe-7"}}) {
+    Records records = one_served();
+    records.changes = {named, whole};
+    records.reads.push_back({seconds(112), seconds(113), 200, 7, read});
+    const bool is_right = read == std::vector<std::string>{"probe-5", "probe-7"};
+    LONGS_EQUAL(is_right ? 0 : 1, check_content(records).size());
+  }
+}
+
 TEST(Soak, a_route_that_is_not_in_force_in_time_is_found) {
   Records records = one_served();
   records.changes.push_back({5, seconds(110), seconds(111), false, 200, 0});
