--- a/packages/capstan/duty.cpp
+++ b/packages/capstan/duty.cpp
@@ -11,7 +11,7 @@
 }
 } // namespace
 
-Duty::Duty(std::string name, std::function<void()> work) : work_(std::move(work)) {
+Duty::Duty(const std::string &name, std::function<void()> work) : work_(std::move(work)) {
   if (pthread_create(&thread_, nullptr, run_work, &work_) != 0)
     throw std::runtime_error("no thread for " + name);
   pthread_setname_np(thread_, name.substr(0, 15).c_str());
--- a/packages/capstan/duty.hpp
+++ b/packages/capstan/duty.hpp
@@ -8,7 +8,7 @@
 /// One POSIX thread with one duty; joined when it goes out of scope.
 class Duty {
 public:
-  Duty(std::string name, std::function<void()> work);
+  Duty(const std::string &name, std::function<void()> work);
   ~Duty();
   Duty(const Duty &) = delete;
   Duty &operator=(const Duty &) = delete;
--- a/packages/helm/control_runtime.cpp
+++ b/packages/helm/control_runtime.cpp
@@ -176,7 +176,7 @@
   list_runners({}, std::make_shared<PlatformView>());
 }
 
-void ControlRuntime::list_runners(const std::string &page, std::shared_ptr<PlatformView> snapshot) {
+void ControlRuntime::list_runners(const std::string &page, const std::shared_ptr<PlatformView> &snapshot) {
   HttpCall call = platform_call(platform_.ask_runners(page));
   call.done = [this, snapshot](CallAnswer &&answer) {
     std::string next;
@@ -198,7 +198,7 @@
   calls_.call(std::move(call));
 }
 
-void ControlRuntime::give_order(PlatformOrder order) {
+void ControlRuntime::give_order(const PlatformOrder &order) {
   HttpCall call = platform_call(platform_.order(order, control_->raft().term()));
   call.done = [this, order](CallAnswer &&answer) {
     const HttpMessage *response = answer.fate == CallFate::answered ? &answer.response : nullptr;
@@ -224,7 +224,7 @@
       traffic_meter_.sent(envelope.signal, bytes.size());
       cables_.send(address, bytes);
     }
-    for (PlatformOrder &order : taken.orders) give_order(std::move(order));
+    for (const PlatformOrder &order : taken.orders) give_order(order);
     for (const OperatorSay &say : taken.answers) answered(say);
     for (const std::string &line : taken.lines) log_line(line);
   }
--- a/packages/helm/control_runtime.hpp
+++ b/packages/helm/control_runtime.hpp
@@ -52,8 +52,8 @@
   void answered(const OperatorSay &say);
   void maintain_talks(Instant now);
   void maintain_lists(Instant now);
-  void list_runners(const std::string &page, std::shared_ptr<PlatformView> snapshot);
-  void give_order(PlatformOrder order);
+  void list_runners(const std::string &page, const std::shared_ptr<PlatformView> &snapshot);
+  void give_order(const PlatformOrder &order);
   HttpCall platform_call(HttpMessage request);
   Metrics metrics(Instant now) const;
   void tell_counters(Instant now);
--- a/packages/pilot/pilot.cpp
+++ b/packages/pilot/pilot.cpp
@@ -13,7 +13,7 @@
 }
 } // namespace
 
-Pilot::Pilot(Member self, std::vector<std::string> seeds, PilotOptions options, Instant now)
+Pilot::Pilot(const Member &self, std::vector<std::string> seeds, PilotOptions options, Instant now)
     : self_(self), options_(options), membership_(self, std::move(seeds), options.membership),
       purser_(self.id, options.purser), scheduler_(self.id, options.scheduler), witness_(options.witness),
       lease_extension_(self.id, options.witness), born_(now) {}
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -145,7 +145,7 @@
 /// All decisions of a pilot, as a pure state machine; the purses alone are shared with the door's threads.
 class Pilot {
 public:
-  Pilot(Member self, std::vector<std::string> seeds, PilotOptions options, Instant now);
+  Pilot(const Member &self, std::vector<std::string> seeds, PilotOptions options, Instant now);
 
   void receive(const Envelope &envelope, Instant now, PilotOutput &out);
   void tick(Instant now, PilotOutput &out);
--- a/packages/quay/quay.cpp
+++ b/packages/quay/quay.cpp
@@ -24,7 +24,7 @@
 }
 } // namespace
 
-Quay::Quay(std::string address) { split_address(address, ip_, port_); }
+Quay::Quay(const std::string &address) { split_address(address, ip_, port_); }
 
 std::optional<PlatformView> Quay::list() {
   httplib::Client client(ip_, port_);
--- a/packages/quay/quay.hpp
+++ b/packages/quay/quay.hpp
@@ -19,7 +19,7 @@
 /// The platform's HTTP/JSON API; its format is described in docs/formats.md.
 class Quay final : public Platform {
 public:
-  explicit Quay(std::string address);
+  explicit Quay(const std::string &address);
   std::optional<PlatformView> list() override;
   bool order(const PlatformOrder &order) override;
 
--- a/packages/soak/operators.cpp
+++ b/packages/soak/operators.cpp
@@ -64,7 +64,7 @@
   begin(wire_.put_configuration(spec, base), std::move(record), at);
 }
 
-void Operators::change_named(std::int64_t version, std::int64_t base, std::vector<std::string> removed,
+void Operators::change_named(std::int64_t version, std::int64_t base, const std::vector<std::string> &removed,
                              Instant at) {
   ChangeRecord record;
   record.version = version;
@@ -107,7 +107,7 @@
   if (draw <= 4) {
     std::vector<std::string> removed;
     if (probes_.size() >= probes_kept) removed.push_back(name_of_probe(probes_.front()));
-    return change_named(highest_, base_, std::move(removed), now);
+    return change_named(highest_, base_, removed, now);
   }
   if (draw == 5) return put_invalid(base_, now);
   if (draw > 6) return put(highest_, base_, 0, now);
--- a/packages/soak/operators.hpp
+++ b/packages/soak/operators.hpp
@@ -49,7 +49,8 @@
   };
   void make_change(Instant now);
   void put(std::int64_t version, std::int64_t base, int race, Instant at);
-  void change_named(std::int64_t version, std::int64_t base, std::vector<std::string> removed, Instant at);
+  void change_named(std::int64_t version, std::int64_t base, const std::vector<std::string> &removed,
+                    Instant at);
   void put_invalid(std::int64_t base, Instant now);
   /// Changes that are under way at once, each built on the one before.
   void change_in_chain(Instant now);
