Refuse a change where the configuration in force has no text to merge it into

Cause: read again, the merge in one step takes an empty text for "nothing in force yet". A manifest that was written without one (by the older daemon's door, into the same data) would then be replaced by the change alone; before, its text could not be read and the change got 400. Now it gets 400 by name.

Red first: a_change_needs_the_text_that_it_is_merged_into got 200 without the check.

--- a/packages/control/operator_requests.cpp
+++ b/packages/control/operator_requests.cpp
@@ -193,7 +193,12 @@
 
 std::variant<ConfigurationText, CharterErrors> ControlNode::next_configuration(const OperatorAsk &ask) const {
   if (!is_patch(ask.verb)) return ConfigurationText{ask.body, ask.origin};
-  if (ask.merge) return ask.merge(registry_.origin());
+  if (ask.merge) {
+    if (registry_.version() != 0 && registry_.origin().empty())
+      return CharterErrors{true,
+                           {{"$", "the configuration in force was written without a text to merge into"}}};
+    return ask.merge(registry_.origin());
+  }
   auto merged = merge_charter(registry_.manifest(), ask.body);
   if (auto *errors = std::get_if<CharterErrors>(&merged)) return std::move(*errors);
   return ConfigurationText{std::get<std::string>(std::move(merged)),
--- a/tests/operator_door_rig.hpp
+++ b/tests/operator_door_rig.hpp
@@ -31,6 +31,9 @@
     return {{"name", name},        {"authority", "shop.example"}, {"pathPrefix", "/" + name + "/"},
             {"routeKind", "pure"}, {"deadlineMs", 1000},          {"target", "s"}};
   }
+  static nlohmann::json services() {
+    return nlohmann::json::array({{{"name", "s"}, {"memoryMb", 64}, {"concurrency", 1}}});
+  }
   static nlohmann::json routes(const std::set<std::string> &names) {
     nlohmann::json list = nlohmann::json::array();
     for (const std::string &name : names) list.push_back(route(name));
@@ -49,9 +52,7 @@
   static HttpMessage put(Version generation, std::optional<Version> base,
                          const std::set<std::string> &names) {
     return order("PUT", base,
-                 {{"generation", generation},
-                  {"serviceTable", {{{"name", "s"}, {"memoryMb", 64}, {"concurrency", 1}}}},
-                  {"routeTable", routes(names)}});
+                 {{"generation", generation}, {"serviceTable", services()}, {"routeTable", routes(names)}});
   }
   /// A change that adds one route.
   static HttpMessage patch(Version generation, std::optional<Version> base, const std::string &name) {
--- a/tests/operator_orders_test.cpp
+++ b/tests/operator_orders_test.cpp
@@ -182,6 +182,16 @@
   CHECK(Rig::names_of(rig.read_back()) == Names{"r"});
 }
 
+// Guards against: a change takes the place of a manifest that was written without a text to merge it into.
+TEST(OperatorOrders, a_change_needs_the_text_that_it_is_merged_into) {
+  Rig rig;
+  LONGS_EQUAL(200, rig.group.put(5, 0, "mark-of-a-manifest"));
+  const nlohmann::json change{
+      {"generation", 7}, {"upsert", {{"serviceTable", Rig::services()}, {"routeTable", Rig::routes({"a"})}}}};
+  LONGS_EQUAL(400, rig.status_of(Rig::order("PATCH", 5, change)));
+  LONGS_EQUAL(5, rig.group.machines.at(rig.group.leader()).node->registry().version());
+}
+
 // Guards against: a change that names no version was merged into one version and took the place of a later
 // one.
 TEST(OperatorOrders, changes_that_name_no_version_keep_what_others_under_way_hold) {
