Move operators' calls and the platform's orders out of control_node.hpp

What operators ask and are answered stands in operator_calls.hpp, what the platform lists and is ordered in platform_orders.hpp. Nothing else is changed.

--- a/packages/control/control_node.hpp
+++ b/packages/control/control_node.hpp
@@ -9,6 +9,8 @@
 #include <vector>
 
 #include "charter/charter.hpp"
+#include "control/operator_calls.hpp"
+#include "control/platform_orders.hpp"
 #include "control/registry.hpp"
 #include "control/runner_views.hpp"
 #include "membership/membership.hpp"
@@ -24,79 +26,6 @@
   return member.role == static_cast<std::uint8_t>(Role::control);
 }
 
-enum class OperatorVerb : std::uint8_t {
-  get_manifest,
-  get_version,
-  get_status,
-  put_manifest,
-  patch_manifest,
-  try_manifest,
-  try_patch
-};
-
-/// A manifest, and the text that its writer keeps with it and gets back with it.
-struct ConfigurationText {
-  std::string manifest, origin;
-};
-/// Makes the next configuration by a writer's own rules out of the text that is kept with the one in force,
-/// or says what is wrong. That text is empty before the first.
-using ConfigurationMerge =
-    std::function<std::variant<ConfigurationText, CharterErrors>(const std::string &origin)>;
-
-/// One call of the operators' API, already read.
-struct OperatorAsk {
-  std::uint64_t ticket = 0;
-  OperatorVerb verb = OperatorVerb::get_status;
-  std::string body, if_match, write_id;
-  /// What the writer keeps with the manifest and gets back with it: any text.
-  std::string origin{};
-  /// How a patch is merged; where there is none, `body` is a merge patch of the manifest.
-  ConfigurationMerge merge{};
-};
-struct OperatorSay {
-  std::uint64_t ticket = 0;
-  int status = 200;
-  Version version = 0;
-  std::string body;
-  /// Where the leader's API is, when this replica cannot answer.
-  std::string leader_http;
-  /// What the manifest's writer keeps with it, for reads.
-  std::string origin{};
-};
-
-struct WorkerSeen {
-  std::string id, zone;
-  std::uint32_t memory_mb = 0;
-  bool is_draining = false;
-};
-enum class RunnerPhase : std::uint8_t { booting, ready, stopping };
-struct RunnerSeen {
-  std::string id, service, worker, address;
-  RunnerPhase phase = RunnerPhase::booting;
-};
-/// What the platform listed, late as it may be.
-struct PlatformView {
-  std::vector<WorkerSeen> workers;
-  std::vector<RunnerSeen> runners;
-};
-/// One start or stop for the platform.
-struct PlatformOrder {
-  bool is_start = true;
-  RunnerRecord runner;
-  std::string seal_key;
-  Span grace = 0;
-};
-
-enum class OrderEnd : std::uint8_t { done, refused, busy, unknown };
-/// What the platform said to an order.
-struct PlatformSay {
-  std::string runner, worker;
-  bool is_start = true;
-  OrderEnd end = OrderEnd::unknown;
-  /// Its own name for the runner and where that will listen, where it gives them at the start.
-  std::string handle, address;
-};
-
 struct ControlOutput {
   Outbox mail;
   std::vector<WriteBatch> batches;
