Let a leader order starts and stops only under a lease its successor waits out

What callers saw: the leader's machine is cut off from the other core machines while runners are being started.

Cause: starts and stops were ordered by whoever had not noticed that it lost the lead. A leader without a majority's answers leads on for two election timeouts (2 s); its successor is elected after half a second and orders at once. Neither waited for the other. Where the platform does not look at fences, nothing else keeps the two apart.

Found beside it by the tests: a leader that has handed its lead over and hears nothing of it orders for 1.1 s beside the one that took it; one that thaws orders on; voters that were restarted forget whom they confirmed and elect another early.

Change: a leader orders only within 450 ms of the sending of what a majority has answered (RaftNode::may_act), and not once it has asked another replica to take the lead. A successor orders once 700 ms have passed since any of its voters may last have heard a leader: votes say for how long that is, counted from its start by a voter that was restarted. After a hand-over it waits 250 ms, for what is on its way, as the leader that hands over has stopped. An order keeps the term in which it was decided as its fence, and is asked for again when its connection is up: with the term or the lease gone it is not sent. Bytes to the platform that nobody acknowledges for 250 ms end their connection.

Why it works: the majority that confirmed the old leader and the one that elected the new share a voter. That voter heard the old leader no sooner than the confirmed message was sent, so 700 ms after it the old leader's lease has been over for 250 ms. All spans are of one process's monotonic clock, so a freeze or a step of the wall clock changes nothing.

--- a/packages/anchorage/http_calls.cpp
+++ b/packages/anchorage/http_calls.cpp
@@ -63,6 +63,7 @@
 
   bool write_out() {
     std::size_t at = 0;
+    if (!outgoing_.empty() && call_.may_send && !call_.may_send()) return false;
     while (at < outgoing_.size()) {
       const ssize_t count = ::send(descriptor_, outgoing_.data() + at, outgoing_.size() - at, MSG_NOSIGNAL);
       if (count < 0 && errno == EINTR) continue;
--- a/packages/anchorage/http_calls.hpp
+++ b/packages/anchorage/http_calls.hpp
@@ -46,6 +46,9 @@
   /// nothing else was ever asked or answered on the link, so that what comes cannot belong to an earlier
   /// request.
   std::function<bool(const HttpMessage &, bool is_first)> is_mine;
+  /// Asked before bytes are sent, at the latest moment; once it says no, the call ends, as `unreached` where
+  /// none were sent. Calls without it are always sent.
+  std::function<bool()> may_send;
   std::function<void(CallAnswer &&)> done;
 };
 
--- a/packages/control/control_node.cpp
+++ b/packages/control/control_node.cpp
@@ -78,6 +78,7 @@
     clock_at_ = now;
     pace_at_ = now;
     pace_ = 0;
+    orders_since_ = 0;
     out.lines.push_back("leads in term " + std::to_string(raft_.term()));
     return;
   }
--- a/packages/control/control_node.hpp
+++ b/packages/control/control_node.hpp
@@ -120,6 +120,9 @@
   Membership &membership() { return membership_; }
   /// True when this replica leads and its reads are of the newest state.
   bool is_leading() const { return raft_.is_settled(); }
+  /// True where an order may go to the platform now: no other leader can be ordering, and the term in which
+  /// the order was decided has not ended.
+  bool may_send(const PlatformOrder &order, Instant now) const;
   std::map<std::string, std::uint64_t> gauges(Instant now) const;
   /// How many edge nodes live, as membership knows, and have not reported to this leader lately.
   std::size_t living_unreported(Instant now) const;
@@ -345,6 +348,10 @@
   /// The platform's name for a runner, as committed or as just answered.
   std::string handle_of(const RunnerRecord &record) const;
   void compact_if_due(ControlOutput &out);
+  /// Orders a start or a stop; it counts towards the platform's pace.
+  void order(PlatformOrder order, ControlOutput &out);
+  /// True where starts and stops may be ordered now; counts the times when they may not be.
+  bool may_order(Instant now, ControlOutput &out);
   /// Starts what is planned but not listed, worthier services first, every fifth the one that waited longest.
   void order_starts(std::vector<const RunnerRecord *> waiting, Instant now, ControlOutput &out);
   /// Tells of a runner in the log, where that is wanted.
@@ -421,6 +428,10 @@
   OwnerCache service_owners_{scheduler_salt};
   Instant moved_at_ = 0;
   std::uint64_t starts_ordered_ = 0;
+  /// Times at which this leader ordered nothing, as another one might still be doing so, or already.
+  std::uint64_t order_rounds_held_back_ = 0;
+  /// When this leader began to order; 0 before that.
+  Instant orders_since_ = 0;
   double pace_ = 0;
   Instant pace_at_ = 0;
   std::size_t bytes_since_snapshot_ = 0;
--- a/packages/control/platform_orders.hpp
+++ b/packages/control/platform_orders.hpp
@@ -29,6 +29,9 @@
   RunnerRecord runner;
   std::string seal_key;
   Span grace = 0;
+  /// The term of the leader that decided on it, which is its fencing token. It is not sent once that has
+  /// ended.
+  std::uint64_t term = 0;
 };
 
 enum class OrderEnd : std::uint8_t { done, refused, busy, unknown };
--- a/packages/control/runner_placement.cpp
+++ b/packages/control/runner_placement.cpp
@@ -112,13 +112,37 @@
     const RunnerRecord *record = is_oldest_turn ? waiting[oldest++] : by_worth[at++];
     if (!ordered.insert(record->id).second) continue;
     ++starts_ordered_;
-    pace_ -= 1;
     notes_[record->id].started_at = now;
     trace_runner(RunnerChange::started, *record, out);
-    out.orders.push_back({true, *record, seal_key_of(record->id), 0});
+    order({true, *record, seal_key_of(record->id)}, out);
   }
 }
 
+void ControlNode::order(PlatformOrder order, ControlOutput &out) {
+  pace_ -= 1;
+  order.term = raft_.term();
+  out.orders.push_back(std::move(order));
+}
+
+bool ControlNode::may_order(Instant now, ControlOutput &out) {
+  if (!raft_.may_act(now)) {
+    ++order_rounds_held_back_;
+    if (now < raft_.acts_from()) settle_at_ = std::min(settle_at_, raft_.acts_from());
+    return false;
+  }
+  if (orders_since_ == 0) {
+    orders_since_ = now;
+    out.lines.push_back("orders starts and stops " +
+                        std::to_string((now - raft_.led_since()) / milliseconds(1)) +
+                        " ms after it came to lead");
+  }
+  return true;
+}
+
+bool ControlNode::may_send(const PlatformOrder &order, Instant now) const {
+  return raft_.may_act(now) && order.term == raft_.term();
+}
+
 void ControlNode::trace_runner(RunnerChange change, const RunnerRecord &record, ControlOutput &out) const {
   if (!options_.must_trace_runners) return;
   out.lines.push_back(
@@ -176,6 +200,7 @@
   pace_ = std::min(options_.platform_pace / 4,
                    pace_ + options_.platform_pace * static_cast<double>(now - pace_at_) / 1e9);
   pace_at_ = now;
+  const bool has_lease = may_order(now, out);
   const auto &seen = listed_;
   const auto is_draining = [this](const std::string &worker) {
     const auto found = workers_.find(worker);
@@ -232,13 +257,12 @@
           now - note.leaving_since > options_.leave_most;
       const bool is_due = note.stopped_at == 0 || now - note.stopped_at > options_.start_again ||
                           (note.retry_at > note.stopped_at && now >= note.retry_at);
-      if (may_stop && pace_ >= 1 && is_due && !note.is_stopped) {
-        pace_ -= 1;
+      if (may_stop && has_lease && pace_ >= 1 && is_due && !note.is_stopped) {
         note.stopped_at = now;
         trace_runner(RunnerChange::stopped, record, out);
         RunnerRecord named = record;
         named.handle = handle;
-        out.orders.push_back({false, std::move(named), {}, options_.stop_grace});
+        order({false, std::move(named), {}, options_.stop_grace}, out);
       }
       continue;
     }
@@ -254,19 +278,18 @@
                         (note.retry_at > note.started_at && now >= note.retry_at);
     if (found == seen.end() && handle.empty() && is_due) unstarted.push_back(&record);
   }
-  order_starts(std::move(unstarted), now, out);
+  if (has_lease) order_starts(std::move(unstarted), now, out);
   for (const RunnerSeen &runner : platform_.runners) {
     if (ours.contains(runner.id) || runner.phase == RunnerPhase::stopping) continue;
     RunnerNote &note = notes_[runner.id];
     if (note.known_since == 0) note.known_since = now;
-    if (now - note.known_since < options_.stray_most || pace_ < 1 ||
+    if (now - note.known_since < options_.stray_most || !has_lease || pace_ < 1 ||
         now - note.stopped_at < options_.start_again || now < floor_)
       continue;
-    pace_ -= 1;
     note.stopped_at = now;
     RunnerRecord record;
     record.id = record.handle = runner.id;
-    out.orders.push_back({false, record, {}, options_.stop_grace});
+    order({false, std::move(record), {}, options_.stop_grace}, out);
   }
   std::vector<const Service *> services;
   for (const Service &service : charter_->services) services.push_back(&service);
@@ -344,6 +367,7 @@
   if (planned < wanted && !elect_worker(service.name, static_cast<std::uint32_t>(service.memory_mb), {}))
     return "no worker has " + std::to_string(service.memory_mb) + " MB left";
   if (!is_leading()) return "this replica does not lead";
+  if (unordered > 0 && !raft_.may_act(now)) return "starts wait until no other leader can be ordering";
   if (unordered > 0) return std::to_string(unordered) + " starts wait for the platform's pace";
   return "runners are booting";
 }
--- a/packages/control/status.cpp
+++ b/packages/control/status.cpp
@@ -25,6 +25,7 @@
   values["members_living"] = membership_.living(now).size();
   values["beats_passed_over"] = membership_.beats_passed_over();
   values["reports_of_ended"] = reports_of_ended_;
+  values["order_rounds_held_back"] = order_rounds_held_back_;
   if (is_leading()) values["nodes_living_unreported"] = living_unreported(now);
   values["replicas"] = raft_.replicas().size();
   values["is_disk_well"] = raft_.is_disk_well(now) ? 1 : 0;
--- a/packages/drydock/world.cpp
+++ b/packages/drydock/world.cpp
@@ -324,6 +324,13 @@
   }
 }
 
+void World::watch_order(const PlatformOrder &order) {
+  if (order.term < highest_order_term_)
+    raft_faults_.push_back("ordered-beside: an order of term " + std::to_string(order.term) +
+                           " comes after one of term " + std::to_string(highest_order_term_));
+  highest_order_term_ = std::max(highest_order_term_, order.term);
+}
+
 void World::flush(int which, SimulatedControl &node, ControlOutput &out) {
   watch_raft(which);
   for (Posted &posted : out.mail) {
@@ -342,6 +349,7 @@
   for (const PlatformOrder &order : out.orders) {
     if (platform_mood_ == PlatformMood::away) continue;
     at(now_ + milliseconds(2), [this, order] {
+      watch_order(order);
       const double elapsed = static_cast<double>(now_ - platform_token_at_) / 1e9;
       platform_tokens_ = std::min(shape_.pace, platform_tokens_ + elapsed * shape_.pace);
       platform_token_at_ = now_;
--- a/packages/drydock/world.hpp
+++ b/packages/drydock/world.hpp
@@ -261,6 +261,8 @@
   void operate(int which, OperatorAsk ask, int hops, std::function<void(const OperatorSay &)> then);
   bool is_cut(const std::string &from, const std::string &to) const { return cuts_.contains({from, to}); }
   void watch_raft(int which);
+  /// The platform never sees an order of an earlier leader after one of a later.
+  void watch_order(const PlatformOrder &order);
   void judge_writes(Audit &audit) const;
   void judge_recovery(Audit &audit, Instant healed_at) const;
   void judge_keys(Audit &audit) const;
@@ -306,6 +308,7 @@
   int key_number_ = 0;
   Defect defect_ = Defect::none;
   std::map<std::uint64_t, NodeId> leader_of_term_;
+  std::uint64_t highest_order_term_ = 0;
   std::map<std::uint64_t, std::string> committed_;
   std::vector<std::uint64_t> watched_;
   std::set<std::uint64_t> groups_;
--- a/packages/helm/control_runtime.cpp
+++ b/packages/helm/control_runtime.cpp
@@ -30,6 +30,13 @@
 /// together in the memory and the disk of a small machine.
 constexpr std::size_t compact_bytes = 4u << 20;
 
+/// A call that takes longer to arrive could come after the next leader's.
+HttpCallOptions platform_call_options(const RaftOptions &raft) {
+  HttpCallOptions made;
+  made.silent_most = raft.act_delivery_most;
+  return made;
+}
+
 HttpDoorOptions door_options() {
   HttpDoorOptions made;
   made.bounds.body_most = 4u << 20;
@@ -46,7 +53,8 @@
       self_(make_control_member(options, id)), seeds_(options.seed_list()),
       cables_(loop_, options.listen.empty() ? options.address : options.listen,
               [this](Envelope &&envelope) { control_->receive(envelope, tide_.now(), out_); }),
-      calls_(loop_, HttpCallOptions{}), door_(loop_, options.http, *this, door_options()) {
+      calls_(loop_, platform_call_options(helm.control.raft)),
+      door_(loop_, options.http, *this, door_options()) {
   build(recovered);
   disk_ = std::make_unique<DiskWorker>(std::move(storage), [this](DiskEvent &&word) {
     loop_.post([this, kept = std::make_shared<DiskEvent>(std::move(word))] { disk_said(std::move(*kept)); });
@@ -199,7 +207,8 @@
 }
 
 void ControlRuntime::give_order(const PlatformOrder &order) {
-  HttpCall call = platform_call(platform_.order(order, control_->raft().term()));
+  HttpCall call = platform_call(platform_.order(order));
+  call.may_send = [this, order] { return control_->may_send(order, tide_.now()); };
   call.done = [this, order](CallAnswer &&answer) {
     const HttpMessage *response = answer.fate == CallFate::answered ? &answer.response : nullptr;
     control_->platform_said(platform_.read_order(order, response), tide_.now(), out_);
--- a/packages/helm/wires.hpp
+++ b/packages/helm/wires.hpp
@@ -65,8 +65,8 @@
   /// Reads a page; `next` is empty after the last.
   virtual bool read_runners(const HttpMessage &response, std::vector<RunnerSeen> &into,
                             std::string &next) = 0;
-  /// An order, given by the leader of a term.
-  virtual HttpMessage order(const PlatformOrder &order, std::uint64_t term) = 0;
+  /// A start or a stop; the term in which it was decided is its fencing token.
+  virtual HttpMessage order(const PlatformOrder &order) = 0;
   virtual PlatformSay read_order(const PlatformOrder &order, const HttpMessage *response) = 0;
 };
 
--- a/packages/raft/election.cpp
+++ b/packages/raft/election.cpp
@@ -22,7 +22,10 @@
     if (furthest == 0 || match_of(replica.id) > match_of(furthest)) furthest = replica.id;
   }
   if (furthest == 0 || match_of(furthest) != last_index()) return false;
-  out.mail.push_back({furthest, {}, TimeoutNowRequest{hard_.group, hard_.term}});
+  // Where its own predecessors' acts may not have arrived yet, the successor waits for these as well.
+  const Span act_after = std::max<Span>(0, acts_from_ - now) + options_.act_delivery_most;
+  out.mail.push_back({furthest, {}, TimeoutNowRequest{hard_.group, hard_.term, act_after}});
+  has_transferred_ = true;
   return true;
 }
 
@@ -30,12 +33,15 @@
   const bool is_from_leader = ask.group == hard_.group && ask.term == hard_.term && from == leader_;
   if (!is_from_leader || role_ != RaftRole::follower || !is_voter(self_) || !is_disk_well(now)) return;
   campaign(false, true, now, out);
+  if (ask.act_after >= 0) transferred_acts_from_ = now + ask.act_after;
 }
 
 void RaftNode::campaign(bool is_pre_vote, bool is_transfer, Instant now, RaftOutput &out) {
   set_election(now);
   votes_.clear();
   leader_ = 0;
+  voters_led_until_ = heard_leader_;
+  transferred_acts_from_.reset();
   role_ = is_pre_vote ? RaftRole::pre_candidate : RaftRole::candidate;
   out.has_role_changed = true;
   if (!is_pre_vote) {
@@ -79,6 +85,9 @@
   role_ = RaftRole::leader;
   leader_ = self_;
   led_since_ = now;
+  has_transferred_ = false;
+  acts_from_ =
+      transferred_acts_from_.value_or(voters_led_until_ + options_.leader_lease + options_.act_delivery_most);
   out.has_role_changed = true;
   progress_.clear();
   for (const Replica &replica : replicas_) progress_[replica.id] = new_progress(last_index() + 1, now);
@@ -95,8 +104,10 @@
                         (ask.last_term == term_at(last_index()) && ask.last_index >= last_index());
   if (ask.is_pre_vote) {
     const bool is_granted = ask.term > hard_.term && is_fresh && !has_leader;
-    out.mail.push_back(
-        {from, {}, RequestVoteResponse{hard_.group, is_granted ? ask.term : hard_.term, is_granted, true}});
+    out.mail.push_back({from,
+                        {},
+                        RequestVoteResponse{hard_.group, is_granted ? ask.term : hard_.term, is_granted, true,
+                                            unled_for(now)}});
     return;
   }
   if (ask.term > hard_.term) follow(ask.term, 0, now, out);
@@ -109,7 +120,8 @@
     }
     set_election(now);
   }
-  after_.push_back({from, {}, RequestVoteResponse{hard_.group, hard_.term, is_granted, false}});
+  after_.push_back(
+      {from, {}, RequestVoteResponse{hard_.group, hard_.term, is_granted, false, unled_for(now)}});
 }
 
 void RaftNode::handle(NodeId from, const RequestVoteResponse &say, Instant now, RaftOutput &out) {
@@ -120,6 +132,7 @@
   } else {
     if (say.term > hard_.term) follow(say.term, 0, now, out);
     if (role_ != RaftRole::candidate || !say.is_granted || say.term != hard_.term) return;
+    voters_led_until_ = std::max(voters_led_until_, now - say.unled_for);
   }
   votes_.insert(from);
   count_votes(now, out);
--- a/packages/raft/raft.cpp
+++ b/packages/raft/raft.cpp
@@ -14,7 +14,8 @@
   commit_ = delivered_ = base_.index;
   synced_ = last_index();
   refresh_replicas();
-  heard_leader_ = now - options_.election_most;
+  // What it confirmed before it started is forgotten; it may have heard a leader until then.
+  heard_leader_ = now;
   set_election(now);
   election_at_ -= options_.first_sooner;
 }
@@ -144,6 +145,8 @@
     forget_verified();
     save(out).hard = hard_;
   }
+  // What it did under its own lease has the same end as what a leader does that was heard so long ago.
+  if (role_ == RaftRole::leader) heard_leader_ = std::max(heard_leader_, now - options_.leader_lease);
   if (role_ != RaftRole::follower || leader_ != leader) out.has_role_changed = true;
   if (role_ != RaftRole::follower) set_election(now);
   role_ = RaftRole::follower;
@@ -252,6 +255,11 @@
   return moments.size() < majority() ? 0 : moments[majority() - 1];
 }
 
+bool RaftNode::may_act(Instant now) const {
+  if (!is_settled() || has_transferred_ || now < acts_from_) return false;
+  return now - confirmed_at(now) < options_.leader_lease;
+}
+
 void RaftNode::advance_commit(Instant now, RaftOutput &out) {
   std::vector<std::uint64_t> matches;
   for (const Replica &replica : replicas_)
--- a/packages/raft/raft.hpp
+++ b/packages/raft/raft.hpp
@@ -60,6 +60,10 @@
   /// How much sooner than usual the first election after a start may come, as no leader is expected then.
   Span first_sooner = milliseconds(350);
   Span heartbeat = milliseconds(75);
+  /// How long after a majority last confirmed it a leader may act outside the group.
+  Span leader_lease = milliseconds(450);
+  /// How long what it did there may take to arrive; a successor acts no sooner than so long after the lease.
+  Span act_delivery_most = milliseconds(250);
   /// How soon a pre-candidate asks those again that have not granted it their pre-vote, which may have been
   /// on their way up; drawn between the two, so that of several pre-candidates one is ahead.
   Span pre_vote_again_least = milliseconds(50), pre_vote_again_most = milliseconds(200);
@@ -96,6 +100,12 @@
   /// Asks the voter whose log is known to reach furthest to stand for election at once. True once a voter
   /// whose log is complete has been asked; false when there is none yet, or this replica does not lead.
   bool transfer_leadership(const std::set<NodeId> &excluded, Instant now, RaftOutput &out);
+  /// True while this replica may act outside the group, where no other does: it is a settled leader whose
+  /// lease runs, what its predecessors did has arrived, and it has not asked another replica to take the
+  /// lead.
+  bool may_act(Instant now) const;
+  /// The moment before which this leader must not act outside the group, for its predecessors' sake.
+  Instant acts_from() const { return acts_from_; }
 
   RaftRole role() const { return role_; }
   bool is_leader() const { return role_ == RaftRole::leader; }
@@ -160,6 +170,8 @@
   void campaign(bool is_pre_vote, bool is_transfer, Instant now, RaftOutput &out);
   /// Forgets how far the log was compared with a leader's; due whenever the term rises.
   void forget_verified();
+  /// When this replica last heard from a leader, or may have done so before it started.
+  Span unled_for(Instant now) const { return now - heard_leader_; }
   static Progress new_progress(std::uint64_t next, Instant now);
   void note_round(Progress &progress, Instant now);
   void send_snapshot(NodeId to, Progress &progress, Instant now, RaftOutput &out);
@@ -193,6 +205,13 @@
   NodeId leader_ = 0;
   Instant election_at_ = 0, pre_vote_again_at_ = 0, heard_leader_ = 0, heartbeat_at_ = 0, led_since_ = 0,
           last_sent_at_ = 0;
+  /// When one of those that voted for this replica, itself included, last heard from a leader, at the latest.
+  Instant voters_led_until_ = 0;
+  /// From when on this replica may act outside the group, when a leader that gave up its lead said so.
+  std::optional<Instant> transferred_acts_from_;
+  Instant acts_from_ = 0;
+  /// Another replica was asked to take the lead; it may have it without this one hearing of it.
+  bool has_transferred_ = false;
   std::set<NodeId> votes_;
   std::map<NodeId, Progress> progress_;
   std::deque<Waiting> waiting_;
--- a/packages/signals/raft_messages.hpp
+++ b/packages/signals/raft_messages.hpp
@@ -44,9 +44,16 @@
   WHARF_CARRY(group, term, last_index, last_term, is_pre_vote, is_transfer)
 };
 struct RequestVoteResponse {
+  static constexpr unsigned carried_version = 1;
   std::uint64_t group = 0, term = 0;
   bool is_granted = false, is_pre_vote = false;
-  WHARF_CARRY(group, term, is_granted, is_pre_vote)
+  /// For how long the voter has heard from no leader and was none itself, as far as it can know; not more
+  /// than the time since it started.
+  Span unled_for = 0;
+  template <typename Archive> void serialize(Archive &archive, unsigned carried) {
+    wharf::carry(archive, group, term, is_granted, is_pre_vote);
+    if (carried >= 1) wharf::carry(archive, unled_for);
+  }
 };
 struct AppendEntriesRequest {
   std::uint64_t group = 0, term = 0, prev_index = 0, prev_term = 0, commit = 0;
@@ -78,8 +85,14 @@
 
 /// A leader that gives up its lead asks a voter whose log is complete to stand for election at once.
 struct TimeoutNowRequest {
+  static constexpr unsigned carried_version = 1;
   std::uint64_t group = 0, term = 0;
-  WHARF_CARRY(group, term)
+  /// How long after this arrives the successor may act outside the group; negative where that is not told.
+  Span act_after = -1;
+  template <typename Archive> void serialize(Archive &archive, unsigned carried) {
+    wharf::carry(archive, group, term);
+    if (carried >= 1) wharf::carry(archive, act_after);
+  }
 };
 
 } // namespace wharf
--- a/tests/anchorage_test.cpp
+++ b/tests/anchorage_test.cpp
@@ -340,6 +340,30 @@
   LONGS_EQUAL(0, caller.calls.under_way());
 }
 
+// Guards against: what was decided while it was allowed is sent when it is so no more, as after a freeze.
+TEST(Anchorage, a_call_that_may_no_longer_be_sent_once_its_link_is_up_sends_nothing) {
+  Caller caller;
+  Scripted platform(caller.loop, caller.address);
+  bool may_send = true;
+  HttpCall one;
+  one.address = caller.address;
+  one.peer = "r";
+  one.request.method = "POST";
+  one.request.target = "/x";
+  one.deadline = caller.tide.now() + seconds(5);
+  one.may_send = [&may_send] { return may_send; };
+  std::optional<CallAnswer> answer;
+  one.done = [&answer](CallAnswer &&given) { answer = std::move(given); };
+  caller.calls.call(std::move(one));
+  may_send = false;
+  for (int turn = 0; turn < 100 && !answer; ++turn) caller.loop.turn(milliseconds(1));
+  CHECK(answer.has_value());
+  CHECK(answer->fate == CallFate::unreached);
+  for (int turn = 0; turn < 10; ++turn) caller.loop.turn(milliseconds(1));
+  STRCMP_EQUAL("", platform.seen.c_str());
+  LONGS_EQUAL(0, caller.calls.under_way());
+}
+
 TEST(Anchorage, a_knock_tells_whether_anything_listens) {
   for (const bool listens : {false, true}) {
     Caller caller;
--- a/tests/control_group_rig.hpp
+++ b/tests/control_group_rig.hpp
@@ -30,6 +30,12 @@
   NodeId next_id = 100;
   std::uint64_t next_ticket = 1;
   ControlOptions options;
+  /// Tells that no message passes from one machine to another; nothing for none such.
+  std::function<bool(const std::string &from, const std::string &to)> is_blocked;
+  /// Gets the starts and stops that a machine orders at the platform.
+  std::function<void(const Machine &, const PlatformOrder &)> on_order;
+  /// Called before each step of the clock's ticks.
+  std::function<void()> before_ticks;
   /// Gets what is sent to addresses of no machine of the group.
   std::function<void(const std::string &to, const Envelope &)> to_outside;
 
@@ -85,6 +91,7 @@
 
   void pass(Span span) {
     for (const Instant until = now + span; now < until; now += milliseconds(10)) {
+      if (before_ticks) before_ticks();
       for (auto &[address, machine] : machines) {
         if (!machine.node || machine.is_frozen) continue;
         ControlOutput out;
@@ -159,6 +166,12 @@
     return false;
   }
 
+  /// What the platform lists, as one machine reads it.
+  void list(Machine &machine, const PlatformView &view) {
+    ControlOutput out;
+    machine.node->platform_seen(view, now, out);
+    take(machine, std::move(out));
+  }
   /// A message to one machine, whoever leads.
   void send_to(Machine &machine, const Envelope &envelope) {
     ControlOutput out;
@@ -182,6 +195,8 @@
           mail_.push_back({machine.address, to, {machine.id, machine.address, std::move(posted.signal)}});
       }
       machine.answers.insert(machine.answers.end(), out.answers.begin(), out.answers.end());
+      if (on_order)
+        for (const PlatformOrder &order : out.orders) on_order(machine, order);
       if (out.batches.empty()) return;
       ControlOutput next;
       for (const WriteBatch &batch : out.batches) {
@@ -213,6 +228,7 @@
       if (to == machines.end() || !to->second.node) continue;
       const Machine &from = machines.at(parcel.from);
       if (to->second.is_cut || to->second.is_frozen || from.is_cut || from.side != to->second.side) continue;
+      if (is_blocked && is_blocked(parcel.from, parcel.to)) continue;
       ControlOutput out;
       to->second.node->receive(parcel.envelope, now, out);
       take(to->second, std::move(out));
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -390,7 +390,8 @@
   start.runner.id = "r5-1";
   start.runner.service = "till";
   start.runner.worker = "w-3";
-  const HttpMessage begun = api.order(start, 12);
+  start.term = 12;
+  const HttpMessage begun = api.order(start);
   STRCMP_EQUAL("/begin", begun.target.c_str());
   STRCMP_EQUAL("edge-a-1", begun.find(holder_header)->c_str());
   STRCMP_EQUAL("12", begun.find(fence_header)->c_str());
@@ -410,7 +411,7 @@
   PlatformOrder stop = start;
   stop.is_start = false;
   stop.runner.handle = "i-7";
-  CHECK(Json::parse(api.order(stop, 12).body) == Json::parse(R"({"id": "i-7"})"));
+  CHECK(Json::parse(api.order(stop).body) == Json::parse(R"({"id": "i-7"})"));
   CHECK(end(stop, answer(404)) == OrderEnd::refused);
   CHECK(end(stop, answer(200)) == OrderEnd::done);
 }
