Ask for the leader's lease again before an order that waited is sent by the older daemon

Cause: harbourd hands orders to a thread of its own, which sends one after another; each may wait for more than a second while the platform is slow, and each was sent however long ago, and in whichever term, it had been decided.

Change: the deciding thread tells until when orders of which term may be sent (OrderPermit); the sending one asks right before each call and counts what came too late. A dropped order is due again like one that got no answer.

--- a/packages/raft/raft.cpp
+++ b/packages/raft/raft.cpp
@@ -255,9 +255,9 @@
   return moments.size() < majority() ? 0 : moments[majority() - 1];
 }
 
-bool RaftNode::may_act(Instant now) const {
-  if (!is_settled() || has_transferred_ || now < acts_from_) return false;
-  return now - confirmed_at(now) < options_.leader_lease;
+Instant RaftNode::may_act_until(Instant now) const {
+  if (!is_settled() || has_transferred_ || now < acts_from_) return 0;
+  return confirmed_at(now) + options_.leader_lease;
 }
 
 void RaftNode::advance_commit(Instant now, RaftOutput &out) {
--- a/packages/raft/raft.hpp
+++ b/packages/raft/raft.hpp
@@ -103,7 +103,9 @@
   /// True while this replica may act outside the group, where no other does: it is a settled leader whose
   /// lease runs, what its predecessors did has arrived, and it has not asked another replica to take the
   /// lead.
-  bool may_act(Instant now) const;
+  bool may_act(Instant now) const { return now < may_act_until(now); }
+  /// Until when it may, as far as it is confirmed by now; 0 where it may not now.
+  Instant may_act_until(Instant now) const;
   /// The moment before which this leader must not act outside the group, for its predecessors' sake.
   Instant acts_from() const { return acts_from_; }
 
--- a/programs/harbourd/main.cpp
+++ b/programs/harbourd/main.cpp
@@ -7,6 +7,7 @@
 #include "bosun/storage_options.hpp"
 #include "bridge/bridge.hpp"
 #include "capstan/ring.hpp"
+#include "control/order_permit.hpp"
 #include "hawser/hawser.hpp"
 #include "moorings/moorings.hpp"
 #include "quay/quay.hpp"
@@ -161,6 +162,7 @@
         control_->tick(now, out);
         tick_at = now + milliseconds(5);
       }
+      permit_.set(control_->raft().term(), control_->raft().may_act_until(now));
       carry_out(out);
       is_leading_ = control_->is_leading();
       if (now >= publish_at_) publish(now);
@@ -216,6 +218,10 @@
     while (order_ring_.drain(orders, milliseconds(500)))
       for (const PlatformOrder &order : orders) {
         if (is_stopping_) return;
+        if (!permit_.allows(order, tide_.now())) {
+          ++orders_too_late_;
+          continue;
+        }
         if (!quay.order(order)) ++orders_refused_;
         ++orders_sent_;
       }
@@ -232,6 +238,7 @@
     root["platform_away"] = platform_away_.load();
     root["platform_orders"] = orders_sent_.load();
     root["platform_orders_refused"] = orders_refused_.load();
+    root["platform_orders_too_late"] = orders_too_late_.load();
     std::lock_guard guard(published_mutex_);
     published_ = root.dump(2) + "\n";
   }
@@ -242,6 +249,7 @@
   std::unique_ptr<ControlNode> control_;
   Ring<ControlEvent> ring_;
   Ring<PlatformOrder> order_ring_;
+  OrderPermit permit_;
   Bridge bridge_;
   Moorings server_;
   std::mutex says_mutex_, published_mutex_;
@@ -251,7 +259,8 @@
   Instant publish_at_ = 0;
   bool has_left_ = false;
   std::atomic<bool> is_stopping_{false}, is_leaving_{false}, is_leading_{false};
-  std::atomic<std::uint64_t> ring_full_{0}, platform_away_{0}, orders_sent_{0}, orders_refused_{0};
+  std::atomic<std::uint64_t> ring_full_{0}, platform_away_{0}, orders_sent_{0}, orders_refused_{0},
+      orders_too_late_{0};
   Hawser hawser_;
   std::unique_ptr<DiskWorker> disk_;
 };
--- a/tests/platform_orders_test.cpp
+++ b/tests/platform_orders_test.cpp
@@ -1,5 +1,6 @@
 // Starts and stops are ordered by one leader at a time: what an earlier leader ordered has arrived before its
 // successor orders, whichever machines are cut off, frozen or restarted.
+#include "control/order_permit.hpp"
 #include "control_group_rig.hpp"
 
 #include <cstdlib>
@@ -247,6 +248,21 @@
   busy.check("handed over");
 }
 
+// Guards against: an order that waited for its turn is sent though its leader's lease, or term, has ended.
+TEST(PlatformOrders, an_order_that_waited_beyond_its_leaders_lease_or_term_is_not_sent) {
+  OrderPermit permit;
+  PlatformOrder order;
+  order.term = 3;
+  CHECK(!permit.allows(order, seconds(1)));
+  permit.set(3, seconds(2));
+  CHECK(permit.allows(order, seconds(2) - 1));
+  CHECK(!permit.allows(order, seconds(2)));
+  permit.set(4, seconds(3));
+  CHECK(!permit.allows(order, seconds(2)));
+  permit.set(3, 0);
+  CHECK(!permit.allows(order, seconds(1)));
+}
+
 TEST(PlatformOrders, whatever_strikes_one_leader_at_a_time_orders) {
   const char *wanted = std::getenv("WHARF_TEST_SEEDS");
   const std::uint64_t seeds = wanted == nullptr ? 24 : std::strtoull(wanted, nullptr, 10);
