Let the soak find orders under an older fence, and two holders of one

The platform stand-in keeps each start and stop with its sender and fencing token. A finding is an order whose token is lower than one that came before for the same service, or that another sender used; calls within 0.3 s after a thaw of their sender or the end of a cut don't count, as the users say. Test: each of these is found, and what is allowed is not.

--- a/packages/soak/checks.cpp
+++ b/packages/soak/checks.cpp
@@ -243,6 +243,31 @@
   return findings;
 }
 
+std::vector<Finding> check_order_fences(const Records &records, const Bounds &bounds) {
+  const auto may_be_late = [&](const OrderRecord &order) {
+    return std::any_of(records.troubles.begin(), records.troubles.end(), [&](const TroubleRecord &trouble) {
+      return touches(trouble, order.holder) && trouble.ended != 0 && order.at >= trouble.ended &&
+             order.at < trouble.ended + bounds.thaw_slack;
+    });
+  };
+  std::vector<Finding> findings;
+  std::map<std::pair<bool, std::string>, const OrderRecord *> newest;
+  for (const OrderRecord &order : records.orders) {
+    if (may_be_late(order)) continue;
+    const OrderRecord *&before = newest[{order.is_start, order.service}];
+    const bool is_older = before != nullptr && order.fence < before->fence;
+    const bool is_shared =
+        before != nullptr && order.fence == before->fence && order.holder != before->holder;
+    if (is_older || is_shared)
+      findings.push_back({"one holder",
+                          order.holder + " orders with fence " + std::to_string(order.fence) + " after " +
+                              before->holder + " with " + std::to_string(before->fence),
+                          order.service});
+    if (!is_older) before = &order;
+  }
+  return findings;
+}
+
 std::vector<Finding> check_in_force(const Records &records, const Bounds &bounds) {
   std::vector<Finding> findings;
   std::map<std::int64_t, Instant> acknowledged;
@@ -321,6 +346,7 @@
   append(all, check_runner_limit(records, bounds));
   append(all, check_configuration(records, bounds));
   append(all, check_content(records));
+  append(all, check_order_fences(records, bounds));
   append(all, check_in_force(records, bounds));
   append(all, check_recovery(records, bounds));
   append(all, check_processes(records, bounds));
--- a/packages/soak/checks.hpp
+++ b/packages/soak/checks.hpp
@@ -11,6 +11,8 @@
 struct Bounds {
   Span in_touch = seconds(4), config_apply = seconds(3), loss_slack = milliseconds(200),
        recover = seconds(12);
+  /// An order that arrives so soon after a thaw of its sender, or the end of a cut, may be an old one.
+  Span thaw_slack = milliseconds(300);
   Span gone_within = milliseconds(500);
   std::size_t refused_most = 11;
   Span refused_over = seconds(5);
@@ -39,6 +41,9 @@
 std::vector<Finding> check_configuration(const Records &records, const Bounds &bounds);
 /// A configuration is read back with just the routes that were sent under its version.
 std::vector<Finding> check_content(const Records &records);
+/// Of starts, and of stops, of one service none comes under a lower fencing token than one before, nor two
+/// senders' under one token.
+std::vector<Finding> check_order_fences(const Records &records, const Bounds &bounds);
 std::vector<Finding> check_in_force(const Records &records, const Bounds &bounds);
 std::vector<Finding> check_recovery(const Records &records, const Bounds &bounds);
 std::vector<Finding> check_processes(const Records &records, const Bounds &bounds);
--- a/packages/soak/platform_standin.cpp
+++ b/packages/soak/platform_standin.cpp
@@ -80,8 +80,8 @@
 };
 
 PlatformStandin::PlatformStandin(Loop &loop, const Wire &wire, PlatformOptions options,
-                                 std::vector<RunRecord> &records)
-    : loop_(loop), wire_(wire), options_(std::move(options)), records_(records),
+                                 std::vector<RunRecord> &records, std::vector<OrderRecord> &orders)
+    : loop_(loop), wire_(wire), options_(std::move(options)), records_(records), orders_(orders),
       door_(loop, port_.address(), *this, HttpDoorOptions{}) {
   for (int at = 0; at < options_.workers; ++at) {
     const std::string &zone = options_.zones[static_cast<std::size_t>(at) % options_.zones.size()];
@@ -99,7 +99,7 @@
   if (std::holds_alternative<ListRunners>(call)) return list_runners();
   if (std::holds_alternative<ListWorkers>(call)) return list_workers();
   if (const auto *begun = std::get_if<StartRunner>(&call)) return start(*begun, now);
-  if (const auto *ended = std::get_if<StopRunner>(&call)) return stop(*ended);
+  if (const auto *ended = std::get_if<StopRunner>(&call)) return stop(*ended, now);
   return wire_.refused(404);
 }
 
@@ -117,6 +117,7 @@
 }
 
 HttpMessage PlatformStandin::start(const StartRunner &call, Instant now) {
+  note_order(true, call.service, call.sender, now);
   const auto known = runner_of_nonce_.find(call.service + "/" + call.nonce);
   if (known != runner_of_nonce_.end()) {
     const auto runner = runners_.find(known->second);
@@ -137,8 +138,14 @@
   return wire_.started(runners_.emplace(id, std::move(runner)).first->second->entry());
 }
 
-HttpMessage PlatformStandin::stop(const StopRunner &call) {
+void PlatformStandin::note_order(bool is_start, const std::string &service, const OrderSender &sender,
+                                 Instant now) {
+  orders_.push_back({now, is_start, service, sender.holder, sender.fence});
+}
+
+HttpMessage PlatformStandin::stop(const StopRunner &call, Instant now) {
   const auto found = runners_.find(call.id);
+  if (found != runners_.end()) note_order(false, found->second->service().name, call.sender, now);
   if (found != runners_.end()) found->second->stop();
   return found != runners_.end() || call.id.starts_with("run-") ? wire_.done() : wire_.refused(404);
 }
--- a/packages/soak/platform_standin.hpp
+++ b/packages/soak/platform_standin.hpp
@@ -21,7 +21,8 @@
 
 class PlatformStandin final : public HttpDoorSink {
 public:
-  PlatformStandin(Loop &loop, const Wire &wire, PlatformOptions options, std::vector<RunRecord> &records);
+  PlatformStandin(Loop &loop, const Wire &wire, PlatformOptions options, std::vector<RunRecord> &records,
+                  std::vector<OrderRecord> &orders);
   ~PlatformStandin() override;
   std::string address() const { return port_.address(); }
   void asked(LinkId link, HttpMessage &&request) override;
@@ -34,9 +35,10 @@
   class Runner;
   HttpMessage answer(const PlatformCall &call, Instant now);
   HttpMessage start(const StartRunner &call, Instant now);
-  HttpMessage stop(const StopRunner &call);
+  HttpMessage stop(const StopRunner &call, Instant now);
   HttpMessage list_runners() const;
   HttpMessage list_workers() const;
+  void note_order(bool is_start, const std::string &service, const OrderSender &sender, Instant now);
   int used_mb(const std::string &worker) const;
   const ServiceSpec *service_named(const std::string &name) const;
 
@@ -44,6 +46,7 @@
   const Wire &wire_;
   PlatformOptions options_;
   std::vector<RunRecord> &records_;
+  std::vector<OrderRecord> &orders_;
   std::vector<WorkerEntry> workers_;
   std::map<std::string, std::unique_ptr<Runner>> runners_;
   /// Runners by the caller's nonce, so that a call that is repeated starts nothing anew.
--- a/packages/soak/records.hpp
+++ b/packages/soak/records.hpp
@@ -49,6 +49,14 @@
   bool is_refused = false;
 };
 
+/// A start or stop as the platform got it.
+struct OrderRecord {
+  Instant at = 0;
+  bool is_start = true;
+  std::string service, holder;
+  std::uint64_t fence = 0;
+};
+
 /// A change of the configuration as its operator saw it.
 struct ChangeRecord {
   std::int64_t version = 0;
@@ -94,6 +102,7 @@
 struct Records {
   std::vector<RequestRecord> requests;
   std::vector<RunRecord> runs;
+  std::vector<OrderRecord> orders;
   std::vector<ChangeRecord> changes;
   std::vector<ReadRecord> reads;
   std::vector<TroubleRecord> troubles;
--- a/packages/soak/soak.cpp
+++ b/packages/soak/soak.cpp
@@ -79,7 +79,8 @@
 public:
   Run(const Wire &wire, const RunOptions &options, const Shape &shape)
       : options_(options), shape_(bounded(shape)), random_(options.seed),
-        platform_(loop_, wire, platform_options(), records_.runs), deployment_(wire, shape_options()),
+        platform_(loop_, wire, platform_options(), records_.runs, records_.orders),
+        deployment_(wire, shape_options()),
         operators_(loop_, wire, operator_options(), options.seed * 3 + 1, records_.changes, records_.reads),
         clients_(loop_, wire, client_options(), options.seed * 3 + 2, records_.requests),
         troubles_(deployment_, records_.troubles, records_.ended_by_themselves) {}
--- a/packages/soak/wire.hpp
+++ b/packages/soak/wire.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // What a soak must say to deployed processes and hear from them, without the platform's words for it; who
 // speaks these implements it.
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <variant>
@@ -66,11 +67,18 @@
 /// Calls to the platform.
 struct ListRunners {};
 struct ListWorkers {};
+/// Who orders a start or stop, and under which fencing token.
+struct OrderSender {
+  std::string holder;
+  std::uint64_t fence = 0;
+};
 struct StartRunner {
   std::string service, worker, nonce;
+  OrderSender sender;
 };
 struct StopRunner {
   std::string id;
+  OrderSender sender;
 };
 using PlatformCall = std::variant<std::monostate, ListRunners, ListWorkers, StartRunner, StopRunner>;
 
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -172,6 +172,27 @@
   }
 }
 
+// Guards against: a leader that has been replaced orders starts or stops beside its successor.
+TEST(Soak, orders_under_an_older_fence_and_two_holders_of_one_are_found_unless_just_thawed) {
+  const auto found = [](OrderRecord last, const std::vector<TroubleRecord> &troubles) {
+    Records records;
+    records.orders = {{seconds(1), true, "s", "control-1", 1}, {seconds(2), true, "s", "control-2", 2}};
+    records.orders.push_back(std::move(last));
+    records.troubles = troubles;
+    return check_order_fences(records, bounds);
+  };
+  check_one(found({seconds(3), true, "s", "control-1", 1}, {}), "one holder");
+  check_one(found({seconds(3), true, "s", "control-1", 2}, {}), "one holder");
+  LONGS_EQUAL(0, found({seconds(3), true, "s", "control-2", 2}, {}).size());
+  LONGS_EQUAL(0, found({seconds(3), true, "s", "control-1", 3}, {}).size());
+  LONGS_EQUAL(0, found({seconds(3), true, "other", "control-1", 1}, {}).size());
+  LONGS_EQUAL(0, found({seconds(3), false, "s", "control-1", 1}, {}).size());
+  const TroubleRecord freeze{"freeze",      seconds(1), seconds(3) - milliseconds(299),
+                             {"control-1"}, false,      false};
+  LONGS_EQUAL(0, found({seconds(3), true, "s", "control-1", 1}, {freeze}).size());
+  check_one(found({seconds(3) + milliseconds(1), true, "s", "control-1", 1}, {freeze}), "one holder");
+}
+
 TEST(Soak, a_route_that_is_not_in_force_in_time_is_found) {
   Records records = one_served();
   records.changes.push_back({5, seconds(110), seconds(111), false, 200, 0});
