Cut the 150 lines of maintain_runners into steps of one job each

What a round has found and decided is a struct of its own (PlacementRound); three bare numbers got names.

--- a/packages/control/control_node.hpp
+++ b/packages/control/control_node.hpp
@@ -193,6 +193,20 @@
     std::string handle, address;
   };
 
+  /// What one round of placement has found and decided.
+  struct PlacementRound {
+    /// Starts and stops may be ordered.
+    bool has_lease = false;
+    PutRunners put;
+    std::map<std::string, const Want *> wants;
+    /// Runners that owners say are idle, or are to go.
+    std::set<std::string> idle, retire;
+    /// The platform's names of the runners that have a record.
+    std::set<std::string> listed_as;
+    std::vector<const RunnerRecord *> unstarted;
+    std::map<std::string, std::vector<const RunnerRecord *>> active;
+  };
+
   void absorb(RaftOutput &&step, Instant now, ControlOutput &out);
   void apply(const Entry &entry, Instant now, ControlOutput &out);
   std::optional<std::uint64_t> propose(const Command &command, Instant now, ControlOutput &out);
@@ -340,6 +354,25 @@
   /// services.
   bool has_better_owners(const std::vector<NodeId> &pilots) const;
   void maintain_runners(Instant now, ControlOutput &out);
+  /// Takes the wants of those nodes that own the services.
+  void gather_wants(PlacementRound &round, Instant now);
+  /// Decides on one runner: gone, to be stopped, to leave, or to be kept and, if need be, started.
+  void review_runner(const RunnerRecord &record, PlacementRound &round, Instant now, ControlOutput &out);
+  /// True where the platform has the runner no more, or never will.
+  bool is_gone(const RunnerRecord &record, const RunnerNote &note, bool is_listed, Instant now) const;
+  /// True where an order that was last given at a moment is to be given again.
+  bool is_due(Instant ordered_at, Instant retry_at, Instant now) const;
+  /// Orders the stop of a leaving runner once its work is done, or it has taken too long.
+  void stop_when_idle(const RunnerRecord &record, RunnerNote &note, const PlacementRound &round, Instant now,
+                      ControlOutput &out);
+  /// Orders the stop of runners that are listed and have no record.
+  void stop_strays(const PlacementRound &round, Instant now, ControlOutput &out);
+  /// Plans which services get more runners and which fewer, worthier services first.
+  void plan_services(PlacementRound &round, Instant now);
+  /// How many runners a service is to have; those above it are told to leave.
+  std::size_t target_of(const Service &service, PlacementRound &round, Instant now);
+  void add_runners(const Service &service, std::size_t target, std::uint64_t &next, PlacementRound &round);
+  void propose_runners(PutRunners put, Instant now, ControlOutput &out);
   void refresh_views(Instant now);
   /// What nodes are to be told of a runner, or nothing when they are not to know of it.
   std::optional<RunnerView> view_of(const RunnerRecord &record, Instant now) const;
--- a/packages/control/runner_placement.cpp
+++ b/packages/control/runner_placement.cpp
@@ -8,6 +8,15 @@
 
 namespace wharf {
 
+namespace {
+/// How long a start may be without a worker and a listing before it is given up.
+constexpr Span worker_missing_most = seconds(10);
+/// How long a runner of a service that no configuration or node knows any more may take to become idle.
+constexpr Span unknown_service_leave_most = seconds(6);
+/// Runners planned in one entry of the log at most.
+constexpr std::size_t runners_added_most = 64;
+} // namespace
+
 std::string ControlNode::seal_key_of(const std::string &runner) const {
   return hmac_hex(registry_.secret(), "runner/" + runner);
 }
@@ -200,90 +209,111 @@
   pace_ = std::min(options_.platform_pace / 4,
                    pace_ + options_.platform_pace * static_cast<double>(now - pace_at_) / 1e9);
   pace_at_ = now;
-  const bool has_lease = may_order(now, out);
-  const auto &seen = listed_;
-  const auto is_draining = [this](const std::string &worker) {
-    const auto found = workers_.find(worker);
-    return found != workers_.end() && found->second->is_draining;
-  };
+  PlacementRound round;
+  round.has_lease = may_order(now, out);
+  gather_wants(round, now);
+  round.put.named = std::move(named_);
+  named_.clear();
+  for (const auto &[id, record] : registry_.runners()) review_runner(record, round, now, out);
+  if (round.has_lease) order_starts(std::move(round.unstarted), now, out);
+  stop_strays(round, now, out);
+  plan_services(round, now);
+  std::erase_if(notes_, [&](const auto &item) {
+    return !registry_.runners().contains(item.first) && !listed_.contains(item.first);
+  });
+  propose_runners(std::move(round.put), now, out);
+}
 
-  PutRunners put;
-  std::vector<const RunnerRecord *> unstarted;
-  std::map<std::string, std::vector<const RunnerRecord *>> active;
-  std::set<std::string> idle, retire;
-  std::map<std::string, const Want *> wants;
+void ControlNode::gather_wants(PlacementRound &round, Instant now) {
   for (const auto &[pilot, session] : sessions_) {
     if (now - session.last_pulse > options_.pilot_silence) continue;
     for (const auto &[service, want] : session.wants) {
       if (owner_of_service(service) != pilot) continue;
-      wants[service] = &want;
-      idle.insert(want.idle.begin(), want.idle.end());
-      retire.insert(want.retire.begin(), want.retire.end());
+      round.wants[service] = &want;
+      round.idle.insert(want.idle.begin(), want.idle.end());
+      round.retire.insert(want.retire.begin(), want.retire.end());
     }
   }
-  std::set<std::string> ours;
-  put.named = std::move(named_);
-  named_.clear();
-  for (const auto &[id, record] : registry_.runners()) {
-    RunnerNote &note = notes_[id];
-    if (note.known_since == 0) note.known_since = now;
-    const std::string handle = handle_of(record);
-    const std::string name = handle.empty() ? id : handle;
-    ours.insert(name);
-    const auto found = seen.find(name);
-    if (found != seen.end()) {
-      note.was_listed = true;
-      note.absent = 0;
-    }
-    const bool is_lost = found == seen.end() && note.was_listed && note.started_at < platform_at_;
-    const bool is_unwanted = !workers_.contains(record.worker) && !note.was_listed &&
-                             now - note.started_at > seconds(10) && note.started_at != 0;
-    const bool is_unlisted = found == seen.end() && !note.was_listed && !handle.empty() &&
-                             now - std::max(note.known_since, note.started_at) > options_.unlisted_most;
-    if (is_lost || is_unwanted || is_unlisted ||
-        (found == seen.end() && record.is_leaving && !note.was_listed && handle.empty()) ||
-        (found == seen.end() && note.is_stopped)) {
-      put.gone.push_back(id);
-      trace_runner(RunnerChange::gone, record, out);
-      continue;
-    }
-    if (record.is_leaving) {
-      if (note.leaving_since == 0) note.leaving_since = now;
-      const bool is_known_service = wants.contains(record.service);
-      const bool may_stop =
-          idle.contains(id) ||
-          (now - note.leaving_since > (is_known_service ? options_.leave_most : seconds(6)) &&
-           charter_->service_named(record.service) == nullptr) ||
-          now - note.leaving_since > options_.leave_most;
-      const bool is_due = note.stopped_at == 0 || now - note.stopped_at > options_.start_again ||
-                          (note.retry_at > note.stopped_at && now >= note.retry_at);
-      if (may_stop && has_lease && pace_ >= 1 && is_due && !note.is_stopped) {
-        note.stopped_at = now;
-        trace_runner(RunnerChange::stopped, record, out);
-        RunnerRecord named = record;
-        named.handle = handle;
-        order({false, std::move(named), {}, options_.stop_grace}, out);
-      }
-      continue;
-    }
-    const bool must_leave = retire.contains(id) || is_draining(record.worker) ||
-                            (found != seen.end() && found->second->phase == RunnerPhase::stopping) ||
-                            charter_->service_named(record.service) == nullptr;
-    if (must_leave) {
-      put.leaving.push_back(id);
-      continue;
-    }
-    active[record.service].push_back(&record);
-    const bool is_due = note.started_at == 0 || now - note.started_at > options_.start_again ||
-                        (note.retry_at > note.started_at && now >= note.retry_at);
-    if (found == seen.end() && handle.empty() && is_due) unstarted.push_back(&record);
+}
+
+bool ControlNode::is_gone(const RunnerRecord &record, const RunnerNote &note, bool is_listed,
+                          Instant now) const {
+  const std::string handle = handle_of(record);
+  if (!workers_.contains(record.worker) && !note.was_listed && note.started_at != 0 &&
+      now - note.started_at > worker_missing_most)
+    return true;
+  if (is_listed) return false;
+  const bool is_lost = note.was_listed && note.started_at < platform_at_;
+  const bool is_unlisted = !note.was_listed && !handle.empty() &&
+                           now - std::max(note.known_since, note.started_at) > options_.unlisted_most;
+  const bool was_never_started = record.is_leaving && !note.was_listed && handle.empty();
+  return is_lost || is_unlisted || was_never_started || note.is_stopped;
+}
+
+void ControlNode::review_runner(const RunnerRecord &record, PlacementRound &round, Instant now,
+                                ControlOutput &out) {
+  RunnerNote &note = notes_[record.id];
+  if (note.known_since == 0) note.known_since = now;
+  const std::string handle = handle_of(record);
+  const std::string name = handle.empty() ? record.id : handle;
+  round.listed_as.insert(name);
+  const auto found = listed_.find(name);
+  const bool is_listed = found != listed_.end();
+  if (is_listed) {
+    note.was_listed = true;
+    note.absent = 0;
+  }
+  if (is_gone(record, note, is_listed, now)) {
+    round.put.gone.push_back(record.id);
+    trace_runner(RunnerChange::gone, record, out);
+    return;
+  }
+  if (record.is_leaving) {
+    stop_when_idle(record, note, round, now, out);
+    return;
   }
-  if (has_lease) order_starts(std::move(unstarted), now, out);
+  const auto worker = workers_.find(record.worker);
+  const bool must_leave = round.retire.contains(record.id) ||
+                          (worker != workers_.end() && worker->second->is_draining) ||
+                          (is_listed && found->second->phase == RunnerPhase::stopping) ||
+                          charter_->service_named(record.service) == nullptr;
+  if (must_leave) {
+    round.put.leaving.push_back(record.id);
+    return;
+  }
+  round.active[record.service].push_back(&record);
+  if (!is_listed && handle.empty() && is_due(note.started_at, note.retry_at, now))
+    round.unstarted.push_back(&record);
+}
+
+bool ControlNode::is_due(Instant ordered_at, Instant retry_at, Instant now) const {
+  return ordered_at == 0 || now - ordered_at > options_.start_again ||
+         (retry_at > ordered_at && now >= retry_at);
+}
+
+void ControlNode::stop_when_idle(const RunnerRecord &record, RunnerNote &note, const PlacementRound &round,
+                                 Instant now, ControlOutput &out) {
+  if (note.leaving_since == 0) note.leaving_since = now;
+  const Span leaving_for = now - note.leaving_since;
+  const bool is_wanted_service = round.wants.contains(record.service);
+  const bool is_left_behind = charter_->service_named(record.service) == nullptr && !is_wanted_service &&
+                              leaving_for > unknown_service_leave_most;
+  const bool may_stop = round.idle.contains(record.id) || is_left_behind || leaving_for > options_.leave_most;
+  if (!may_stop || !round.has_lease || pace_ < 1 || note.is_stopped) return;
+  if (!is_due(note.stopped_at, note.retry_at, now)) return;
+  note.stopped_at = now;
+  trace_runner(RunnerChange::stopped, record, out);
+  RunnerRecord named = record;
+  named.handle = handle_of(record);
+  order({false, std::move(named), {}, options_.stop_grace}, out);
+}
+
+void ControlNode::stop_strays(const PlacementRound &round, Instant now, ControlOutput &out) {
   for (const RunnerSeen &runner : platform_.runners) {
-    if (ours.contains(runner.id) || runner.phase == RunnerPhase::stopping) continue;
+    if (round.listed_as.contains(runner.id) || runner.phase == RunnerPhase::stopping) continue;
     RunnerNote &note = notes_[runner.id];
     if (note.known_since == 0) note.known_since = now;
-    if (now - note.known_since < options_.stray_most || !has_lease || pace_ < 1 ||
+    if (now - note.known_since < options_.stray_most || !round.has_lease || pace_ < 1 ||
         now - note.stopped_at < options_.start_again || now < floor_)
       continue;
     note.stopped_at = now;
@@ -291,6 +321,9 @@
     record.id = record.handle = runner.id;
     order({false, std::move(record), {}, options_.stop_grace}, out);
   }
+}
+
+void ControlNode::plan_services(PlacementRound &round, Instant now) {
   std::vector<const Service *> services;
   for (const Service &service : charter_->services) services.push_back(&service);
   if (options_.by_worth)
@@ -298,50 +331,55 @@
                      [](const Service *left, const Service *right) { return left->worth > right->worth; });
   std::uint64_t next = registry_.next_runner();
   for (const Service *service : services) {
-    auto &list = active[service->name];
-    std::size_t target =
-        std::max<std::size_t>(static_cast<std::size_t>(service->least),
-                              std::min<std::size_t>(list.size(), static_cast<std::size_t>(service->most)));
-    if (const auto want = wants.find(service->name); want != wants.end())
-      target = std::clamp<std::size_t>(want->second->runners, static_cast<std::size_t>(service->least),
-                                       static_cast<std::size_t>(service->most));
-    const bool is_booting = std::any_of(list.begin(), list.end(), [this](const RunnerRecord *record) {
-      return !views_.contains(record->id);
-    });
-    if (list.size() > target && !(list.size() == target + 1 && is_booting && target > 0)) {
-      const auto leaving = elect_leaving(list, target);
-      put.leaving.insert(put.leaving.end(), leaving.begin(), leaving.end());
-    }
-    if (list.size() == target && !is_booting && now - moved_at_ > options_.move_every &&
-        is_lopsided(*service, list)) {
-      moved_at_ = now;
-      ++target;
-    }
-    bool has_made_memory = false;
-    for (std::size_t missing = list.size(); missing < target && put.add.size() < 64; ++missing) {
-      const auto worker =
-          elect_worker(service->name, static_cast<std::uint32_t>(service->memory_mb), put.add);
-      if (!worker) {
-        if (options_.by_worth && !has_made_memory) {
-          has_made_memory = true;
-          const auto leaving = make_memory(*service, active);
-          put.leaving.insert(put.leaving.end(), leaving.begin(), leaving.end());
-        }
-        break;
-      }
-      RunnerRecord record;
-      record.id = "r" + std::to_string(raft_.term()) + "-" + std::to_string(next++);
-      record.service = service->name;
-      record.worker = *worker;
-      record.image = service->image;
-      record.memory_mb = static_cast<std::uint32_t>(service->memory_mb);
-      record.slots = static_cast<std::uint32_t>(service->slots);
-      put.add.push_back(std::move(record));
+    const std::size_t target = target_of(*service, round, now);
+    add_runners(*service, target, next, round);
+  }
+}
+
+std::size_t ControlNode::target_of(const Service &service, PlacementRound &round, Instant now) {
+  const auto &list = round.active[service.name];
+  const auto least = static_cast<std::size_t>(service.least), most = static_cast<std::size_t>(service.most);
+  std::size_t target = std::max(least, std::min(list.size(), most));
+  if (const auto want = round.wants.find(service.name); want != round.wants.end())
+    target = std::clamp<std::size_t>(want->second->runners, least, most);
+  const bool is_booting = std::any_of(
+      list.begin(), list.end(), [this](const RunnerRecord *record) { return !views_.contains(record->id); });
+  if (list.size() > target && !(list.size() == target + 1 && is_booting && target > 0)) {
+    const auto leaving = elect_leaving(list, target);
+    round.put.leaving.insert(round.put.leaving.end(), leaving.begin(), leaving.end());
+  }
+  if (list.size() == target && !is_booting && now - moved_at_ > options_.move_every &&
+      is_lopsided(service, list)) {
+    moved_at_ = now;
+    ++target;
+  }
+  return target;
+}
+
+void ControlNode::add_runners(const Service &service, std::size_t target, std::uint64_t &next,
+                              PlacementRound &round) {
+  const auto memory_mb = static_cast<std::uint32_t>(service.memory_mb);
+  for (std::size_t count = round.active[service.name].size();
+       count < target && round.put.add.size() < runners_added_most; ++count) {
+    const auto worker = elect_worker(service.name, memory_mb, round.put.add);
+    if (!worker) {
+      if (!options_.by_worth) return;
+      const auto leaving = make_memory(service, round.active);
+      round.put.leaving.insert(round.put.leaving.end(), leaving.begin(), leaving.end());
+      return;
     }
+    RunnerRecord record;
+    record.id = "r" + std::to_string(raft_.term()) + "-" + std::to_string(next++);
+    record.service = service.name;
+    record.worker = *worker;
+    record.image = service.image;
+    record.memory_mb = memory_mb;
+    record.slots = static_cast<std::uint32_t>(service.slots);
+    round.put.add.push_back(std::move(record));
   }
-  std::erase_if(notes_, [&](const auto &item) {
-    return !registry_.runners().contains(item.first) && !seen.contains(item.first);
-  });
+}
+
+void ControlNode::propose_runners(PutRunners put, Instant now, ControlOutput &out) {
   if (is_runners_proposed_ ||
       (put.add.empty() && put.leaving.empty() && put.gone.empty() && put.named.empty())) {
     named_ = std::move(put.named);
