Let the daemons be told what memory and descriptors their machine gives them

A process knew nothing of the memory and the descriptors of its machine, so nothing it holds could be bounded by them.

--- a/packages/bosun/options.hpp
+++ b/packages/bosun/options.hpp
@@ -18,6 +18,9 @@
   TEXT(name, "", is_any, "This machine's name, as its platform knows it.")                                   \
   TEXT(link_mbps, "", is_decimal_or_none, "Width of this machine's link in Mbit/s; pilotd only.")            \
   TEXT(cpu_share, "", is_decimal_or_none, "Share of a core that this process may use; pilotd only.")         \
+  TEXT(memory_mb, "", is_decimal_or_none, "Memory that this process may take, in MB; 256 if not named.")     \
+  TEXT(fd_limit, "", is_decimal_or_none,                                                                     \
+       "Descriptors it may have open; what the system allows if not named.")                                 \
   TEXT(zone, "a", is_word, "Zone this machine is in.")                                                       \
   TEXT(seeds, "", is_seeds, "One or three addresses of other processes, separated by commas.")               \
   TEXT(data, "", is_any, "Data folder; harbourd only.")                                                      \
