--- a/packages/soak/daemon.hpp
+++ b/packages/soak/daemon.hpp
@@ -19,6 +19,8 @@
   explicit Daemon(DaemonSpec spec) : spec_(std::move(spec)) {}
   const std::string &name() const { return spec_.name; }
   bool is_running() const { return pid_ > 0; }
+  /// Its process, until its end has been seen; 0 while there is none.
+  pid_t process() const { return pid_; }
   bool is_frozen() const { return is_frozen_; }
   /// How often it was started.
   int life() const { return life_; }
--- a/packages/soak/deployment.cpp
+++ b/packages/soak/deployment.cpp
@@ -60,7 +60,8 @@
   std::ostringstream file;
   file << "address=" << node.relay << "\nlisten=" << node.inner.address() << "\nhttp=" << node.http.address()
        << "\nzone=" << node.zone << "\nname=" << node.daemon->name() << "\nseeds=" << seeds_for(node)
-       << "\nfew_seeds=1\n";
+       << "\nfew_seeds=1\n"
+       << options_.more_options;
   if (!node.is_control) {
     file << "readiness=" << node.readiness.address() << "\nlink_mbps=1000\ncpu_share=0.4\n";
   } else {
--- a/packages/soak/deployment.hpp
+++ b/packages/soak/deployment.hpp
@@ -17,6 +17,8 @@
   std::size_t edges = 4, controls = 3;
   std::vector<std::string> zones{"a", "b", "c"};
   std::string folder, binaries, platform;
+  /// Lines that every daemon's options file gets besides.
+  std::string more_options;
 };
 
 /// One daemon with its ports; others reach it through a relay that can hold back what goes there.
--- a/packages/soak/soak.cpp
+++ b/packages/soak/soak.cpp
@@ -128,7 +128,8 @@
   static std::vector<ServiceSpec> services() { return {{"again", 8, 512, 300}, {"once", 4, 256, 200}}; }
   PlatformOptions platform_options() const { return {services(), zones(), 6, 8192, 150}; }
   ShapeOptions shape_options() {
-    return {shape_.edges, shape_.controls, zones(), options_.folder, options_.binaries, platform_.address()};
+    return {shape_.edges,      shape_.controls,     zones(), options_.folder,
+            options_.binaries, platform_.address(), {}};
   }
   OperatorOptions operator_options() { return {deployment_.control_addresses(), services()}; }
   ClientOptions client_options() {
--- a/packages/soak/wire.hpp
+++ b/packages/soak/wire.hpp
@@ -36,7 +36,8 @@
   std::string id, path;
   bool is_repeatable = true;
   int deadline_ms = 3000, work_ms = 20;
-  std::size_t body_bytes = 0;
+  /// The size of its body, and at least that of its answer's.
+  std::size_t body_bytes = 0, answer_bytes = 0;
 };
 
 /// What a client can tell of an answer.
@@ -52,6 +53,8 @@
 struct RunAsk {
   std::string id, expected_runner;
   int work_ms = 20;
+  /// The answer's body is filled up to this size.
+  std::size_t answer_bytes = 0;
 };
 
 /// A runner as the platform's list shows it.
--- a/programs/dockyard/main.cpp
+++ b/programs/dockyard/main.cpp
@@ -64,6 +64,8 @@
     const std::string image = order_.value("image", "");
     const auto at = image.find("ms=");
     if (at != std::string::npos) serve_ms_ = std::atoi(image.c_str() + at + 3);
+    const auto size_at = image.find("bytes=");
+    if (size_at != std::string::npos) answer_bytes_ = std::strtoull(image.c_str() + size_at + 6, nullptr, 10);
     set_up_door(server_, static_cast<std::size_t>(slots_) + 2, 16u << 20,
                 [this](const httplib::Request &request, const httplib::Headers &original,
                        httplib::Response &response) { serve(request, original, response); });
@@ -135,9 +137,10 @@
               {"has_key", original.count("Authorization") > 0}};
     journal_.add(line);
     --running_;
-    const std::string body =
-        is_refusal ? "{\"refused\": true}\n"
-                   : Json{{"errand", errand}, {"service", service_}, {"ran", true}}.dump() + "\n";
+    std::string body = is_refusal
+                           ? "{\"refused\": true}\n"
+                           : Json{{"errand", errand}, {"service", service_}, {"ran", true}}.dump() + "\n";
+    if (!is_refusal) body.resize(std::max(body.size(), answer_bytes_), ' ');
     const std::string type = "application/json";
     response.status = is_refusal ? 503 : 200;
     response.set_header("X-Wharf-Outcome", is_refusal ? "refusal" : "answer");
@@ -163,6 +166,8 @@
   SteadyTide tide_;
   std::string id_, service_, seal_key_, address_;
   int slots_ = 1, serve_ms_ = 5;
+  /// The least size of an answer.
+  std::size_t answer_bytes_ = 0;
   std::mutex mutex_;
   Mischief mischief_;
   Dice dice_{stable_hash(id_.data(), id_.size())};
