Count what clients make the deployed daemons hold, and take it back at a bound

Cause: nothing counted it. A door sent a client's next answer while the one before was still unsent, without any bound; each other bound was one of a single message or link, and many links multiply it. An answer was copied three times on its way. Nothing knew the machine's memory or descriptors, and who came first kept all connections.

Change: one account a process, half of `limits.memoryMb`, counts what links hold (buffers by their capacity, headers as parsed, answers unsent, what the kernel may hold for a link that isn't read), requests under way (at most half of it), answers on their way from runners, orders under way, and frames of peers that aren't whole. A long answer of a runner waits with the runner until there is room. Doors, calls and links of peers share the descriptors; a full door ends its oldest resting link first. Answers are moved, not copied.

--- a/packages/anchorage/cables.cpp
+++ b/packages/anchorage/cables.cpp
@@ -8,15 +8,24 @@
 
 namespace wharf {
 
+namespace {
+/// What a link that another process opened takes besides what it sent.
+constexpr std::size_t link_bytes = 4096;
+/// An emptied buffer of this size or less is kept.
+constexpr std::size_t kept_buffer_bytes = 65536;
+} // namespace
+
 class Cables::Cable final : public Watched {
 public:
-  Cable(Cables &owner, std::string address) : owner_(owner), address_(std::move(address)) {}
+  Cable(Cables &owner, std::string address)
+      : owner_(owner), address_(std::move(address)), charge_(owner.options_.memory) {}
   ~Cable() override { shut(); }
   void shut() {
     if (descriptor < 0) return;
     owner_.loop_.remove(descriptor);
     close(descriptor);
     descriptor = -1;
+    charge_.set(0);
   }
   void ready(std::uint32_t events) override {
     if (descriptor < 0) return;
@@ -53,6 +62,7 @@
     if (count < 0) return errno == EAGAIN || errno == EINTR;
     if (count == 0) return false;
     incoming.append(bytes, static_cast<std::size_t>(count));
+    heard_at = owner_.tide_.now();
     std::size_t at = 0;
     while (descriptor >= 0) {
       Envelope envelope;
@@ -64,11 +74,29 @@
       owner_.sink_(std::move(envelope));
     }
     incoming.erase(0, at);
-    return true;
+    if (incoming.empty() && incoming.capacity() > kept_buffer_bytes) incoming = {};
+    return count_memory();
+  }
+
+  /// False when the frame that is being read is given up for want of memory.
+  bool count_memory() {
+    MemoryAccount *memory = owner_.options_.memory;
+    charge_.set(is_theirs ? link_bytes + heap_bytes(incoming) : 0);
+    if (memory == nullptr || memory->used() <= memory->bound_for(charge_.bytes())) return true;
+    memory->make_room_for(std::min(charge_.bytes(), MemoryAccount::large_bytes));
+    return descriptor >= 0;
+  }
+
+  /// What is given back by giving up a frame that isn't whole.
+  std::size_t reclaimable() const {
+    return charge_.bytes() >= MemoryAccount::large_bytes ? charge_.bytes() : 0;
   }
 
   Cables &owner_;
   std::string address_, incoming, outgoing;
+  MemoryCharge charge_;
+  Instant heard_at = 0;
+  bool is_theirs = false;
   int descriptor = -1;
   bool is_up = false, is_waiting_out = false, is_dirty = false;
   Instant retry_at = 0, dialed_at = 0;
@@ -87,12 +115,7 @@
   }
   void ready(std::uint32_t) override {
     const int taken = accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (taken < 0) return;
-    auto cable = std::make_shared<Cable>(owner_, std::string());
-    cable->descriptor = taken;
-    cable->is_up = true;
-    owner_.loop_.add(taken, EPOLLIN, *cable);
-    owner_.theirs_[taken] = std::move(cable);
+    if (taken >= 0) owner_.take(taken);
   }
 
 private:
@@ -102,9 +125,50 @@
 
 Cables::Cables(Loop &loop, const std::string &address, Sink sink, CableOptions options)
     : loop_(loop), sink_(std::move(sink)), options_(options),
-      listener_(std::make_shared<Listener>(*this, open_listener(address, 256))) {}
+      listener_(std::make_shared<Listener>(*this, open_listener(address, 256))) {
+  if (options_.memory != nullptr) options_.memory->add_holder(*this);
+}
+
+Cables::~Cables() {
+  if (options_.memory != nullptr) options_.memory->remove_holder(*this);
+}
 
-Cables::~Cables() = default;
+void Cables::take(int descriptor) {
+  if (theirs_.size() >= options_.accepted_most) {
+    const auto silent =
+        std::min_element(theirs_.begin(), theirs_.end(), [](const auto &left, const auto &right) {
+          return left.second->heard_at < right.second->heard_at;
+        });
+    const std::shared_ptr<Cable> kept = silent->second;
+    lose(*kept);
+  }
+  auto cable = std::make_shared<Cable>(*this, std::string());
+  cable->descriptor = descriptor;
+  cable->is_up = cable->is_theirs = true;
+  cable->heard_at = tide_.now();
+  loop_.add(descriptor, EPOLLIN, *cable);
+  theirs_[descriptor] = cable;
+  cable->count_memory();
+}
+
+std::shared_ptr<Cables::Cable> Cables::largest_unfinished() const {
+  std::shared_ptr<Cable> largest;
+  for (const auto &[descriptor, cable] : theirs_)
+    if (cable->reclaimable() > (largest ? largest->reclaimable() : 0)) largest = cable;
+  return largest;
+}
+
+std::size_t Cables::largest_reclaimable() {
+  const auto largest = largest_unfinished();
+  return largest ? largest->reclaimable() : 0;
+}
+
+void Cables::reclaim_largest() {
+  const auto largest = largest_unfinished();
+  if (!largest) return;
+  ++dropped_;
+  lose(*largest);
+}
 
 void Cables::open(Cable &cable, Instant now) {
   if (now < cable.retry_at) return;
--- a/packages/anchorage/cables.hpp
+++ b/packages/anchorage/cables.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "anchorage/loop.hpp"
+#include "memory/memory_account.hpp"
 #include "signals/signals.hpp"
 
 namespace wharf {
@@ -22,22 +23,29 @@
   std::uint32_t quick_dials = 4;
   /// Bytes that may wait for a link; beyond them frames are dropped.
   std::size_t waiting_most = 8u << 20;
+  /// Links that others opened; beyond them the one that was silent longest is ended.
+  std::size_t accepted_most = 4096;
+  /// Frames that aren't whole yet are counted here; without an account nothing is.
+  MemoryAccount *memory = nullptr;
 };
 
 /// Frames between our processes over TCP, on a loop. What cannot go is dropped and counted: every protocol
-/// above bears loss. What is sent within one turn leaves together.
-class Cables {
+/// above bears loss. What is sent within one turn leaves together. When memory is short, the links go first
+/// that hold most of a frame that isn't whole.
+class Cables final : public MemoryHolder {
 public:
   using Sink = std::function<void(Envelope &&)>;
   /// Listens on `address`; throws when it cannot.
   Cables(Loop &loop, const std::string &address, Sink sink, CableOptions options = {});
-  ~Cables();
+  ~Cables() override;
   /// Queues one frame for an address; it leaves at the next flush.
   void send(const std::string &address, std::string_view bytes);
   void flush();
   std::uint64_t dropped() const { return dropped_; }
   std::uint64_t bytes_sent() const { return bytes_sent_; }
   std::uint64_t dials_given_up() const { return dials_given_up_; }
+  std::size_t largest_reclaimable() override;
+  void reclaim_largest() override;
 
 private:
   class Cable;
@@ -45,7 +53,8 @@
   void open(Cable &cable, Instant now);
   void lose(Cable &cable);
   void give_up_late_dial(Cable &cable, Instant now);
-  void arrived(Cable &cable);
+  void take(int descriptor);
+  std::shared_ptr<Cable> largest_unfinished() const;
 
   Loop &loop_;
   Sink sink_;
--- a/packages/anchorage/http.cpp
+++ b/packages/anchorage/http.cpp
@@ -22,6 +22,13 @@
                     [&](const HttpHeader &header) { return is_same_name(header.name, name); }));
 }
 
+std::size_t HttpMessage::held_bytes() const {
+  std::size_t bytes =
+      headers.capacity() * sizeof(HttpHeader) + heap_bytes(method) + heap_bytes(target) + heap_bytes(body);
+  for (const HttpHeader &header : headers) bytes += heap_bytes(header.name) + heap_bytes(header.value);
+  return bytes;
+}
+
 bool is_hop_header(std::string_view name) {
   static constexpr std::string_view hops[] = {"connection",
                                               "keep-alive",
@@ -78,29 +85,39 @@
 }
 } // namespace
 
-std::string request_bytes(const HttpMessage &request) {
+std::string request_head(const HttpMessage &request) {
   std::string bytes;
-  bytes.reserve(512 + request.body.size());
+  bytes.reserve(512);
   bytes = request.method + " " + request.target + " HTTP/1.1\r\n";
   write_headers(request, bytes);
   const bool may_have_body = request.method != "GET" && request.method != "HEAD";
   if (!request.body.empty() || may_have_body)
     bytes += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
   bytes += "\r\n";
-  bytes += request.body;
   return bytes;
 }
 
-std::string response_bytes(const HttpMessage &response, bool keeps_link, bool is_head) {
+std::string request_bytes(const HttpMessage &request) { return request_head(request) + request.body; }
+
+bool has_body_to_send(const HttpMessage &response, bool is_head) {
+  return !is_head && response.status != 204 && response.status != 304;
+}
+
+std::string response_head(const HttpMessage &response, bool keeps_link) {
   std::string bytes;
-  bytes.reserve(512 + response.body.size());
+  bytes.reserve(512);
   bytes = "HTTP/1.1 " + std::to_string(response.status) + " " + reason_of(response.status) + "\r\n";
   write_headers(response, bytes);
   const bool is_bare = response.status == 204 || response.status == 304;
   if (!is_bare) bytes += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
   if (!keeps_link) bytes += "Connection: close\r\n";
   bytes += "\r\n";
-  if (!is_head && !is_bare) bytes += response.body;
+  return bytes;
+}
+
+std::string response_bytes(const HttpMessage &response, bool keeps_link, bool is_head) {
+  std::string bytes = response_head(response, keeps_link);
+  if (has_body_to_send(response, is_head)) bytes += response.body;
   return bytes;
 }
 
@@ -110,11 +127,19 @@
   http_parser_init(&parser_, side_ == Side::requests ? HTTP_REQUEST : HTTP_RESPONSE);
   parser_.data = this;
   message_ = {};
-  head_size_ = 0;
+  head_size_ = announced_body_ = header_heap_ = 0;
   has_begun_ = has_head_ = is_whole_ = is_value_ = false;
   fault_ = Reading::partial;
 }
 
+std::size_t HttpReader::held_bytes() const {
+  std::size_t bytes = message_.headers.capacity() * sizeof(HttpHeader) + heap_bytes(message_.target) +
+                      heap_bytes(message_.body) + header_heap_;
+  if (!message_.headers.empty())
+    bytes += heap_bytes(message_.headers.back().name) + heap_bytes(message_.headers.back().value);
+  return bytes;
+}
+
 bool HttpReader::note_head(std::size_t size) {
   head_size_ += size;
   if (head_size_ <= bounds_.head_most) return true;
@@ -122,6 +147,12 @@
   return false;
 }
 
+void HttpReader::begin_header() {
+  if (!message_.headers.empty())
+    header_heap_ += heap_bytes(message_.headers.back().name) + heap_bytes(message_.headers.back().value);
+  message_.headers.emplace_back();
+}
+
 const http_parser_settings &HttpReader::settings() {
   static const http_parser_settings made = [] {
     http_parser_settings set;
@@ -137,7 +168,7 @@
     set.on_header_field = [](http_parser *parser, const char *bytes, std::size_t size) {
       HttpReader &reader = self(parser);
       if (reader.has_head_) return 0;
-      if (reader.is_value_ || reader.message_.headers.empty()) reader.message_.headers.emplace_back();
+      if (reader.is_value_ || reader.message_.headers.empty()) reader.begin_header();
       reader.is_value_ = false;
       reader.message_.headers.back().name.append(bytes, size);
       return reader.note_head(size + 4) ? 0 : 1;
@@ -159,6 +190,8 @@
         reader.message_.status = static_cast<int>(parser->status_code);
       reader.message_.keeps_link = http_should_keep_alive(parser) != 0;
       const bool has_length = parser->content_length != ULLONG_MAX;
+      reader.announced_body_ =
+          has_length && !reader.has_no_body_ ? static_cast<std::size_t>(parser->content_length) : 0;
       if (has_length && parser->content_length > reader.bounds_.body_most) {
         reader.fault_ = Reading::body_too_large;
         return -1;
--- a/packages/anchorage/http_calls.cpp
+++ b/packages/anchorage/http_calls.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
+#include <deque>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -11,13 +12,18 @@
 
 class HttpCalls::Link final : public Watched {
 public:
-  explicit Link(HttpCalls &calls) : calls_(calls), reader_(HttpReader::Side::responses) {}
+  explicit Link(HttpCalls &calls)
+      : calls_(calls), reader_(HttpReader::Side::responses), charge_(calls.options_.memory) {}
   ~Link() override { shut(); }
   void shut() {
     if (descriptor_ < 0) return;
     calls_.loop_.remove(descriptor_);
     close(descriptor_);
     descriptor_ = -1;
+    --calls_.links_;
+    outgoing_.clear();
+    reader_ = HttpReader(HttpReader::Side::responses);
+    charge_.set(0);
   }
 
   void begin(HttpCall call, Instant now) {
@@ -25,9 +31,13 @@
     is_busy_ = true;
     started_ = now;
     passed_ = 0;
-    outgoing_ = request_bytes(call_.request);
     reader_.set_bounds({65536, calls_.options_.body_most});
     if (call_.request.method == "HEAD") reader_.expect_no_body();
+    outgoing_.add(request_head(call_.request));
+    outgoing_.add(std::move(call_.request.body));
+    call_.request = {};
+    is_admitted_ = is_held_back_ = false;
+    count_memory();
     if (is_up_ && !write_out()) calls_.end(*this, CallFate::lost);
   }
 
@@ -62,21 +72,59 @@
   }
 
   bool write_out() {
-    std::size_t at = 0;
-    if (!outgoing_.empty() && call_.may_send && !call_.may_send()) return false;
-    while (at < outgoing_.size()) {
-      const ssize_t count = ::send(descriptor_, outgoing_.data() + at, outgoing_.size() - at, MSG_NOSIGNAL);
-      if (count < 0 && errno == EINTR) continue;
-      if (count < 0 && errno != EAGAIN) return false;
-      if (count < 0) break;
-      at += static_cast<std::size_t>(count);
-      has_sent_ = true;
-    }
-    outgoing_.erase(0, at);
-    watch(EPOLLIN | (outgoing_.empty() ? 0u : static_cast<std::uint32_t>(EPOLLOUT)));
+    if (!outgoing_.is_empty() && call_.may_send && !call_.may_send()) return false;
+    std::size_t sent = 0;
+    const bool is_fine = outgoing_.send(descriptor_, sent);
+    has_sent_ = has_sent_ || sent > 0;
+    if (!is_fine) return false;
+    count_memory();
+    watch_as_needed();
     return true;
   }
 
+  void watch_as_needed() {
+    watch((is_held_back_ ? 0u : static_cast<std::uint32_t>(EPOLLIN)) |
+          (outgoing_.is_empty() ? 0u : static_cast<std::uint32_t>(EPOLLOUT)));
+  }
+
+  void count_memory() { charge_.set(outgoing_.held_bytes() + reader_.held_bytes()); }
+
+  /// Once an answer's head is there: whether memory lets its body be read. What is long waits where there is
+  /// no room, so that it stays with the runner.
+  bool may_read_on() {
+    count_memory();
+    MemoryAccount *memory = calls_.options_.memory;
+    if (memory == nullptr || is_admitted_ || !reader_.has_head()) return true;
+    const std::size_t taken = reader_.message().body.size();
+    const std::size_t missing = reader_.announced_body() > taken ? reader_.announced_body() - taken : taken;
+    if (std::max(missing, taken) >= MemoryAccount::large_bytes && !memory->make_room_for(missing))
+      return false;
+    // A body of no known length is looked at again each time that it grows.
+    is_admitted_ = reader_.announced_body() > 0;
+    if (is_admitted_) reader_.reserve_body();
+    count_memory();
+    return true;
+  }
+
+  /// True for an answer that would not fit if nothing else were held.
+  bool is_beyond_memory() const {
+    const MemoryAccount *memory = calls_.options_.memory;
+    return memory != nullptr && reader_.announced_body() > memory->bound_for(reader_.announced_body());
+  }
+
+  void hold_back() {
+    is_held_back_ = true;
+    ++calls_.held_back_;
+    watch_as_needed();
+  }
+
+  /// Reads on where memory has come free meanwhile.
+  void try_again() {
+    if (!is_held_back_ || !may_read_on()) return;
+    is_held_back_ = false;
+    watch_as_needed();
+  }
+
   void read_in() {
     char bytes[16384];
     const ssize_t count = recv(descriptor_, bytes, sizeof bytes, 0);
@@ -98,7 +146,13 @@
       std::size_t used = 0;
       const Reading reading = reader_.feed(rest, used);
       rest.remove_prefix(used);
-      if (reading == Reading::partial) return;
+      if (reading == Reading::partial) {
+        if (is_beyond_memory())
+          calls_.end(*this, CallFate::garbled);
+        else if (!may_read_on())
+          hold_back();
+        return;
+      }
       if (reading != Reading::whole) {
         calls_.end(*this, CallFate::garbled);
         return;
@@ -110,6 +164,7 @@
   /// Takes one whole message; true when it was none for this call and reading goes on.
   bool take_answer(bool has_more) {
     HttpMessage response = reader_.take();
+    count_memory();
     if (response.status / 100 == 1) return true;
     if (call_.is_mine && !call_.is_mine(response, !was_reused_ && passed_ == 0)) {
       is_tainted_ = true;
@@ -119,7 +174,7 @@
       }
       return true;
     }
-    is_tainted_ = is_tainted_ || has_more || !response.keeps_link || !outgoing_.empty();
+    is_tainted_ = is_tainted_ || has_more || !response.keeps_link || !outgoing_.is_empty();
     if (const std::string *named = response.find("Keep-Alive")) {
       const auto at = named->find("timeout=");
       long whole = 0;
@@ -146,8 +201,10 @@
 
   HttpCalls &calls_;
   int descriptor_ = -1;
-  std::string peer_, outgoing_;
+  std::string peer_;
+  OutgoingBytes outgoing_;
   HttpReader reader_;
+  MemoryCharge charge_;
   HttpCall call_;
   std::function<void(bool)> knocked_;
   Instant started_ = 0, rested_at_ = 0, knock_until_ = 0;
@@ -155,17 +212,21 @@
   std::uint32_t watched_ = 0;
   int passed_ = 0;
   bool is_up_ = false, is_busy_ = false, has_sent_ = false, is_tainted_ = false, was_reused_ = false;
+  /// The answer's body fits and may be read; reading waits for memory.
+  bool is_admitted_ = false, is_held_back_ = false;
 };
 
 HttpCalls::HttpCalls(Loop &loop, HttpCallOptions options) : loop_(loop), options_(options) {}
 HttpCalls::~HttpCalls() = default;
 
 std::shared_ptr<HttpCalls::Link> HttpCalls::open(const std::string &address, const std::string &peer) {
+  if (links_ >= options_.links_most && !end_oldest_at_rest()) return nullptr;
   auto link = std::make_shared<Link>(*this);
   link->peer_ = peer;
   link->rest_for_ = options_.rest_unnamed;
   link->descriptor_ = open_call(address, options_.silent_most);
   if (link->descriptor_ < 0) return nullptr;
+  ++links_;
   ++opened_;
   link->watched_ = EPOLLIN | EPOLLOUT;
   loop_.add(link->descriptor_, link->watched_, *link);
@@ -211,6 +272,19 @@
   link->started_ = tide_.now();
 }
 
+bool HttpCalls::end_oldest_at_rest() {
+  std::deque<std::shared_ptr<Link>> *where = nullptr;
+  for (auto &[peer, rested] : resting_) {
+    if (rested.empty()) continue;
+    if (where == nullptr || rested.front()->rested_at_ < where->front()->rested_at_) where = &rested;
+  }
+  if (where == nullptr) return false;
+  where->front()->shut();
+  loop_.bury(where->front());
+  where->pop_front();
+  return true;
+}
+
 void HttpCalls::rest(Link &link) {
   const auto found = busy_.find(&link);
   if (found == busy_.end()) return;
@@ -273,6 +347,7 @@
   tick_at_ = now + milliseconds(10);
   std::vector<std::shared_ptr<Link>> late;
   for (const auto &[key, link] : busy_) {
+    link->try_again();
     const bool is_unconnected = !link->is_up_ && now - link->started_ > options_.connect_within;
     const bool is_over = link->is_busy_ && now >= link->call_.deadline;
     const bool has_knocked = link->knocked_ && now >= link->knock_until_;
--- a/packages/anchorage/http_calls.hpp
+++ b/packages/anchorage/http_calls.hpp
@@ -8,6 +8,8 @@
 
 #include "anchorage/http.hpp"
 #include "anchorage/loop.hpp"
+#include "anchorage/outgoing_bytes.hpp"
+#include "memory/memory_account.hpp"
 
 namespace wharf {
 
@@ -20,6 +22,10 @@
   /// Links at rest kept for one peer.
   std::size_t resting_most = 8;
   std::size_t body_most = 16u << 20;
+  /// Links to all peers together; beyond them those at rest are ended first.
+  std::size_t links_most = 4096;
+  /// What calls and their answers hold is counted here; without an account nothing is.
+  MemoryAccount *memory = nullptr;
 };
 
 /// How a call ended: `unreached` sent nothing; `lost` may have been read; `garbled` got no proper answer.
@@ -69,9 +75,13 @@
   void tick(Instant now);
   std::uint64_t opened() const { return opened_; }
   std::size_t under_way() const { return busy_.size(); }
+  /// Answers that waited for memory to be read on.
+  std::uint64_t held_back() const { return held_back_; }
 
 private:
   class Link;
+  /// Ends the link that has rested longest; false when none rests.
+  bool end_oldest_at_rest();
   void rest(Link &link);
   void end(Link &link, CallFate fate);
   std::shared_ptr<Link> open(const std::string &address, const std::string &peer);
@@ -81,7 +91,8 @@
   std::map<Link *, std::shared_ptr<Link>> busy_;
   std::map<std::string, std::deque<std::shared_ptr<Link>>> resting_;
   Instant tick_at_ = 0;
-  std::uint64_t opened_ = 0;
+  std::size_t links_ = 0;
+  std::uint64_t opened_ = 0, held_back_ = 0;
 };
 
 } // namespace wharf
--- a/packages/control/operator_calls.hpp
+++ b/packages/control/operator_calls.hpp
@@ -1,10 +1,12 @@
 #pragma once
 // What operators ask of the control group, and what it answers.
 #include <functional>
+#include <memory>
 #include <string>
 #include <variant>
 
 #include "charter/charter.hpp"
+#include "memory/memory_account.hpp"
 #include "signals/identity.hpp"
 
 namespace wharf {
@@ -37,6 +39,8 @@
   std::string origin{};
   /// How a patch is merged; where there is none, `body` is a merge patch of the manifest.
   ConfigurationMerge merge{};
+  /// What the order takes of its process's memory, counted until it is decided or forgotten.
+  std::shared_ptr<const MemoryCharge> charge{};
 };
 struct OperatorSay {
   std::uint64_t ticket = 0;
--- a/packages/helm/control_runtime.cpp
+++ b/packages/helm/control_runtime.cpp
@@ -31,19 +31,43 @@
 constexpr std::size_t compact_bytes = 4u << 20;
 
 /// A call that takes longer to arrive could come after the next leader's.
-HttpCallOptions platform_call_options(const RaftOptions &raft) {
+HttpCallOptions platform_call_options(const RaftOptions &raft, const DescriptorShares &shares) {
   HttpCallOptions made;
+  made.links_most = shares.calls;
   made.silent_most = raft.act_delivery_most;
   return made;
 }
 
-HttpDoorOptions door_options() {
+constexpr std::size_t order_bytes_most = 4u << 20, operator_links_most = 256;
+/// Copies of an order's text that are held until it is decided: the request, the manifest made of it, the
+/// text kept with the manifest, and the entry of the log.
+constexpr std::size_t order_copies = 4;
+/// What an order may take of the account, so that one leaves room for others.
+constexpr std::size_t order_share_divisor = 2;
+
+HttpDoorOptions door_options(MemoryAccount &memory, const DescriptorShares &shares) {
   HttpDoorOptions made;
-  made.bounds.body_most = 4u << 20;
-  made.links_most = 256;
+  made.bounds.body_most = order_bytes_most;
+  made.links_most = std::min(operator_links_most, shares.clients);
+  made.memory = &memory;
   made.body_within = seconds(20);
   return made;
 }
+CableOptions cable_options(MemoryAccount &memory, const DescriptorShares &shares) {
+  CableOptions made;
+  made.accepted_most = shares.inner + shares.clients;
+  made.memory = &memory;
+  return made;
+}
+
+HttpMessage refusal(int status, const std::string &what) {
+  HttpMessage response;
+  response.status = status;
+  response.set("Content-Type", "text/plain");
+  if (status == 503) response.set("Retry-After", "1");
+  response.body = what + "\n";
+  return response;
+}
 } // namespace
 
 ControlRuntime::ControlRuntime(const ProcessOptions &options, ControlRuntimeOptions helm, NodeId id,
@@ -51,10 +75,14 @@
                                OperatorsWire &operators, PlatformWire &platform)
     : options_(options), helm_(helm), operators_(operators), platform_(platform),
       self_(make_control_member(options, id)), seeds_(options.seed_list()),
-      cables_(loop_, options.listen.empty() ? options.address : options.listen,
-              [this](Envelope &&envelope) { control_->receive(envelope, tide_.now(), out_); }),
-      calls_(loop_, platform_call_options(helm.control.raft)),
-      door_(loop_, options.http, *this, door_options()) {
+      memory_(client_memory_bound(memory_mb_of(options))),
+      shares_(descriptor_shares(descriptors_of(options))),
+      cables_(
+          loop_, options.listen.empty() ? options.address : options.listen,
+          [this](Envelope &&envelope) { control_->receive(envelope, tide_.now(), out_); },
+          cable_options(memory_, shares_)),
+      calls_(loop_, platform_call_options(helm.control.raft, shares_)),
+      door_(loop_, options.http, *this, door_options(memory_, shares_)) {
   build(recovered);
   disk_ = std::make_unique<DiskWorker>(std::move(storage), [this](DiskEvent &&word) {
     loop_.post([this, kept = std::make_shared<DiskEvent>(std::move(word))] { disk_said(std::move(*kept)); });
@@ -111,19 +139,33 @@
   }
 }
 
+std::optional<HttpMessage> ControlRuntime::refusal_of(std::size_t bytes) {
+  if (bytes > memory_.bound() / order_share_divisor)
+    return refusal(413, "too much for this machine's memory");
+  if (!memory_.make_room_for(bytes)) return refusal(503, "no memory");
+  return std::nullopt;
+}
+
 void ControlRuntime::asked(LinkId link, HttpMessage &&request) {
   if (asks_for_metrics(request)) {
     door_.answer(link, metrics_response(metrics(tide_.now())), true);
     return;
   }
+  const std::size_t bytes = request.held_bytes() + order_copies * request.body.size();
+  if (auto refused = refusal_of(bytes)) {
+    door_.answer(link, std::move(*refused), true);
+    return;
+  }
+  const auto charge = std::make_shared<const MemoryCharge>(&memory_, bytes);
   auto read = operators_.read(request);
-  if (const auto *response = std::get_if<HttpMessage>(&read)) {
-    door_.answer(link, *response, true);
+  if (auto *response = std::get_if<HttpMessage>(&read)) {
+    door_.answer(link, std::move(*response), true);
     return;
   }
   auto &ask = std::get<OperatorAsk>(read);
   ask.ticket = next_ticket_++;
-  talks_[ask.ticket] = {link, std::move(request), tide_.now() + helm_.operator_within};
+  ask.charge = charge;
+  talks_[ask.ticket] = {link, std::move(request), tide_.now() + helm_.operator_within, charge};
   control_->operate(std::move(ask), tide_.now(), out_);
 }
 
@@ -244,6 +286,11 @@
   Metrics figures = control_->gauges(now);
   figures["platform_calls"] = platform_calls_;
   figures["platform_away"] = platform_away_;
+  figures["client_bytes"] = memory_.used();
+  figures["client_bytes_peak"] = memory_.peak();
+  figures["client_bytes_bound"] = memory_.bound();
+  figures["door_links"] = door_.links();
+  figures.insert(door_.counters().begin(), door_.counters().end());
   figures["disk_writes"] = disk_->writes();
   figures["frames_dropped"] = cables_.dropped();
   figures["frame_bytes"] = cables_.bytes_sent();
--- a/packages/helm/control_runtime.hpp
+++ b/packages/helm/control_runtime.hpp
@@ -1,12 +1,14 @@
 #pragma once
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "anchorage/cables.hpp"
 #include "anchorage/http_calls.hpp"
 #include "anchorage/http_door.hpp"
 #include "bosun/options.hpp"
+#include "helm/machine_limits.hpp"
 #include "helm/metrics.hpp"
 #include "helm/wires.hpp"
 #include "storage/disk_worker.hpp"
@@ -44,12 +46,16 @@
     LinkId link = 0;
     HttpMessage request;
     Instant until = 0;
+    /// What the request and the order read of it take.
+    std::shared_ptr<const MemoryCharge> charge;
   };
   void build(const Recovered &recovered);
   bool is_over(Instant now) const;
   void disk_said(DiskEvent &&word);
   void carry_out();
   void answered(const OperatorSay &say);
+  /// The answer to an order that would take more memory than there is; none where it fits.
+  std::optional<HttpMessage> refusal_of(std::size_t bytes);
   void maintain_talks(Instant now);
   void maintain_lists(Instant now);
   void list_runners(const std::string &page, const std::shared_ptr<PlatformView> &snapshot);
@@ -67,6 +73,9 @@
   std::vector<std::string> seeds_;
   std::unique_ptr<ControlNode> control_;
   ControlOutput out_;
+  /// All that operators and peers make this process hold.
+  MemoryAccount memory_;
+  DescriptorShares shares_;
   Loop loop_;
   Cables cables_;
   HttpCalls calls_;
--- a/packages/helm/pilot_helm.cpp
+++ b/packages/helm/pilot_helm.cpp
@@ -8,10 +8,53 @@
 
 namespace wharf {
 
+namespace {
+/// What the pilot keeps of a request besides the message itself.
+constexpr std::size_t plan_bytes = 4096;
+/// The target stands in the plan, in its trace and in the message.
+constexpr std::size_t target_copies = 3;
+/// When a request that there was no memory for should come again.
+constexpr Span memory_retry_after = seconds(1);
+
+std::size_t bytes_of(const HttpMessage &request) {
+  return plan_bytes + request.held_bytes() + (target_copies - 1) * request.target.size();
+}
+
+HttpDoorOptions front_options(MemoryAccount &memory, const DescriptorShares &shares) {
+  HttpDoorOptions made;
+  made.links_most = shares.clients;
+  made.memory = &memory;
+  return made;
+}
+
+/// Who asks whether a process is ready sends a few bytes.
+HttpDoorOptions readiness_options(MemoryAccount &memory, const DescriptorShares &shares) {
+  HttpDoorOptions made;
+  made.bounds = {8192, 1024};
+  made.links_most = shares.readiness;
+  made.memory = &memory;
+  return made;
+}
+
+HttpCallOptions runner_call_options(MemoryAccount &memory, const DescriptorShares &shares) {
+  HttpCallOptions made;
+  made.links_most = shares.calls;
+  made.memory = &memory;
+  return made;
+}
+
+CableOptions cable_options(MemoryAccount &memory, const DescriptorShares &shares) {
+  CableOptions made;
+  made.accepted_most = shares.inner;
+  made.memory = &memory;
+  return made;
+}
+} // namespace
+
 class PilotHelm::ReadinessSink final : public HttpDoorSink {
 public:
   ReadinessSink(PilotHelm &helm, const std::string &address)
-      : helm_(helm), door_(helm.loop_, address, *this, HttpDoorOptions{}) {}
+      : helm_(helm), door_(helm.loop_, address, *this, readiness_options(helm.memory_, helm.shares_)) {}
   void asked(LinkId link, HttpMessage &&request) override {
     if (asks_for_metrics(request))
       door_.answer(link, metrics_response(helm_.metrics(helm_.tide_.now())), true);
@@ -41,9 +84,14 @@
                      RunnersWire &runners)
     : options_(options), helm_(helm), callers_(callers), runners_(runners), self_(make_pilot_member(options)),
       pilot_(self_, options.seed_list(), helm.pilot, tide_.now()),
-      cables_(loop_, options.listen.empty() ? options.address : options.listen,
-              [this](Envelope &&envelope) { pilot_.receive(envelope, tide_.now(), out_); }),
-      calls_(loop_, HttpCallOptions{}), door_(loop_, options.http, *this, HttpDoorOptions{}) {
+      memory_(client_memory_bound(memory_mb_of(options))), requests_memory_(memory_.bound() / 2, &memory_),
+      shares_(descriptor_shares(descriptors_of(options))),
+      cables_(
+          loop_, options.listen.empty() ? options.address : options.listen,
+          [this](Envelope &&envelope) { pilot_.receive(envelope, tide_.now(), out_); },
+          cable_options(memory_, shares_)),
+      calls_(loop_, runner_call_options(memory_, shares_)),
+      door_(loop_, options.http, *this, front_options(memory_, shares_)) {
   if (!options.readiness.empty()) readiness_ = std::make_unique<ReadinessSink>(*this, options.readiness);
   errand_prefix_ = random_id().substr(0, 8) + "-";
   log_line("up, id " + std::to_string(self_.id) + ", callers at " + options_.http);
@@ -81,10 +129,29 @@
   return leaving_at_ == 0 && pilot_.in_force().charter && pilot_.may_serve(tide_.now());
 }
 
+bool PilotHelm::has_memory_for(std::size_t request) {
+  const bool fits = requests_memory_.used() + request <= requests_memory_.bound_for(request);
+  return fits && memory_.make_room_for(request);
+}
+
+void PilotHelm::turn_away(LinkId link) {
+  ++turned_away_;
+  Reply reply;
+  reply.fate = Fate::no_runner;
+  reply.retry_after = memory_retry_after;
+  reply.why = "no memory";
+  door_.answer(link, callers_.tell(reply, nullptr), true);
+}
+
 void PilotHelm::asked(LinkId link, HttpMessage &&request) {
+  const std::size_t bytes = bytes_of(request);
+  if (!has_memory_for(bytes)) {
+    turn_away(link);
+    return;
+  }
   auto read = callers_.read(request);
   if (auto *answer = std::get_if<HttpMessage>(&read)) {
-    door_.answer(link, *answer, true);
+    door_.answer(link, std::move(*answer), true);
     return;
   }
   ErrandHead &head = std::get<ErrandHead>(read);
@@ -101,7 +168,7 @@
     return;
   }
   errand_of_[link] = head.id;
-  cargo_[head.id] = {link, std::move(request), std::nullopt};
+  cargo_[head.id] = {link, std::move(request), std::nullopt, MemoryCharge(&requests_memory_, bytes), {}};
   pilot_.arrive(std::get<Waybill>(std::move(planned)), now, out_);
 }
 
@@ -155,18 +222,23 @@
     break;
   }
   end.status = answer.response.status;
-  if (const auto found = cargo_.find(carry.errand); found != cargo_.end() && end.kind == CallKind::answered)
+  const auto found = cargo_.find(carry.errand);
+  if (found != cargo_.end() && end.kind == CallKind::answered) {
     found->second.returned = std::move(answer.response);
+    found->second.answer_charge = MemoryCharge(&memory_, found->second.returned->held_bytes());
+  }
   pilot_.call_ended(end, tide_.now(), out_);
 }
 
 void PilotHelm::send_reply(const Reply &reply) {
   const auto found = cargo_.find(reply.errand);
   if (found == cargo_.end()) return;
-  const Cargo cargo = std::move(found->second);
+  Cargo cargo = std::move(found->second);
   cargo_.erase(found);
   errand_of_.erase(cargo.link);
-  door_.answer(cargo.link, callers_.tell(reply, cargo.returned ? &*cargo.returned : nullptr), true);
+  HttpMessage response = callers_.tell(reply, cargo.returned ? &*cargo.returned : nullptr);
+  cargo = {cargo.link, {}, std::nullopt, {}, {}};
+  door_.answer(cargo.link, std::move(response), true);
 }
 
 void PilotHelm::knock(const Knock &knock) {
@@ -232,6 +304,11 @@
   figures.merge(pilot_.gauges(now));
   figures.insert(door_.counters().begin(), door_.counters().end());
   figures["door_links"] = door_.links();
+  figures["door_no_memory"] = turned_away_;
+  figures["client_bytes"] = memory_.used();
+  figures["client_bytes_peak"] = memory_.peak();
+  figures["client_bytes_bound"] = memory_.bound();
+  figures["answers_held_back"] = calls_.held_back();
   figures["runner_links"] = calls_.opened();
   figures["frames_dropped"] = cables_.dropped();
   figures["frame_bytes"] = cables_.bytes_sent();
--- a/packages/helm/pilot_helm.hpp
+++ b/packages/helm/pilot_helm.hpp
@@ -9,6 +9,7 @@
 #include "anchorage/http_calls.hpp"
 #include "anchorage/http_door.hpp"
 #include "bosun/options.hpp"
+#include "helm/machine_limits.hpp"
 #include "helm/metrics.hpp"
 #include "helm/wires.hpp"
 
@@ -45,8 +46,15 @@
     LinkId link = 0;
     HttpMessage request;
     std::optional<HttpMessage> returned;
+    /// What the request, its plan and its answer take until the reply.
+    MemoryCharge charge, answer_charge;
   };
   class ReadinessSink;
+  /// Whether a request of so many bytes may wait here; takes memory back from clients that hold it for
+  /// nothing.
+  bool has_memory_for(std::size_t request);
+  /// Answers a request that there is no memory for: it has not run, and may come again.
+  void turn_away(LinkId link);
   bool is_ready() const;
   void carry_out();
   void start_call(const Carry &carry);
@@ -67,6 +75,10 @@
   Member self_;
   Pilot pilot_;
   PilotOutput out_;
+  /// All that clients and peers make this process hold, and the part of it that is held for requests under
+  /// way.
+  MemoryAccount memory_, requests_memory_;
+  DescriptorShares shares_;
   Loop loop_;
   Cables cables_;
   HttpCalls calls_;
@@ -78,7 +90,7 @@
   std::unordered_map<LinkId, std::string> errand_of_;
   std::function<void()> watch_;
   std::string errand_prefix_;
-  std::uint64_t errands_ = 0;
+  std::uint64_t errands_ = 0, turned_away_ = 0;
   Version limits_of_ = 0;
   Instant tick_at_ = 0, leaving_at_ = 0, count_at_ = 0;
   bool is_over_ = false, was_ready_ = false;
--- a/packages/helm/wires.hpp
+++ b/packages/helm/wires.hpp
@@ -22,8 +22,9 @@
   /// Reads a request; an errand's head, or the answer where it holds none. The request keeps what goes on to
   /// a runner.
   virtual std::variant<ErrandHead, HttpMessage> read(HttpMessage &request) = 0;
-  /// Puts a fate into an answer; `returned` is the runner's own, for errands that were answered.
-  virtual HttpMessage tell(const Reply &reply, const HttpMessage *returned) = 0;
+  /// Puts a fate into an answer; `returned` is the runner's own, for errands that were answered, and is used
+  /// up.
+  virtual HttpMessage tell(const Reply &reply, HttpMessage *returned) = 0;
   /// Answers whoever asks whether this process is ready.
   virtual HttpMessage readiness(const HttpMessage &request, bool is_ready) = 0;
 };
--- a/tests/misbehaving_clients/deployed_rig.cpp
+++ b/tests/misbehaving_clients/deployed_rig.cpp
@@ -1,6 +1,7 @@
 #include "misbehaving_clients/deployed_rig.hpp"
 
 #include <filesystem>
+#include <iostream>
 #include <unistd.h>
 
 #include "misbehaving_clients/process_usage.hpp"
@@ -105,6 +106,7 @@
     const std::string name = node->daemon->name();
     if (!is_process_running(process)) broken += name + " has ended; ";
     const std::size_t memory_kb = peak_memory_kb(process), open = open_descriptors(process);
+    std::cout << '\n' << name << " took " << memory_kb << " KiB at most";
     if (memory_kb > static_cast<std::size_t>(limits_.memory_mb) * 1024)
       broken += name + " took " + std::to_string(memory_kb) + " KiB; ";
     if (open > static_cast<std::size_t>(limits_.descriptors))
--- a/tests/misbehaving_clients/older_rig.cpp
+++ b/tests/misbehaving_clients/older_rig.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <filesystem>
+#include <iostream>
 #include <signal.h>
 #include <stdlib.h>
 #include <sys/prctl.h>
@@ -130,6 +131,7 @@
   for (const auto &[name, process] : {std::pair{"pilotd", edge_process_}, {"harbourd", control_process_}}) {
     if (!is_process_running(process)) broken += std::string(name) + " has ended; ";
     const std::size_t memory_kb = peak_memory_kb(process);
+    std::cout << '\n' << name << " took " << memory_kb << " KiB at most";
     if (memory_kb > memory_mb * 1024)
       broken += std::string(name) + " took " + std::to_string(memory_kb) + " KiB; ";
   }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -184,7 +184,7 @@
   Callers callers;
   Reply reply;
   reply.fate = Fate::answered;
-  const HttpMessage returned =
+  HttpMessage returned =
       answer(500, {{seal_header, "3e1b"}, {"Connection", "close"}, {"Keep-Alive", "timeout=3"}, {"X", "y"}},
              "bytes");
   const HttpMessage response = callers.tell(reply, &returned);
