Bound what parsing makes of an order: its nesting, and the memory of its values

What operators saw: an order of 200 KB that nests 100,000 lists ended the control process that it was sent to (`clients_control_an_order_of_nested_lists`, red before); orders of 2 MB of small values took 110 MiB of 64 (`clients_control_orders_of_many_small_values`, red before).

Cause: a text of a few bytes a value becomes a tree of some 50 bytes a value and more, which nothing counted, and the tree is written out again by recursion, a stack frame a level.

Change: before an order is parsed its brackets and values are counted.

Evidence: both tests pass; nothing else of the configuration in force changes.

--- a/packages/charter/charter.cpp
+++ b/packages/charter/charter.cpp
@@ -5,6 +5,7 @@
 #include <set>
 #include <sstream>
 
+#include "json_limits/json_limits.hpp"
 #include "seal/seal.hpp"
 
 namespace wharf {
@@ -73,6 +74,7 @@
 
 std::variant<Json, CharterErrors> parse(std::string_view bytes) {
   if (bytes.size() > document_limit) return CharterErrors{true, {{"$", "larger than 4 MiB"}}};
+  if (const auto fault = nesting_fault(shape_of_json(bytes))) return CharterErrors{true, {{"$", *fault}}};
   RepeatFinder finder;
   const bool is_whole = Json::sax_parse(bytes.begin(), bytes.end(), &finder);
   if (!is_whole || !finder.faults.empty()) return CharterErrors{finder.is_syntax, finder.faults};
--- a/packages/helm/control_runtime.cpp
+++ b/packages/helm/control_runtime.cpp
@@ -139,7 +139,8 @@
   }
 }
 
-std::optional<HttpMessage> ControlRuntime::refusal_of(std::size_t bytes) {
+std::optional<HttpMessage> ControlRuntime::refusal_of(const JsonShape &shape, std::size_t bytes) {
+  if (const auto fault = nesting_fault(shape)) return refusal(400, *fault);
   if (bytes > memory_.bound() / order_share_divisor)
     return refusal(413, "too much for this machine's memory");
   if (!memory_.make_room_for(bytes)) return refusal(503, "no memory");
@@ -151,8 +152,9 @@
     door_.answer(link, metrics_response(metrics(tide_.now())), true);
     return;
   }
-  const std::size_t bytes = request.held_bytes() + order_copies * request.body.size();
-  if (auto refused = refusal_of(bytes)) {
+  const JsonShape shape = shape_of_json(request.body);
+  const std::size_t bytes = request.held_bytes() + order_copies * request.body.size() + shape.parsed_bytes();
+  if (auto refused = refusal_of(shape, bytes)) {
     door_.answer(link, std::move(*refused), true);
     return;
   }
--- a/packages/helm/control_runtime.hpp
+++ b/packages/helm/control_runtime.hpp
@@ -11,6 +11,7 @@
 #include "helm/machine_limits.hpp"
 #include "helm/metrics.hpp"
 #include "helm/wires.hpp"
+#include "json_limits/json_limits.hpp"
 #include "storage/disk_worker.hpp"
 
 namespace wharf {
@@ -54,8 +55,8 @@
   void disk_said(DiskEvent &&word);
   void carry_out();
   void answered(const OperatorSay &say);
-  /// The answer to an order that would take more memory than there is; none where it fits.
-  std::optional<HttpMessage> refusal_of(std::size_t bytes);
+  /// The answer to an order that would take more memory than there is, or nests too deep; none where it fits.
+  std::optional<HttpMessage> refusal_of(const JsonShape &shape, std::size_t bytes);
   void maintain_talks(Instant now);
   void maintain_lists(Instant now);
   void list_runners(const std::string &page, const std::shared_ptr<PlatformView> &snapshot);
