Answer orders also whose client has ended its half of the connection

Cause: the door keeps a link until its request has been answered, also when its client has ended its half; the control process forgot the order's talk when the client left, so nothing ever answered it.

A client that only ended its own half gets its answer.

--- a/packages/helm/control_runtime.cpp
+++ b/packages/helm/control_runtime.cpp
@@ -171,9 +171,8 @@
   control_->operate(std::move(ask), tide_.now(), out_);
 }
 
-void ControlRuntime::left(LinkId link) {
-  std::erase_if(talks_, [link](const auto &item) { return item.second.link == link; });
-}
+/// The order goes on, and its answer, or the lack of one in time, ends what is left of the link.
+void ControlRuntime::left(LinkId) {}
 
 void ControlRuntime::answered(const OperatorSay &say) {
   const auto found = talks_.find(say.ticket);
