Count what clients make the older daemons hold, and hold no thread for slow readers

What callers saw: 64 clients that read nothing of answers of 2 MiB made pilotd take 112 MiB of 96; bodies that wait 388, bodies that never end 192, heads of tiny headers 151; orders that never end made harbourd take 174. A reader of 0.4 MiB/s lost an answer of 8 MiB after ten seconds.

What links had sent was bounded by a figure that knew nothing of the machine, what requests and answers take while a thread serves them was not bounded at all, with four copies of an answer; and a thread waited for each slow reader, so that as many of them as there are threads held up everybody.

Change: Moorings counts links, requests being served and answers against the process's account (half of `memory_mb`); a request is taken on when what serving it takes has room, else it is refused with 503, Retry-After and verdict not-run; an answer of a runner that has no room ends as unknown. What a client doesn't take at once is sent by the watch as the client takes it. A body in chunks, or one that waits to be asked for, takes a thread only once it is whole. Room is made as at the deployed doors: for memory the largest piece first that is held for nothing, for links the oldest resting one. Answers are moved; the record for repeats no longer copies what is too large to be kept.

--- a/packages/helm/machine_limits.cpp
+++ b/packages/bosun/machine_limits.cpp
@@ -1,4 +1,4 @@
-#include "helm/machine_limits.hpp"
+#include "bosun/machine_limits.hpp"
 
 #include <algorithm>
 #include <sys/resource.h>
--- a/packages/bridge/bridge.cpp
+++ b/packages/bridge/bridge.cpp
@@ -1,6 +1,8 @@
 #include "bridge/bridge.hpp"
 
 #include "hawser/hawser.hpp"
+#include "json_limits/json_limits.hpp"
+#include "moorings/moorings.hpp"
 #include "seal/seal.hpp"
 
 namespace wharf {
@@ -11,6 +13,9 @@
   return found == headers.end() ? std::string() : found->second;
 }
 
+/// Copies of an order's text that are held until it is decided, besides the request.
+constexpr std::size_t order_copies = 3;
+
 void say(httplib::Response &response, int status, const std::string &body) {
   response.status = status;
   response.set_content(body, "application/json");
@@ -97,6 +102,14 @@
         "\n");
     return;
   }
+  const std::size_t parsed = shape_of_json(request.body).parsed_bytes();
+  if (!Moorings::hold_more(order_copies * request.body.size() + parsed)) {
+    say(response, 503,
+        R"({"outcome": "not-taken", "why": "no memory"})"
+        "\n");
+    response.set_header("Retry-After", "1");
+    return;
+  }
   ask.body = request.body;
   ask.if_match = header_of(original, "If-Match");
   ask.write_id = header_of(original, "X-Wharf-Write");
--- a/packages/gangway/gangway.cpp
+++ b/packages/gangway/gangway.cpp
@@ -132,7 +132,7 @@
     return;
   }
   Moorings::on_caller_gone([this, errand = head.id] { desk_.caller_gone(errand); });
-  Cargo cargo{request.method, request.target, request.body, {}};
+  Cargo cargo{request.method, request.target, request.body, {}, Moorings::hold_more};
   const auto hops = named_hops(original);
   for (const auto &[name, value] : original) {
     if (is_own_header(name) || std::find(hops.begin(), hops.end(), lower_of(name)) != hops.end()) continue;
@@ -165,7 +165,7 @@
       for (const auto &[name, value] : returned.headers)
         if (!is_own_header(name) && lower_of(name) != "content-type") response.headers.emplace(name, value);
     const std::string &type = is_replay ? reply.type : returned.type;
-    response.body = is_replay ? reply.body : returned.body;
+    response.body = is_replay ? reply.body : std::move(returned.body);
     if (!type.empty()) response.set_header("Content-Type", type);
     response.set_header("X-Wharf-Errand", is_replay && !reply.why.empty() ? reply.why : head.id);
     response.set_header("X-Wharf-Verdict", "run");
--- a/packages/helm/pilot_helm.hpp
+++ b/packages/helm/pilot_helm.hpp
@@ -8,8 +8,8 @@
 #include "anchorage/cables.hpp"
 #include "anchorage/http_calls.hpp"
 #include "anchorage/http_door.hpp"
+#include "bosun/machine_limits.hpp"
 #include "bosun/options.hpp"
-#include "helm/machine_limits.hpp"
 #include "helm/metrics.hpp"
 #include "helm/wires.hpp"
 
--- a/packages/lighter/lighter.cpp
+++ b/packages/lighter/lighter.cpp
@@ -60,6 +60,20 @@
   }
 }
 
+namespace {
+/// Copies of an answer on its way to the caller: as read, as the answer, and as it waits to be sent.
+constexpr std::size_t answer_copies = 3;
+
+/// Lets a body take more memory, where its caller's door has it.
+bool grow(std::string &body, std::size_t capacity, const Cargo &cargo) {
+  if (capacity <= body.capacity()) return true;
+  const std::size_t more = answer_copies * (capacity - body.capacity());
+  if (cargo.may_hold && !cargo.may_hold(more)) return false;
+  body.reserve(capacity);
+  return true;
+}
+} // namespace
+
 CallEnd Lighter::carry(const Carry &carry, const Cargo &cargo, std::size_t body_most, Returned &returned) {
   CallEnd end;
   end.errand = carry.errand;
@@ -96,8 +110,15 @@
   request.body = cargo.body;
   std::string body;
   bool is_too_large = false;
+  request.response_handler = [&](const httplib::Response &head) {
+    const auto announced = head.get_header_value<std::uint64_t>("Content-Length");
+    is_too_large = announced > body_most || !grow(body, static_cast<std::size_t>(announced), cargo);
+    return !is_too_large;
+  };
   request.content_receiver = [&](const char *bytes, std::size_t size, std::uint64_t, std::uint64_t) {
     is_too_large = body.size() + size > body_most;
+    if (!is_too_large && body.size() + size > body.capacity())
+      is_too_large = !grow(body, std::max(body.size() + size, 2 * body.capacity()), cargo);
     if (!is_too_large) body.append(bytes, size);
     return !is_too_large;
   };
@@ -129,7 +150,8 @@
   end.kind = CallKind::answered;
   end.status = result->status;
   end.type = type;
-  end.body = body;
+  // What is larger than a record may be is not kept, whatever follows.
+  end.body = body.substr(0, record_bytes_most + 1);
   for (const auto &[name, value] : result->headers)
     if (!is_own_header(name) && strcasecmp(name.c_str(), "content-type") != 0)
       end.headers.push_back({name, value});
--- a/packages/lighter/lighter.hpp
+++ b/packages/lighter/lighter.hpp
@@ -1,4 +1,5 @@
 #pragma once
+#include <functional>
 #include <httplib.h>
 #include <map>
 #include <memory>
@@ -14,6 +15,8 @@
 struct Cargo {
   std::string method, target, body;
   httplib::Headers headers;
+  /// Asked before an answer takes so many bytes more; false where there is no memory for them.
+  std::function<bool(std::size_t)> may_hold{};
 };
 /// What came back, when it was whole and sealed.
 struct Returned {
--- a/packages/moorings/moorings.cpp
+++ b/packages/moorings/moorings.cpp
@@ -12,7 +12,7 @@
 
 namespace wharf {
 
-enum class Berthing : std::uint8_t { parked, waiting, busy, lingering };
+enum class Berthing : std::uint8_t { parked, waiting, busy, writing, lingering };
 
 struct Moorings::Link {
   int descriptor = -1;
@@ -20,12 +20,61 @@
   std::string bytes;
   Instant parked_at = 0, incoming_snapshot_since = 0, waiting_since = 0;
   std::size_t served = 0;
+  /// How much of `bytes` the request being served has read, and how far a body in chunks has been looked at.
+  std::size_t read_at = 0, chunk_at = 0;
+  /// What the client has not taken yet of an answer, from `sent` on; since when, and when it last took some.
+  std::string outgoing;
+  std::size_t sent = 0;
+  Instant answered_at = 0, progress_at = 0;
+  /// What the link holds, and what the request that is served takes besides.
+  MemoryCharge charge, request_charge;
   std::function<void()> on_gone;
-  bool is_gone = false;
+  bool is_gone = false, may_stay = true, was_told_to_continue = false;
 };
 
 namespace {
 thread_local std::function<void(std::function<void()>)> set_gone;
+thread_local std::function<bool(std::size_t)> hold_for_request;
+
+/// What a link takes besides the texts it holds, in this process and in the kernel.
+constexpr std::size_t link_bytes = 4096;
+/// An emptied buffer of this size or less is kept for the next request.
+constexpr std::size_t kept_buffer_bytes = 1024;
+/// Copies of a request's bytes while it is served: as read, as parsed, and as passed on.
+constexpr std::size_t request_copies = 3;
+/// What all copies of one header take.
+constexpr std::size_t header_bytes = 640;
+/// An answer that is read more slowly than this may be given up when memory is short, after a while.
+constexpr std::size_t slow_bytes_a_second = 64u << 10;
+constexpr Span slow_after = milliseconds(500);
+constexpr std::string_view continue_answer = "HTTP/1.1 100 Continue\r\n\r\n";
+
+/// What serving a whole request takes besides the bytes that hold it.
+std::size_t bytes_to_serve(std::string_view bytes) {
+  const std::string_view head = bytes.substr(0, bytes.find("\r\n\r\n"));
+  const auto lines = static_cast<std::size_t>(std::count(head.begin(), head.end(), '\n'));
+  return request_copies * bytes.size() + header_bytes * lines;
+}
+
+/// Looks on from `at`, where a chunk begins, for the end of a body in chunks.
+Arrival arrival_of_chunks(std::string_view bytes, std::size_t &at, const MooringOptions &options) {
+  while (true) {
+    const auto line_end = bytes.find("\r\n", at);
+    if (line_end == std::string_view::npos)
+      return bytes.size() - at > options.head_most ? Arrival::whole : Arrival::partial;
+    std::size_t size = 0;
+    const auto read = std::from_chars(bytes.data() + at, bytes.data() + line_end, size, 16);
+    if (read.ec != std::errc() || size > options.body_most || line_end > options.body_most * 2)
+      return Arrival::whole;
+    if (size == 0) {
+      const bool has_end = bytes.find("\r\n\r\n", line_end) != std::string_view::npos;
+      return has_end || bytes.size() - line_end > options.head_most ? Arrival::whole : Arrival::partial;
+    }
+    const std::size_t next = line_end + 2 + size + 2;
+    if (next > bytes.size()) return Arrival::partial;
+    at = next;
+  }
+}
 
 bool poll_for(int descriptor, short events, Span span) {
   pollfd one{descriptor, events, 0};
@@ -61,14 +110,29 @@
 }
 } // namespace
 
-Arrival arrival_of(std::string_view bytes, const MooringOptions &options) {
+bool asks_to_continue(std::string_view bytes) {
+  const auto end = bytes.find("\r\n\r\n");
+  std::string_view value;
+  return end != std::string_view::npos && find_header(bytes.substr(0, end + 2), "Expect", value) == 1 &&
+         value == "100-continue";
+}
+
+Arrival arrival_of(std::string_view bytes, const MooringOptions &options, std::size_t &chunk_at) {
   const auto end = bytes.find("\r\n\r\n");
   if (end == std::string_view::npos)
     return bytes.size() > options.head_most ? Arrival::whole : Arrival::partial;
   const std::string_view head = bytes.substr(0, end + 2);
   std::string_view value;
-  if (find_header(head, "Transfer-Encoding", value) > 0 || find_header(head, "Expect", value) > 0)
-    return Arrival::whole;
+  const std::size_t expectations = find_header(head, "Expect", value);
+  if (expectations > 1 || (expectations == 1 && value != "100-continue")) return Arrival::whole;
+  const std::size_t codings = find_header(head, "Transfer-Encoding", value);
+  if (codings > 0) {
+    const bool is_chunked =
+        codings == 1 && value == "chunked" && find_header(head, "Content-Length", value) == 0;
+    if (!is_chunked) return Arrival::whole;
+    chunk_at = std::max(chunk_at, end + 4);
+    return arrival_of_chunks(bytes, chunk_at, options);
+  }
   const std::size_t lengths = find_header(head, "Content-Length", value);
   if (lengths != 1) return Arrival::whole;
   std::size_t length = 0;
@@ -84,30 +148,35 @@
   Pipe(Link &link, const MooringOptions &options)
       : link_(link), options_(options), read_until_(tide_.now() + options.arrive_within) {}
   bool is_readable() const override {
-    return !link_.bytes.empty() || poll_for(link_.descriptor, POLLIN, read_until_ - tide_.now());
+    return link_.read_at < link_.bytes.size() ||
+           poll_for(link_.descriptor, POLLIN, read_until_ - tide_.now());
   }
-  bool is_writable() const override { return poll_for(link_.descriptor, POLLOUT, options_.write_within); }
+  bool is_writable() const override { return true; }
   ssize_t read(char *into, size_t size) override {
-    if (!link_.bytes.empty()) {
-      const std::size_t count = std::min(size, link_.bytes.size());
-      std::copy_n(link_.bytes.data(), count, into);
-      link_.bytes.erase(0, count);
+    if (link_.read_at < link_.bytes.size()) {
+      const std::size_t count = std::min(size, link_.bytes.size() - link_.read_at);
+      std::copy_n(link_.bytes.data() + link_.read_at, count, into);
+      link_.read_at += count;
       return static_cast<ssize_t>(count);
     }
     if (!is_readable()) return -1;
     return recv(link_.descriptor, into, size, MSG_DONTWAIT);
   }
+  /// Never waits: what the client does not take at once is left for the watch to send.
   ssize_t write(const char *from, size_t size) override {
-    const Instant until = tide_.now() + options_.write_within;
+    const bool was_said = link_.was_told_to_continue && std::string_view(from, size) == continue_answer;
+    if (was_said) return static_cast<ssize_t>(size);
     std::size_t written = 0;
-    while (written < size) {
-      if (!poll_for(link_.descriptor, POLLOUT, until - tide_.now())) return -1;
+    while (link_.outgoing.empty() && written < size) {
       const ssize_t count =
           send(link_.descriptor, from + written, size - written, MSG_NOSIGNAL | MSG_DONTWAIT);
-      if (count < 0 && errno != EAGAIN && errno != EINTR) return -1;
-      written += count > 0 ? static_cast<std::size_t>(count) : 0;
+      if (count < 0 && errno == EINTR) continue;
+      if (count < 0 && errno != EAGAIN) return -1;
+      if (count < 0) break;
+      written += static_cast<std::size_t>(count);
     }
-    return static_cast<ssize_t>(written);
+    link_.outgoing.append(from + written, size - written);
+    return static_cast<ssize_t>(size);
   }
   void get_remote_ip_and_port(std::string &ip, int &port) const override { place(true, ip, port); }
   void get_local_ip_and_port(std::string &ip, int &port) const override { place(false, ip, port); }
@@ -163,6 +232,8 @@
   if (set_gone) set_gone(std::move(gone));
 }
 
+bool Moorings::hold_more(std::size_t bytes) { return !hold_for_request || hold_for_request(bytes); }
+
 std::map<std::string, std::uint64_t> Moorings::counters() const {
   std::lock_guard guard(mutex_);
   auto values = counters_;
@@ -184,16 +255,13 @@
   auto link = std::make_shared<Link>();
   link->descriptor = descriptor;
   link->parked_at = tide_.now();
+  link->charge = MemoryCharge(options_.memory, link_bytes);
+  link->request_charge = MemoryCharge(options_.memory);
   std::lock_guard guard(mutex_);
   ++counters_["door_links_taken"];
   if (links_.size() >= options_.links_most) {
-    LinkPtr oldest;
-    for (const auto &[number, other] : links_) {
-      const bool is_idle = other->state == Berthing::parked && other->bytes.empty();
-      if (is_idle && (!oldest || other->parked_at < oldest->parked_at)) oldest = other;
-    }
     ++counters_["door_links_full"];
-    if (oldest) close_link(oldest);
+    close_one_for_room(link->parked_at);
   }
   links_[descriptor] = link;
   if (links_.size() > options_.links_most) turn_away(link, 503, "door-full", tide_.now());
@@ -205,10 +273,67 @@
   if (link->descriptor < 0) return;
   links_.erase(link->descriptor);
   bytes_ -= std::min(bytes_, link->bytes.size());
-  link->bytes.clear();
+  link->bytes = {};
+  link->outgoing = {};
   shutdown(link->descriptor, SHUT_RDWR);
   close(link->descriptor);
   link->descriptor = -1;
+  link->charge.set(0);
+  link->request_charge.set(0);
+}
+
+void Moorings::count_memory(Link &link) {
+  const std::size_t bytes = link_bytes + heap_bytes(link.bytes) + heap_bytes(link.outgoing);
+  link.charge.set(link.descriptor < 0 ? 0 : bytes);
+}
+
+std::size_t Moorings::reclaimable(const Link &link, Instant now) const {
+  if (link.state == Berthing::parked) return link.charge.bytes();
+  if (link.state != Berthing::writing || now - link.answered_at < slow_after) return 0;
+  const double wanted =
+      static_cast<double>(slow_bytes_a_second) * static_cast<double>(now - link.answered_at) / 1e9;
+  return static_cast<double>(link.sent) < wanted ? link.charge.bytes() : 0;
+}
+
+bool Moorings::reclaim_largest(Instant now) {
+  LinkPtr largest;
+  std::size_t most = 0;
+  for (const auto &[descriptor, link] : links_) {
+    const std::size_t bytes = reclaimable(*link, now);
+    if (bytes <= most) continue;
+    most = bytes;
+    largest = link;
+  }
+  if (!largest) return false;
+  const bool is_request_part = largest->state == Berthing::parked && !largest->bytes.empty();
+  ++counters_[is_request_part ? "door_shed_requests" : "door_shed_links"];
+  if (is_request_part)
+    turn_away(largest, 503, "no-memory", now);
+  else
+    close_link(largest);
+  return true;
+}
+
+bool Moorings::make_room_for(std::size_t bytes, Instant now) {
+  if (options_.memory == nullptr) return true;
+  while (!options_.memory->has_room_for(bytes))
+    if (!reclaim_largest(now)) return false;
+  return true;
+}
+
+bool Moorings::close_one_for_room(Instant now) {
+  LinkPtr least;
+  const auto rank = [&](const Link &link) {
+    if (link.state == Berthing::parked) return link.bytes.empty() ? 0 : 1;
+    return reclaimable(link, now) > 0 ? 2 : 3;
+  };
+  for (const auto &[descriptor, link] : links_) {
+    const int own = rank(*link), other = least ? rank(*least) : 3;
+    if (own < other || (own < 3 && own == other && link->parked_at < least->parked_at)) least = link;
+  }
+  if (!least) return false;
+  close_link(least);
+  return true;
 }
 
 void Moorings::turn_away(const LinkPtr &link, int status, std::string_view why, Instant now) {
@@ -217,9 +342,11 @@
   (void)!send(link->descriptor, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
   shutdown(link->descriptor, SHUT_WR);
   bytes_ -= std::min(bytes_, link->bytes.size());
-  link->bytes.clear();
+  link->bytes = {};
   link->state = Berthing::lingering;
   link->parked_at = now;
+  link->request_charge.set(0);
+  count_memory(*link);
 }
 
 void Moorings::hand_over(const LinkPtr &link, Instant now) {
@@ -228,7 +355,13 @@
     turn_away(link, 503, "door-full", now);
     return;
   }
+  const std::size_t needed = bytes_to_serve(link->bytes);
   link->state = Berthing::waiting;
+  if (!make_room_for(needed, now)) {
+    turn_away(link, 503, "no-memory", now);
+    return;
+  }
+  link->request_charge.set(needed);
   link->waiting_since = now;
   jobs_.push_back(link);
   ready_.notify_one();
@@ -251,16 +384,57 @@
       turn_away(link, 503, "door-full", now);
       return;
     }
+    count_memory(*link);
+    const std::size_t piece = std::min(link->charge.bytes(), MemoryAccount::large_bytes);
+    const bool is_over = options_.memory != nullptr &&
+                         options_.memory->used() > options_.memory->bound_for(link->charge.bytes());
+    if (is_over) make_room_for(piece, now);
+    if (link->descriptor < 0 || link->state == Berthing::lingering) return;
     if (count < static_cast<ssize_t>(sizeof buffer)) break;
   }
-  if (link->state == Berthing::parked && arrival_of(link->bytes, options_) == Arrival::whole)
+  if (link->state != Berthing::parked) return;
+  if (arrival_of(link->bytes, options_, link->chunk_at) == Arrival::whole) {
     hand_over(link, now);
+  } else if (!link->was_told_to_continue && asks_to_continue(link->bytes)) {
+    link->was_told_to_continue = true;
+    (void)!send(link->descriptor, continue_answer.data(), continue_answer.size(),
+                MSG_NOSIGNAL | MSG_DONTWAIT);
+  }
+}
+
+bool Moorings::write_out(Link &link, Instant now) {
+  while (link.sent < link.outgoing.size()) {
+    const ssize_t count = send(link.descriptor, link.outgoing.data() + link.sent,
+                               link.outgoing.size() - link.sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (count < 0 && errno == EINTR) continue;
+    if (count < 0) return errno == EAGAIN;
+    link.sent += static_cast<std::size_t>(count);
+    link.progress_at = now;
+  }
+  return true;
+}
+
+void Moorings::park(const LinkPtr &link, Instant now) {
+  link->outgoing = {};
+  link->sent = 0;
+  if (!link->may_stay) {
+    close_link(link);
+    return;
+  }
+  link->state = Berthing::parked;
+  link->parked_at = now;
+  count_memory(*link);
+  if (link->bytes.empty()) return;
+  link->incoming_snapshot_since = now;
+  if (arrival_of(link->bytes, options_, link->chunk_at) == Arrival::whole) hand_over(link, now);
 }
 
 void Moorings::tend(const LinkPtr &link, Instant now) {
   const bool is_idle = link->state == Berthing::parked && link->bytes.empty();
   if (link->state == Berthing::lingering && now - link->parked_at > seconds(1))
     close_link(link);
+  else if (link->state == Berthing::writing && now - link->progress_at > options_.write_within)
+    close_link(link);
   else if (is_idle && (now - link->parked_at > options_.idle || is_draining_))
     close_link(link);
   else if (link->state == Berthing::parked && !is_idle &&
@@ -283,7 +457,8 @@
       for (const auto &[descriptor, link] : links_) {
         const bool is_held = link->state == Berthing::waiting || link->state == Berthing::busy;
         if (is_held && (!link->on_gone || link->is_gone)) continue;
-        polled.push_back({descriptor, static_cast<short>(is_held ? POLLRDHUP : POLLIN), 0});
+        const short wanted = link->state == Berthing::writing ? POLLOUT : is_held ? POLLRDHUP : POLLIN;
+        polled.push_back({descriptor, wanted, 0});
         seen.push_back(link);
       }
     }
@@ -298,7 +473,12 @@
       for (std::size_t at = 1; at < seen.size(); ++at) {
         const LinkPtr &link = seen[at];
         if (polled[at].revents == 0 || link->descriptor < 0) continue;
-        if (link->state == Berthing::busy) {
+        if (link->state == Berthing::writing) {
+          if (!write_out(*link, now))
+            close_link(link);
+          else if (link->sent == link->outgoing.size())
+            park(link, now);
+        } else if (link->state == Berthing::busy) {
           if (link->on_gone && !link->is_gone) {
             link->is_gone = true;
             ++counters_["door_callers_gone"];
@@ -344,25 +524,42 @@
       }
       wake();
     };
+    hold_for_request = [this, link](std::size_t more) {
+      std::lock_guard guard(mutex_);
+      if (!make_room_for(more, tide_.now())) return false;
+      link->request_charge.set(link->request_charge.bytes() + more);
+      return true;
+    };
     const bool may_stay = serve_one(*link);
     set_gone = nullptr;
+    hold_for_request = nullptr;
     std::lock_guard guard(mutex_);
-    --busy_;
-    ++counters_["door_served"];
-    link->on_gone = nullptr;
-    link->state = Berthing::parked;
-    link->parked_at = tide_.now();
-    bytes_ += link->bytes.size();
-    if (!may_stay)
-      close_link(link);
-    else if (!link->bytes.empty()) {
-      link->incoming_snapshot_since = link->parked_at;
-      if (arrival_of(link->bytes, options_) == Arrival::whole) hand_over(link, link->parked_at);
-    }
+    finish(link, may_stay);
     wake();
   }
 }
 
+void Moorings::finish(const LinkPtr &link, bool may_stay) {
+  const Instant now = tide_.now();
+  --busy_;
+  ++counters_["door_served"];
+  link->on_gone = nullptr;
+  link->may_stay = may_stay;
+  link->bytes.erase(0, link->read_at);
+  if (link->bytes.empty() && link->bytes.capacity() > kept_buffer_bytes) link->bytes = {};
+  link->read_at = link->chunk_at = 0;
+  link->was_told_to_continue = false;
+  bytes_ += link->bytes.size();
+  link->request_charge.set(0);
+  if (link->outgoing.empty()) {
+    park(link, now);
+    return;
+  }
+  link->state = Berthing::writing;
+  link->answered_at = link->progress_at = now;
+  count_memory(*link);
+}
+
 void Moorings::drain() {
   if (is_over_) return;
   {
--- a/packages/moorings/moorings.hpp
+++ b/packages/moorings/moorings.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "capstan/duty.hpp"
+#include "memory/memory_account.hpp"
 #include "tide/tide.hpp"
 
 namespace wharf {
@@ -26,17 +27,27 @@
   /// How long a link may be idle, and how long a request may take to arrive.
   Span idle = seconds(20), arrive_within = seconds(8), write_within = seconds(10);
   std::size_t served_most = 100'000;
+  /// What links and the requests being served hold is counted here; without an account nothing is.
+  MemoryAccount *memory = nullptr;
 };
 
 /// What a request's head says of its length: not whole yet, or how many bytes it has in all.
 enum class Arrival : std::uint8_t { partial, whole };
 
-/// Whether the bytes hold a whole request. Doubtful ones count as whole: the library refuses them.
-Arrival arrival_of(std::string_view bytes, const MooringOptions &options);
+/// Whether the bytes hold a whole request. Doubtful ones count as whole: the library refuses them. `chunk_at`
+/// keeps how far a body in chunks has been looked at, between calls for the same request; 0 at first.
+Arrival arrival_of(std::string_view bytes, const MooringOptions &options, std::size_t &chunk_at);
+inline Arrival arrival_of(std::string_view bytes, const MooringOptions &options) {
+  std::size_t chunk_at = 0;
+  return arrival_of(bytes, options, chunk_at);
+}
+/// True for a head that is there and asks to be told before its body is sent.
+bool asks_to_continue(std::string_view bytes);
 
 /// An HTTP server whose links are watched by one duty: a link takes a thread of the crew only while a whole
-/// request of it is served, so idle links and slow senders hold up nobody. Beyond its bounds a request is
-/// answered 503 at once, with Retry-After and verdict not-run.
+/// request of it is served, so idle links, slow senders and slow readers hold up nobody. Beyond its bounds a
+/// request is answered 503 at once, with Retry-After and verdict not-run. When memory or links run out, those
+/// go first that hold most for requests that aren't whole and for answers that nobody reads.
 class Moorings final : public httplib::Server {
 public:
   explicit Moorings(MooringOptions options);
@@ -46,6 +57,9 @@
   void widen();
   /// Calls `gone` once if the caller of the request that this thread serves goes away before it is answered.
   static void on_caller_gone(std::function<void()> gone);
+  /// Counts so many bytes more for the request that this thread serves, until its answer has been handed
+  /// over; false, and nothing is counted, where they don't fit. True on threads that serve none.
+  static bool hold_more(std::size_t bytes);
   std::map<std::string, std::uint64_t> counters() const;
 
 private:
@@ -62,7 +76,19 @@
   void turn_away(const LinkPtr &link, int status, std::string_view why, Instant now);
   void tend(const LinkPtr &link, Instant now);
   void close_link(const LinkPtr &link);
+  /// Sends what waits on a link whose request has been served; false when it is lost.
+  bool write_out(Link &link, Instant now);
+  /// The link is idle again, or over.
+  void park(const LinkPtr &link, Instant now);
+  void count_memory(Link &link);
+  /// What a link would give back, were it ended or refused now.
+  std::size_t reclaimable(const Link &link, Instant now) const;
+  bool reclaim_largest(Instant now);
+  bool make_room_for(std::size_t bytes, Instant now);
+  bool close_one_for_room(Instant now);
   bool serve_one(Link &link);
+  /// A thread is done with a link.
+  void finish(const LinkPtr &link, bool may_stay);
   void drain();
   void wake();
 
--- a/packages/pilot/pilot.hpp
+++ b/packages/pilot/pilot.hpp
@@ -69,6 +69,9 @@
   std::vector<KeptHeader> headers;
 };
 
+/// The largest answer, headers and all, that is kept for repeats.
+constexpr std::size_t record_bytes_most = 65536;
+
 struct PilotOptions {
   /// What this machine has, as the leader is told.
   NodeCapacity capacity;
@@ -115,7 +118,7 @@
   Span free_again = milliseconds(200), free_again_most = milliseconds(3200);
   Span eviction_least = seconds(5);
   /// The largest answer, headers and all, that is kept for repeats.
-  std::size_t record_most = 65536;
+  std::size_t record_most = record_bytes_most;
   std::size_t errands_most = 4096;
   /// The share of places that errands of any worth may take; the rest goes by worth.
   double places_floor = 0.5;
--- a/programs/harbourd/main.cpp
+++ b/programs/harbourd/main.cpp
@@ -3,6 +3,7 @@
 #include <random>
 
 #include "bosun/log.hpp"
+#include "bosun/machine_limits.hpp"
 #include "bosun/options.hpp"
 #include "bosun/storage_options.hpp"
 #include "bridge/bridge.hpp"
@@ -17,6 +18,7 @@
 using namespace wharf;
 
 using ControlEvent = std::variant<Envelope, OperatorAsk, PlatformView, DiskEvent>;
+constexpr std::size_t operator_links_most = 512;
 using SayWaiter = Waiter<OperatorSay>;
 
 /// The daemon round one control: duties for links, disk, platform, operators' door and core.
@@ -25,7 +27,8 @@
   ControlDaemon(const ProcessOptions &options, NodeId id, std::unique_ptr<LogStorage> storage,
                 const Recovered &recovered)
       : options_(options), self_(make_self(options, id)), ring_(16384), order_ring_(4096),
-        bridge_(*this, options.operator_token), server_(mooring_options(options)),
+        bridge_(*this, options.operator_token), memory_(client_memory_bound(memory_mb_of(options))),
+        server_(mooring_options(options, memory_)),
         hawser_(options.listen.empty() ? options.address : options.listen,
                 [this](Envelope &&envelope) { take(std::move(envelope)); }) {
     build(recovered);
@@ -98,10 +101,11 @@
   }
 
 private:
-  static MooringOptions mooring_options(const ProcessOptions &options) {
+  static MooringOptions mooring_options(const ProcessOptions &options, MemoryAccount &memory) {
     MooringOptions made;
+    made.memory = &memory;
     made.threads = static_cast<std::size_t>(std::min<std::int64_t>(options.threads, 32));
-    made.links_most = 512;
+    made.links_most = std::min(operator_links_most, descriptor_shares(descriptors_of(options)).clients);
     return made;
   }
   static Member make_self(const ProcessOptions &options, NodeId id) {
@@ -251,6 +255,8 @@
   Ring<PlatformOrder> order_ring_;
   OrderPermit permit_;
   Bridge bridge_;
+  /// All that callers make this process hold.
+  MemoryAccount memory_;
   Moorings server_;
   std::mutex says_mutex_, published_mutex_;
   std::map<std::uint64_t, std::shared_ptr<SayWaiter>> says_;
@@ -311,6 +317,7 @@
   const ProcessOptions options = std::get<Launch>(read).options;
   start_log("harbourd", options.log_level);
   catch_stops();
+  return_freed_memory_at_once();
   auto started = wait_for_storage(options);
   if (const auto *error = std::get_if<StorageError>(&started)) {
     std::cerr << "harbourd: " << error->what << "\n";
--- a/programs/pilotd/main.cpp
+++ b/programs/pilotd/main.cpp
@@ -3,6 +3,7 @@
 #include <random>
 
 #include "bosun/log.hpp"
+#include "bosun/machine_limits.hpp"
 #include "bosun/options.hpp"
 #include "capstan/ring.hpp"
 #include "gangway/gangway.hpp"
@@ -23,7 +24,8 @@
   explicit PilotDaemon(const ProcessOptions &options)
       : options_(options), self_(make_self(options)),
         pilot_(self_, options.seed_list(), pilot_options(options), tide_.now()), ring_(16384),
-        gangway_(*this, door_), server_(mooring_options(options)),
+        gangway_(*this, door_), memory_(client_memory_bound(memory_mb_of(options))),
+        server_(mooring_options(options, memory_)),
         hawser_(options.listen.empty() ? options.address : options.listen,
                 [this](Envelope &&envelope) { take(std::move(envelope)); }) {}
 
@@ -103,9 +105,11 @@
     made.errands_most = static_cast<std::size_t>(options.threads);
     return made;
   }
-  static MooringOptions mooring_options(const ProcessOptions &options) {
+  static MooringOptions mooring_options(const ProcessOptions &options, MemoryAccount &memory) {
     MooringOptions made;
+    made.memory = &memory;
     made.threads = static_cast<std::size_t>(options.threads);
+    made.links_most = descriptor_shares(descriptors_of(options)).clients;
     return made;
   }
   static Member make_self(const ProcessOptions &options) {
@@ -207,6 +211,8 @@
   Ring<PilotEvent> ring_;
   WaitingDoor door_;
   Gangway gangway_;
+  /// All that callers make this process hold.
+  MemoryAccount memory_;
   Moorings server_;
   std::mutex published_mutex_;
   std::string published_ = "{}\n";
@@ -226,6 +232,7 @@
   const ProcessOptions options = std::get<Launch>(read).options;
   start_log("pilotd", options.log_level);
   catch_stops();
+  return_freed_memory_at_once();
   try {
     PilotDaemon daemon(options);
     return daemon.run();
