Bound what the inner doors of the older daemons hold

What was seen: eight connections that each send a frame of 24 MiB but for its last byte made pilotd and harbourd take 211 MiB of 96; 800 connections that rest at each inner door took more than the 512 descriptors of the machine.

Change: links that others opened and the frames on them that aren't whole are counted in the process's account; when that is over its bound the largest unfinished frame goes, and beyond the inner share of the descriptors the link that was silent longest. A link that sends without end no longer keeps the others waiting within one turn. The deployed transport ends its most silent link too when the system has no descriptor for a new one. Both daemons say at their start what they let clients have.

--- a/packages/anchorage/cables.cpp
+++ b/packages/anchorage/cables.cpp
@@ -115,7 +115,10 @@
   }
   void ready(std::uint32_t) override {
     const int taken = accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (taken >= 0) owner_.take(taken);
+    if (taken >= 0)
+      owner_.take(taken);
+    else if (errno == EMFILE || errno == ENFILE)
+      owner_.end_most_silent();
   }
 
 private:
@@ -134,14 +137,7 @@
 }
 
 void Cables::take(int descriptor) {
-  if (theirs_.size() >= options_.accepted_most) {
-    const auto silent =
-        std::min_element(theirs_.begin(), theirs_.end(), [](const auto &left, const auto &right) {
-          return left.second->heard_at < right.second->heard_at;
-        });
-    const std::shared_ptr<Cable> kept = silent->second;
-    lose(*kept);
-  }
+  if (theirs_.size() >= options_.accepted_most) end_most_silent();
   auto cable = std::make_shared<Cable>(*this, std::string());
   cable->descriptor = descriptor;
   cable->is_up = cable->is_theirs = true;
@@ -151,6 +147,16 @@
   cable->count_memory();
 }
 
+void Cables::end_most_silent() {
+  const auto silent =
+      std::min_element(theirs_.begin(), theirs_.end(), [](const auto &left, const auto &right) {
+        return left.second->heard_at < right.second->heard_at;
+      });
+  if (silent == theirs_.end()) return;
+  const std::shared_ptr<Cable> kept = silent->second;
+  lose(*kept);
+}
+
 std::shared_ptr<Cables::Cable> Cables::largest_unfinished() const {
   std::shared_ptr<Cable> largest;
   for (const auto &[descriptor, cable] : theirs_)
--- a/packages/anchorage/cables.hpp
+++ b/packages/anchorage/cables.hpp
@@ -54,6 +54,8 @@
   void lose(Cable &cable);
   void give_up_late_dial(Cable &cable, Instant now);
   void take(int descriptor);
+  /// Ends the link, of those that others opened, that was silent longest.
+  void end_most_silent();
   std::shared_ptr<Cable> largest_unfinished() const;
 
   Loop &loop_;
--- a/packages/hawser/hawser.cpp
+++ b/packages/hawser/hawser.cpp
@@ -1,5 +1,6 @@
 #include "hawser/hawser.hpp"
 
+#include <algorithm>
 #include <cerrno>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -14,10 +15,14 @@
 
 namespace {
 constexpr std::size_t link_backlog = 8u << 20;
-
+/// What a link that another process opened takes besides what it sent.
+constexpr std::size_t link_bytes = 4096;
+/// Read of one link before the others get their turn.
+constexpr std::size_t read_in_a_row = 1u << 20;
 } // namespace
 
-Hawser::Hawser(std::string address, Sink sink) : address_(std::move(address)), sink_(std::move(sink)) {
+Hawser::Hawser(std::string address, Sink sink, HawserOptions options)
+    : address_(std::move(address)), sink_(std::move(sink)), options_(options) {
   sockaddr_in place{};
   if (!socket_address(address_, place)) throw std::runtime_error("not an address: " + address_);
   listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -100,13 +105,53 @@
   if (!link.outgoing.empty()) ++dropped_;
   link.descriptor = -1;
   link.is_up = false;
-  link.outgoing.clear();
-  link.incoming.clear();
+  link.outgoing = {};
+  link.incoming = {};
+  link.charge.set(0);
+}
+
+void Hawser::forget_closed() {
+  std::erase_if(theirs_, [](const auto &link) { return link->descriptor < 0; });
+}
+
+void Hawser::accept_links() {
+  while (true) {
+    const int descriptor = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor < 0) return;
+    if (theirs_.size() >= options_.accepted_most) {
+      const auto silent =
+          std::min_element(theirs_.begin(), theirs_.end(), [](const auto &left, const auto &right) {
+            return left->heard_at < right->heard_at;
+          });
+      close_link(**silent);
+      theirs_.erase(silent);
+    }
+    auto link = std::make_unique<Link>();
+    link->descriptor = descriptor;
+    link->heard_at = tide_.now();
+    link->charge = MemoryCharge(options_.memory, link_bytes);
+    theirs_.push_back(std::move(link));
+  }
+}
+
+void Hawser::keep_within_memory() {
+  const MemoryAccount *memory = options_.memory;
+  while (memory != nullptr && memory->used() > memory->bound_for(MemoryAccount::large_bytes)) {
+    const auto largest =
+        std::max_element(theirs_.begin(), theirs_.end(), [](const auto &left, const auto &right) {
+          return left->charge.bytes() < right->charge.bytes();
+        });
+    if (largest == theirs_.end() || (*largest)->charge.bytes() < MemoryAccount::large_bytes) return;
+    ++dropped_;
+    close_link(**largest);
+    theirs_.erase(largest);
+  }
 }
 
 bool Hawser::read_link(Link &link) {
   char bytes[65536];
-  while (true) {
+  link.heard_at = tide_.now();
+  for (std::size_t taken = 0; taken < read_in_a_row;) {
     const ssize_t count = read(link.descriptor, bytes, sizeof bytes);
     if (count == 0) return false;
     if (count < 0) {
@@ -114,7 +159,7 @@
       return false;
     }
     link.incoming.append(bytes, static_cast<std::size_t>(count));
-    if (link.incoming.size() > frame_limit + 65536) break;
+    taken += static_cast<std::size_t>(count);
   }
   std::size_t at = 0;
   while (true) {
@@ -127,6 +172,8 @@
     sink_(std::move(envelope));
   }
   link.incoming.erase(0, at);
+  if (link.incoming.empty()) link.incoming = {};
+  if (!link.is_ours) link.charge.set(link_bytes + heap_bytes(link.incoming));
   return true;
 }
 
@@ -180,16 +227,9 @@
       if (is_fine && (events & (POLLIN | POLLHUP))) is_fine = read_link(link);
       if (!is_fine) close_link(link);
     }
-    std::erase_if(theirs_, [](const auto &link) { return link->descriptor < 0; });
-    if (watched[0].revents & POLLIN) {
-      while (true) {
-        const int descriptor = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (descriptor < 0) break;
-        auto link = std::make_unique<Link>();
-        link->descriptor = descriptor;
-        theirs_.push_back(std::move(link));
-      }
-    }
+    forget_closed();
+    keep_within_memory();
+    if (watched[0].revents & POLLIN) accept_links();
   }
 }
 
--- a/packages/helm/control_runtime.cpp
+++ b/packages/helm/control_runtime.cpp
@@ -87,7 +87,8 @@
   disk_ = std::make_unique<DiskWorker>(std::move(storage), [this](DiskEvent &&word) {
     loop_.post([this, kept = std::make_shared<DiskEvent>(std::move(word))] { disk_said(std::move(*kept)); });
   });
-  log_line("up, id " + std::to_string(self_.id) + ", operators at " + options_.http);
+  log_line("up, id " + std::to_string(self_.id) + ", operators at " + options_.http + ", " +
+           std::to_string(memory_.bound() >> 20) + " MiB for them and peers");
 }
 
 ControlRuntime::~ControlRuntime() = default;
--- a/packages/helm/pilot_helm.cpp
+++ b/packages/helm/pilot_helm.cpp
@@ -94,7 +94,9 @@
       door_(loop_, options.http, *this, front_options(memory_, shares_)) {
   if (!options.readiness.empty()) readiness_ = std::make_unique<ReadinessSink>(*this, options.readiness);
   errand_prefix_ = random_id().substr(0, 8) + "-";
-  log_line("up, id " + std::to_string(self_.id) + ", callers at " + options_.http);
+  log_line("up, id " + std::to_string(self_.id) + ", callers at " + options_.http + ", " +
+           std::to_string(memory_.bound() >> 20) + " MiB and " + std::to_string(shares_.clients) +
+           " connections for them");
 }
 
 PilotHelm::~PilotHelm() = default;
--- a/packages/moorings/moorings.cpp
+++ b/packages/moorings/moorings.cpp
@@ -47,6 +47,8 @@
 /// An answer that is read more slowly than this may be given up when memory is short, after a while.
 constexpr std::size_t slow_bytes_a_second = 64u << 10;
 constexpr Span slow_after = milliseconds(500);
+/// Bytes that the kernel takes of an answer beyond what is on its way to the client.
+constexpr int unsent_in_kernel = 32768;
 constexpr std::string_view continue_answer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 /// What serving a whole request takes besides the bytes that hold it.
@@ -251,6 +253,7 @@
 bool Moorings::process_and_close_socket(socket_t descriptor) {
   const int is_on = 1;
   setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &is_on, sizeof is_on);
+  setsockopt(descriptor, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &unsent_in_kernel, sizeof unsent_in_kernel);
   fcntl(descriptor, F_SETFL, fcntl(descriptor, F_GETFL) | O_NONBLOCK);
   auto link = std::make_shared<Link>();
   link->descriptor = descriptor;
--- a/programs/harbourd/main.cpp
+++ b/programs/harbourd/main.cpp
@@ -30,7 +30,8 @@
         bridge_(*this, options.operator_token), memory_(client_memory_bound(memory_mb_of(options))),
         server_(mooring_options(options, memory_)),
         hawser_(options.listen.empty() ? options.address : options.listen,
-                [this](Envelope &&envelope) { take(std::move(envelope)); }) {
+                [this](Envelope &&envelope) { take(std::move(envelope)); },
+                {descriptor_shares(descriptors_of(options)).inner, &memory_}) {
     build(recovered);
     disk_ = std::make_unique<DiskWorker>(std::move(storage), [this](DiskEvent &&word) {
       while (!ring_.offer(word) && !is_stopping_) std::this_thread::yield();
--- a/programs/pilotd/main.cpp
+++ b/programs/pilotd/main.cpp
@@ -27,7 +27,8 @@
         gangway_(*this, door_), memory_(client_memory_bound(memory_mb_of(options))),
         server_(mooring_options(options, memory_)),
         hawser_(options.listen.empty() ? options.address : options.listen,
-                [this](Envelope &&envelope) { take(std::move(envelope)); }) {}
+                [this](Envelope &&envelope) { take(std::move(envelope)); },
+                {descriptor_shares(descriptors_of(options)).inner, &memory_}) {}
 
   int run() {
     set_up_door(server_, 16u << 20,
--- a/tests/misbehaving_clients/crowd.cpp
+++ b/tests/misbehaving_clients/crowd.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "hawser/address.hpp"
+#include "signals/signals.hpp"
 
 namespace wharf {
 
@@ -95,6 +96,11 @@
   }
 }
 
+std::string half_frame(std::size_t bytes) {
+  const std::string whole = frame(Envelope{1, "127.0.0.1:1", PassOn{1, std::string(bytes, 'f')}});
+  return whole.substr(0, whole.size() - 1);
+}
+
 void Crowd::release() {
   script_.must_return = false;
   for (Client &client : clients_) end(client);
--- a/tests/misbehaving_clients/crowd.hpp
+++ b/tests/misbehaving_clients/crowd.hpp
@@ -54,4 +54,7 @@
   std::size_t connections_ = 0, sent_ = 0;
 };
 
+/// A frame of our processes that never ends: mark, length, checksum and all of its body but a byte.
+std::string half_frame(std::size_t bytes);
+
 } // namespace wharf
--- a/tests/misbehaving_clients/deployed_clients_test.cpp
+++ b/tests/misbehaving_clients/deployed_clients_test.cpp
@@ -52,11 +52,6 @@
   return "POST " + target + " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
 }
 
-/// A frame of our processes that never ends: mark, length, checksum and a part of its body.
-std::string half_frame(std::size_t bytes) {
-  const std::string whole = frame(Envelope{1, "127.0.0.1:1", PassOn{1, std::string(bytes, 'f')}});
-  return whole.substr(0, whole.size() - 1);
-}
 } // namespace
 
 TEST_GROUP(DeployedClients) { DeployedRig rig{BINARIES}; };
--- a/tests/misbehaving_clients/older_clients_test.cpp
+++ b/tests/misbehaving_clients/older_clients_test.cpp
@@ -16,9 +16,11 @@
 void check_all_is_well(const OlderRig &rig, Crowd &crowd) {
   const bool is_served_beside = rig.serves_an_ordinary_request();
   const bool is_operated_beside = rig.answers_the_operator();
+  const std::string broken_beside = rig.broken_bound();
   crowd.release();
   const bool is_served_after = rig.serves_an_ordinary_request();
   const bool is_operated_after = rig.answers_the_operator();
+  STRCMP_EQUAL("", broken_beside.c_str());
   STRCMP_EQUAL("", rig.broken_bound().c_str());
   CHECK_TEXT(is_served_beside, "no ordinary request was answered beside the crowd");
   CHECK_TEXT(is_operated_beside, "the operator was not answered beside the crowd");
@@ -107,6 +109,23 @@
   check_all_is_well(rig, nobody);
 }
 
+TEST(OlderClients, inner_frames_that_never_end) {
+  const std::string opening = half_frame(24 * mib);
+  Crowd at_edge(rig.edge_inner(), 8, {opening, {}, true});
+  Crowd at_control(rig.control_inner(), 8, {opening, {}, true});
+  at_edge.press(press_s);
+  at_control.press(press_s);
+  check_all_is_well(rig, at_edge);
+}
+
+TEST(OlderClients, inner_connections_that_rest) {
+  Crowd at_edge(rig.edge_inner(), 800, {{}, {}, true});
+  Crowd at_control(rig.control_inner(), 800, {{}, {}, true});
+  at_edge.press(press_s);
+  at_control.press(press_s);
+  check_all_is_well(rig, at_edge);
+}
+
 TEST_GROUP(OlderCalm) { OlderRig rig{BINARIES, 8 * mib}; };
 
 TEST(OlderCalm, a_long_answer_to_one_slow_reader_arrives_whole) {
--- a/tests/misbehaving_clients/older_rig.cpp
+++ b/tests/misbehaving_clients/older_rig.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 constexpr double patience_s = 30;
-constexpr std::size_t memory_mb = 96, threads = 16;
+constexpr std::size_t memory_mb = 96, threads = 16, descriptors = 512;
 constexpr const char *token = "operator-token-0123", *key = "key-0123456789abcdef";
 
 bool is_served(const HttpMessage &answer) { return answer.status == 200; }
@@ -36,14 +36,16 @@
 OlderRig::OlderRig(std::string binaries, std::size_t answer_bytes) : binaries_(std::move(binaries)) {
   char made[] = "/tmp/wharf-older-XXXXXX";
   folder_ = mkdtemp(made);
-  const std::string memory = std::to_string(memory_mb);
+  const std::string memory = std::to_string(memory_mb), limit = std::to_string(descriptors);
   platform_process_ = start({"dockyard", "--address", platform_.address(), "--workers", "2", "--zones", "1",
                              "--memory-mb", "4096", "--journal", folder_ + "/visits.jsonl"});
-  control_process_ = start({"harbourd", "--address", control_.address(), "--http", operators_.address(),
-                            "--seeds", control_.address(), "--data", folder_ + "/data", "--platform",
-                            platform_.address(), "--operator-token", token, "--memory-mb", memory});
+  control_process_ =
+      start({"harbourd", "--address", control_.address(), "--http", operators_.address(), "--seeds",
+             control_.address(), "--data", folder_ + "/data", "--platform", platform_.address(),
+             "--operator-token", token, "--memory-mb", memory, "--fd-limit", limit});
   edge_process_ = start({"pilotd", "--address", edge_.address(), "--http", front_.address(), "--seeds",
-                         control_.address(), "--threads", std::to_string(threads), "--memory-mb", memory});
+                         control_.address(), "--threads", std::to_string(threads), "--memory-mb", memory,
+                         "--fd-limit", limit});
   call_until(
       operators(),
       [answer_bytes] {
@@ -130,7 +132,8 @@
   std::string broken;
   for (const auto &[name, process] : {std::pair{"pilotd", edge_process_}, {"harbourd", control_process_}}) {
     if (!is_process_running(process)) broken += std::string(name) + " has ended; ";
-    const std::size_t memory_kb = peak_memory_kb(process);
+    const std::size_t memory_kb = peak_memory_kb(process), open = open_descriptors(process);
+    if (open > descriptors) broken += std::string(name) + " holds " + std::to_string(open) + " descriptors; ";
     std::cout << '\n' << name << " took " << memory_kb << " KiB at most";
     if (memory_kb > memory_mb * 1024)
       broken += std::string(name) + " took " + std::to_string(memory_kb) + " KiB; ";
--- a/tests/misbehaving_clients/older_rig.hpp
+++ b/tests/misbehaving_clients/older_rig.hpp
@@ -16,12 +16,14 @@
   ~OlderRig();
   std::string front() const { return front_.address(); }
   std::string operators() const { return operators_.address(); }
+  std::string edge_inner() const { return edge_.address(); }
+  std::string control_inner() const { return control_.address(); }
   /// A request of a client to the service of short answers, or to the one of long answers.
   static HttpMessage request(bool is_long = false);
   static std::string head_of(const std::string &method, const std::string &target, std::size_t body_bytes);
   bool serves_an_ordinary_request() const;
   bool answers_the_operator() const;
-  /// Both daemons run, and never took more memory than their machine gives; says what not.
+  /// Both daemons run, and never took more memory or descriptors than their machine gives; says what not.
   std::string broken_bound() const;
   HttpMessage operate(const std::string &method, const std::string &target, std::string body = {}) const;
 
