Test the parts that bound what clients hold, and cut moorings into parts of one job

A short body goes out in one piece with its head, so that ordinary answers cost one call as before. A reader of messages can no longer be copied, as its parser points into it.

--- a/packages/anchorage/http.hpp
+++ b/packages/anchorage/http.hpp
@@ -69,6 +69,10 @@
   Reading end();
   /// The message just read; the reader is ready for the next.
   HttpMessage take();
+  /// Gives up the message being read, with all that it holds.
+  void drop() { take(); }
+  HttpReader(const HttpReader &) = delete;
+  HttpReader &operator=(const HttpReader &) = delete;
   bool has_begun() const { return has_begun_; }
   bool has_head() const { return has_head_; }
   const HttpMessage &message() const { return message_; }
--- a/packages/anchorage/http_calls.cpp
+++ b/packages/anchorage/http_calls.cpp
@@ -22,7 +22,7 @@
     descriptor_ = -1;
     --calls_.links_;
     outgoing_.clear();
-    reader_ = HttpReader(HttpReader::Side::responses);
+    reader_.drop();
     charge_.set(0);
   }
 
@@ -33,8 +33,7 @@
     passed_ = 0;
     reader_.set_bounds({65536, calls_.options_.body_most});
     if (call_.request.method == "HEAD") reader_.expect_no_body();
-    outgoing_.add(request_head(call_.request));
-    outgoing_.add(std::move(call_.request.body));
+    outgoing_.add_message(request_head(call_.request), std::move(call_.request.body));
     call_.request = {};
     is_admitted_ = is_held_back_ = false;
     count_memory();
--- a/packages/anchorage/http_door_link.cpp
+++ b/packages/anchorage/http_door_link.cpp
@@ -52,7 +52,7 @@
   descriptor_ = -1;
   incoming_ = {};
   outgoing_.clear();
-  reader_ = HttpReader(HttpReader::Side::requests);
+  reader_.drop();
   charge_.set(0);
 }
 
@@ -162,7 +162,7 @@
   response.status = status;
   if (status == 503) response.set("Retry-After", "1");
   phase_ = Phase::serving;
-  reader_ = HttpReader(HttpReader::Side::requests);
+  reader_.drop();
   incoming_ = {};
   arrivals_.clear();
   answer(std::move(response), false);
@@ -171,8 +171,8 @@
 void HttpDoor::Link::answer(HttpMessage response, bool keeps_link) {
   if (phase_ != Phase::serving) return;
   keeps_link_ = keeps_link_ && keeps_link && !door_.is_draining_ && !has_ended_;
-  outgoing_.add(response_head(response, keeps_link_));
-  if (has_body_to_send(response, is_head_)) outgoing_.add(std::move(response.body));
+  outgoing_.add_message(response_head(response, keeps_link_),
+                        has_body_to_send(response, is_head_) ? std::move(response.body) : std::string());
   phase_ = keeps_link_ ? Phase::reading : Phase::ending;
   since_ = answered_at_ = progress_at_ = door_.tide_.now();
   sent_ = 0;
--- a/packages/anchorage/outgoing_bytes.hpp
+++ b/packages/anchorage/outgoing_bytes.hpp
@@ -13,6 +13,16 @@
     held_ += piece.capacity();
     pieces_.push_back(std::move(piece));
   }
+  /// A head and the body that follows it; a short one goes in the same piece.
+  void add_message(std::string head, std::string body) {
+    constexpr std::size_t short_body_bytes = 8192;
+    if (body.size() <= short_body_bytes) {
+      head += body;
+      body = {};
+    }
+    add(std::move(head));
+    add(std::move(body));
+  }
   bool is_empty() const { return pieces_.empty(); }
   /// Bytes of memory that the pieces take.
   std::size_t held_bytes() const { return held_; }
--- a/packages/gangway/gangway.cpp
+++ b/packages/gangway/gangway.cpp
@@ -165,7 +165,10 @@
       for (const auto &[name, value] : returned.headers)
         if (!is_own_header(name) && lower_of(name) != "content-type") response.headers.emplace(name, value);
     const std::string &type = is_replay ? reply.type : returned.type;
-    response.body = is_replay ? reply.body : std::move(returned.body);
+    if (is_replay)
+      response.body = reply.body;
+    else
+      response.body = std::move(returned.body);
     if (!type.empty()) response.set_header("Content-Type", type);
     response.set_header("X-Wharf-Errand", is_replay && !reply.why.empty() ? reply.why : head.id);
     response.set_header("X-Wharf-Verdict", "run");
--- a/packages/moorings/moorings.cpp
+++ b/packages/moorings/moorings.cpp
@@ -10,96 +10,25 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace wharf {
+#include "moorings/mooring_link.hpp"
 
-enum class Berthing : std::uint8_t { parked, waiting, busy, writing, lingering };
-
-struct Moorings::Link {
-  int descriptor = -1;
-  Berthing state = Berthing::parked;
-  std::string bytes;
-  Instant parked_at = 0, incoming_snapshot_since = 0, waiting_since = 0;
-  std::size_t served = 0;
-  /// How much of `bytes` the request being served has read, and how far a body in chunks has been looked at.
-  std::size_t read_at = 0, chunk_at = 0;
-  /// What the client has not taken yet of an answer, from `sent` on; since when, and when it last took some.
-  std::string outgoing;
-  std::size_t sent = 0;
-  Instant answered_at = 0, progress_at = 0;
-  /// What the link holds, and what the request that is served takes besides.
-  MemoryCharge charge, request_charge;
-  std::function<void()> on_gone;
-  bool is_gone = false, may_stay = true, was_told_to_continue = false;
-};
+namespace wharf {
 
 namespace {
 thread_local std::function<void(std::function<void()>)> set_gone;
 thread_local std::function<bool(std::size_t)> hold_for_request;
 
-/// What a link takes besides the texts it holds, in this process and in the kernel.
-constexpr std::size_t link_bytes = 4096;
 /// An emptied buffer of this size or less is kept for the next request.
 constexpr std::size_t kept_buffer_bytes = 1024;
-/// Copies of a request's bytes while it is served: as read, as parsed, and as passed on.
-constexpr std::size_t request_copies = 3;
-/// What all copies of one header take.
-constexpr std::size_t header_bytes = 640;
-/// An answer that is read more slowly than this may be given up when memory is short, after a while.
-constexpr std::size_t slow_bytes_a_second = 64u << 10;
-constexpr Span slow_after = milliseconds(500);
 /// Bytes that the kernel takes of an answer beyond what is on its way to the client.
 constexpr int unsent_in_kernel = 32768;
 constexpr std::string_view continue_answer = "HTTP/1.1 100 Continue\r\n\r\n";
 
-/// What serving a whole request takes besides the bytes that hold it.
-std::size_t bytes_to_serve(std::string_view bytes) {
-  const std::string_view head = bytes.substr(0, bytes.find("\r\n\r\n"));
-  const auto lines = static_cast<std::size_t>(std::count(head.begin(), head.end(), '\n'));
-  return request_copies * bytes.size() + header_bytes * lines;
-}
-
-/// Looks on from `at`, where a chunk begins, for the end of a body in chunks.
-Arrival arrival_of_chunks(std::string_view bytes, std::size_t &at, const MooringOptions &options) {
-  while (true) {
-    const auto line_end = bytes.find("\r\n", at);
-    if (line_end == std::string_view::npos)
-      return bytes.size() - at > options.head_most ? Arrival::whole : Arrival::partial;
-    std::size_t size = 0;
-    const auto read = std::from_chars(bytes.data() + at, bytes.data() + line_end, size, 16);
-    if (read.ec != std::errc() || size > options.body_most || line_end > options.body_most * 2)
-      return Arrival::whole;
-    if (size == 0) {
-      const bool has_end = bytes.find("\r\n\r\n", line_end) != std::string_view::npos;
-      return has_end || bytes.size() - line_end > options.head_most ? Arrival::whole : Arrival::partial;
-    }
-    const std::size_t next = line_end + 2 + size + 2;
-    if (next > bytes.size()) return Arrival::partial;
-    at = next;
-  }
-}
-
 bool poll_for(int descriptor, short events, Span span) {
   pollfd one{descriptor, events, 0};
   return poll(&one, 1, static_cast<int>(std::max<Span>(0, span) / 1'000'000)) > 0;
 }
 
-/// The value of a header in a request's head, and how often it stands there.
-std::size_t find_header(std::string_view head, std::string_view name, std::string_view &value) {
-  std::size_t count = 0;
-  for (std::size_t at = head.find("\r\n"); at != std::string_view::npos; at = head.find("\r\n", at + 2)) {
-    std::string_view line = head.substr(at + 2);
-    line = line.substr(0, line.find("\r\n"));
-    if (line.size() <= name.size() || line[name.size()] != ':' ||
-        strncasecmp(line.data(), name.data(), name.size()) != 0)
-      continue;
-    ++count;
-    value = line.substr(name.size() + 1);
-    while (!value.empty() && value.front() == ' ') value.remove_prefix(1);
-    while (!value.empty() && value.back() == ' ') value.remove_suffix(1);
-  }
-  return count;
-}
-
 std::string refusal(int status, std::string_view why) {
   const std::string reason = status == 503 ? "no-runner" : "malformed";
   const std::string body =
@@ -112,43 +41,11 @@
 }
 } // namespace
 
-bool asks_to_continue(std::string_view bytes) {
-  const auto end = bytes.find("\r\n\r\n");
-  std::string_view value;
-  return end != std::string_view::npos && find_header(bytes.substr(0, end + 2), "Expect", value) == 1 &&
-         value == "100-continue";
-}
-
-Arrival arrival_of(std::string_view bytes, const MooringOptions &options, std::size_t &chunk_at) {
-  const auto end = bytes.find("\r\n\r\n");
-  if (end == std::string_view::npos)
-    return bytes.size() > options.head_most ? Arrival::whole : Arrival::partial;
-  const std::string_view head = bytes.substr(0, end + 2);
-  std::string_view value;
-  const std::size_t expectations = find_header(head, "Expect", value);
-  if (expectations > 1 || (expectations == 1 && value != "100-continue")) return Arrival::whole;
-  const std::size_t codings = find_header(head, "Transfer-Encoding", value);
-  if (codings > 0) {
-    const bool is_chunked =
-        codings == 1 && value == "chunked" && find_header(head, "Content-Length", value) == 0;
-    if (!is_chunked) return Arrival::whole;
-    chunk_at = std::max(chunk_at, end + 4);
-    return arrival_of_chunks(bytes, chunk_at, options);
-  }
-  const std::size_t lengths = find_header(head, "Content-Length", value);
-  if (lengths != 1) return Arrival::whole;
-  std::size_t length = 0;
-  const auto read = std::from_chars(value.data(), value.data() + value.size(), length);
-  if (read.ec != std::errc() || read.ptr != value.data() + value.size() || length > options.body_most)
-    return Arrival::whole;
-  return bytes.size() - end - 4 >= length ? Arrival::whole : Arrival::partial;
-}
-
 /// The stream the library reads a request from: first what has arrived, then the link, within a deadline.
 class Moorings::Pipe final : public httplib::Stream {
 public:
   Pipe(Link &link, const MooringOptions &options)
-      : link_(link), options_(options), read_until_(tide_.now() + options.arrive_within) {}
+      : link_(link), read_until_(tide_.now() + options.arrive_within) {}
   bool is_readable() const override {
     return link_.read_at < link_.bytes.size() ||
            poll_for(link_.descriptor, POLLIN, read_until_ - tide_.now());
@@ -199,7 +96,6 @@
   }
   SteadyTide tide_;
   Link &link_;
-  const MooringOptions &options_;
   Instant read_until_;
 };
 
@@ -258,7 +154,7 @@
   auto link = std::make_shared<Link>();
   link->descriptor = descriptor;
   link->parked_at = tide_.now();
-  link->charge = MemoryCharge(options_.memory, link_bytes);
+  link->charge = MemoryCharge(options_.memory, mooring_link_bytes);
   link->request_charge = MemoryCharge(options_.memory);
   std::lock_guard guard(mutex_);
   ++counters_["door_links_taken"];
@@ -285,60 +181,6 @@
   link->request_charge.set(0);
 }
 
-void Moorings::count_memory(Link &link) {
-  const std::size_t bytes = link_bytes + heap_bytes(link.bytes) + heap_bytes(link.outgoing);
-  link.charge.set(link.descriptor < 0 ? 0 : bytes);
-}
-
-std::size_t Moorings::reclaimable(const Link &link, Instant now) const {
-  if (link.state == Berthing::parked) return link.charge.bytes();
-  if (link.state != Berthing::writing || now - link.answered_at < slow_after) return 0;
-  const double wanted =
-      static_cast<double>(slow_bytes_a_second) * static_cast<double>(now - link.answered_at) / 1e9;
-  return static_cast<double>(link.sent) < wanted ? link.charge.bytes() : 0;
-}
-
-bool Moorings::reclaim_largest(Instant now) {
-  LinkPtr largest;
-  std::size_t most = 0;
-  for (const auto &[descriptor, link] : links_) {
-    const std::size_t bytes = reclaimable(*link, now);
-    if (bytes <= most) continue;
-    most = bytes;
-    largest = link;
-  }
-  if (!largest) return false;
-  const bool is_request_part = largest->state == Berthing::parked && !largest->bytes.empty();
-  ++counters_[is_request_part ? "door_shed_requests" : "door_shed_links"];
-  if (is_request_part)
-    turn_away(largest, 503, "no-memory", now);
-  else
-    close_link(largest);
-  return true;
-}
-
-bool Moorings::make_room_for(std::size_t bytes, Instant now) {
-  if (options_.memory == nullptr) return true;
-  while (!options_.memory->has_room_for(bytes))
-    if (!reclaim_largest(now)) return false;
-  return true;
-}
-
-bool Moorings::close_one_for_room(Instant now) {
-  LinkPtr least;
-  const auto rank = [&](const Link &link) {
-    if (link.state == Berthing::parked) return link.bytes.empty() ? 0 : 1;
-    return reclaimable(link, now) > 0 ? 2 : 3;
-  };
-  for (const auto &[descriptor, link] : links_) {
-    const int own = rank(*link), other = least ? rank(*least) : 3;
-    if (own < other || (own < 3 && own == other && link->parked_at < least->parked_at)) least = link;
-  }
-  if (!least) return false;
-  close_link(least);
-  return true;
-}
-
 void Moorings::turn_away(const LinkPtr &link, int status, std::string_view why, Instant now) {
   ++counters_["door_turned_away"];
   const std::string text = refusal(status, why);
@@ -434,17 +276,18 @@
 
 void Moorings::tend(const LinkPtr &link, Instant now) {
   const bool is_idle = link->state == Berthing::parked && link->bytes.empty();
-  if (link->state == Berthing::lingering && now - link->parked_at > seconds(1))
-    close_link(link);
-  else if (link->state == Berthing::writing && now - link->progress_at > options_.write_within)
+  const bool has_lingered = link->state == Berthing::lingering && now - link->parked_at > seconds(1);
+  const bool reads_nothing =
+      link->state == Berthing::writing && now - link->progress_at > options_.write_within;
+  const bool has_rested = is_idle && (now - link->parked_at > options_.idle || is_draining_);
+  const bool is_too_slow = link->state == Berthing::parked && !is_idle &&
+                           now - link->incoming_snapshot_since > options_.arrive_within;
+  const bool is_left_in_drain =
+      link->state == Berthing::parked && !is_too_slow && is_draining_ && now > drain_until_;
+  if (has_lingered || reads_nothing || has_rested || is_left_in_drain)
     close_link(link);
-  else if (is_idle && (now - link->parked_at > options_.idle || is_draining_))
-    close_link(link);
-  else if (link->state == Berthing::parked && !is_idle &&
-           now - link->incoming_snapshot_since > options_.arrive_within)
+  else if (is_too_slow)
     turn_away(link, 408, "too-slow", now);
-  else if (link->state == Berthing::parked && is_draining_ && now > drain_until_)
-    close_link(link);
   else if (link->state == Berthing::waiting && now - link->waiting_since > options_.waiting_within) {
     std::erase(jobs_, link);
     turn_away(link, 503, "door-full", now);
--- a/tests/anchorage_test.cpp
+++ b/tests/anchorage_test.cpp
@@ -411,3 +411,155 @@
   for (std::size_t at = 4; at < filling.size(); ++at) close(filling[at]);
   close(listener);
 }
+
+namespace {
+/// A door whose answers are as long as is asked for, with an account.
+class LongAnswers final : public HttpDoorSink {
+public:
+  void asked(LinkId link, HttpMessage &&request) override {
+    ++requests;
+    HttpMessage response;
+    response.status = 200;
+    response.body.assign(std::strtoul(request.target.c_str() + 1, nullptr, 10), '.');
+    door.answer(link, std::move(response), true);
+  }
+  void left(LinkId) override {}
+  void turn(int turns = 20) {
+    for (int at = 0; at < turns; ++at) loop.turn(milliseconds(1));
+  }
+  int connect() {
+    const int link = open_call(port.address(), seconds(1));
+    turn(4);
+    return link;
+  }
+  static void put(int link, const std::string &bytes) {
+    (void)!send(link, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+  static std::string ask(std::size_t answer_bytes) {
+    return "GET /" + std::to_string(answer_bytes) + " HTTP/1.1\r\nHost: h\r\n\r\n";
+  }
+  HttpDoorOptions options() {
+    HttpDoorOptions made;
+    made.memory = &memory;
+    made.links_most = 8;
+    return made;
+  }
+  Loop loop;
+  HeldPort port;
+  MemoryAccount memory{16u << 20};
+  int requests = 0;
+  HttpDoor door{loop, port.address(), *this, options()};
+};
+
+std::size_t read_all(LongAnswers &rig, int link) {
+  std::size_t sum = 0;
+  std::vector<char> bytes(1u << 16);
+  for (int idle = 0; idle < 20;) {
+    rig.turn(1);
+    const ssize_t count = recv(link, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    idle = count > 0 ? 0 : idle + 1;
+    sum += count > 0 ? static_cast<std::size_t>(count) : 0;
+  }
+  return sum;
+}
+} // namespace
+
+// Guards against: answers to pipelined requests pile up for a client that reads none.
+TEST(Anchorage, the_next_of_several_requests_in_line_is_read_once_the_answer_before_has_gone) {
+  LongAnswers rig;
+  constexpr std::size_t answer_bytes = 5u << 20;
+  const int link = rig.connect();
+  LongAnswers::put(link,
+                   LongAnswers::ask(answer_bytes) + LongAnswers::ask(answer_bytes) + LongAnswers::ask(1));
+  rig.turn();
+  LONGS_EQUAL(1, rig.requests);
+  CHECK(read_all(rig, link) > 2 * answer_bytes);
+  LONGS_EQUAL(3, rig.requests);
+  close(link);
+  rig.turn();
+  LONGS_EQUAL(0, rig.memory.used());
+}
+
+TEST(Anchorage, a_client_that_ends_its_half_gets_the_whole_of_a_long_answer) {
+  LongAnswers rig;
+  constexpr std::size_t answer_bytes = 5u << 20;
+  const int link = rig.connect();
+  LongAnswers::put(link, LongAnswers::ask(answer_bytes));
+  rig.turn();
+  shutdown(link, SHUT_WR);
+  CHECK(read_all(rig, link) > answer_bytes);
+  close(link);
+}
+
+TEST(Anchorage, a_full_door_ends_its_oldest_resting_link_for_a_new_one) {
+  LongAnswers rig;
+  std::vector<int> links;
+  for (int at = 0; at < 9; ++at) links.push_back(rig.connect());
+  LONGS_EQUAL(8, rig.door.links());
+  char byte = 0;
+  LONGS_EQUAL(0, recv(links[0], &byte, 1, MSG_DONTWAIT));
+  LongAnswers::put(links[8], LongAnswers::ask(1));
+  rig.turn();
+  LONGS_EQUAL(1, rig.requests);
+  for (const int link : links) close(link);
+}
+
+TEST(Anchorage, when_memory_is_short_the_largest_unfinished_request_is_refused_and_may_come_again) {
+  LongAnswers rig;
+  const int small = rig.connect(), large = rig.connect();
+  LongAnswers::put(small,
+                   "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n" + std::string(10000, 'b'));
+  LongAnswers::put(large, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 400000\r\n\r\n" +
+                              std::string(100000, 'b'));
+  rig.turn();
+  CHECK(rig.memory.make_room_for((16u << 20) / 4 * 3 - 80'000));
+  rig.turn();
+  char answer[512] = {};
+  CHECK(recv(large, answer, sizeof answer - 1, MSG_DONTWAIT) > 0);
+  STRCMP_CONTAINS("HTTP/1.1 503", answer);
+  STRCMP_CONTAINS("Retry-After: 1", answer);
+  LongAnswers::put(small, std::string(10000, 'b'));
+  rig.turn();
+  LONGS_EQUAL(1, rig.requests);
+  close(small);
+  close(large);
+}
+
+TEST(Anchorage, a_long_answer_waits_with_its_runner_until_there_is_memory) {
+  Loop loop;
+  HeldPort port;
+  const std::string address = port.address();
+  Scripted runner(loop, address);
+  constexpr std::size_t body_bytes = 300'000;
+  runner.answer = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n" +
+                  std::string(body_bytes, 'x');
+  MemoryAccount memory(1u << 20);
+  HttpCallOptions options;
+  options.memory = &memory;
+  HttpCalls calls(loop, options);
+  const SteadyTide tide;
+  std::optional<CallAnswer> answer;
+  HttpCall call;
+  call.address = address;
+  call.peer = "r";
+  call.request.method = "GET";
+  call.request.target = "/x";
+  call.deadline = tide.now() + seconds(20);
+  call.done = [&](CallAnswer &&given) { answer = std::move(given); };
+  MemoryCharge other(&memory, 900'000);
+  calls.call(std::move(call));
+  const auto pass = [&] {
+    for (int turn = 0; turn < 40 && !answer; ++turn) {
+      loop.turn(milliseconds(5));
+      calls.tick(tide.now());
+    }
+  };
+  pass();
+  CHECK(!answer);
+  LONGS_EQUAL(1, calls.held_back());
+  CHECK(memory.used() < 900'000 + 100'000);
+  other.set(0);
+  pass();
+  CHECK(answer && answer->fate == CallFate::answered);
+  LONGS_EQUAL(body_bytes, answer->response.body.size());
+}
--- a/tests/moorings_test.cpp
+++ b/tests/moorings_test.cpp
@@ -160,3 +160,39 @@
                                "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 9\r\n\r\n"})
     CHECK(arrival_of(doubtful, {}) == Arrival::whole);
 }
+
+TEST(Moorings, a_body_in_chunks_is_partial_until_its_last_byte) {
+  const std::string whole = "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            "3;x=y\r\nabc\r\nA\r\n0\r\n\r\n45678\r\n0\r\n\r\n";
+  std::size_t chunk_at = 0;
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    CHECK(arrival_of(std::string_view(whole).substr(0, size), {}) == Arrival::partial);
+    CHECK(arrival_of(std::string_view(whole).substr(0, size), {}, chunk_at) == Arrival::partial);
+  }
+  CHECK(arrival_of(whole, {}) == Arrival::whole);
+  CHECK(arrival_of(whole, {}, chunk_at) == Arrival::whole);
+  const std::string broken = "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n";
+  CHECK(arrival_of(broken, {}) == Arrival::whole);
+}
+
+// Guards against: threads wait for bodies that are slow to come, and none is left for others.
+TEST(Moorings, bodies_in_chunks_and_bodies_to_be_asked_for_hold_up_nobody) {
+  TwoThreads door;
+  std::vector<int> links;
+  for (int at = 0; at < 6; ++at) {
+    links.push_back(door.link());
+    TwoThreads::put(
+        links.back(),
+        at % 2 == 0 ? "POST /slow HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nha"
+                    : "POST /slow HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n");
+  }
+  STRCMP_CONTAINS("HTTP/1.1 100 Continue", TwoThreads::get(links[1], "\r\n\r\n").c_str());
+  STRCMP_CONTAINS("GET /quick ", door.ask("/quick").c_str());
+  TwoThreads::put(links[0], "lf\r\n0\r\n\r\n");
+  STRCMP_CONTAINS("POST /slow half", TwoThreads::get(links[0], "half").c_str());
+  TwoThreads::put(links[1], "half");
+  const std::string answer = TwoThreads::get(links[1], "half");
+  STRCMP_CONTAINS("POST /slow half", answer.c_str());
+  CHECK(answer.find("100 Continue") == std::string::npos);
+  for (int descriptor : links) close(descriptor);
+}
