Remember of an answered request its story only, not the memory of its answer

Cause: pilotd remembers how its last 8,192 requests went. It kept a copy of the whole reply and emptied the body's text, which keeps its memory, and the headers of the answer stayed as they were.

Change: what is kept is what the story tells.

--- a/programs/pilotd/main.cpp
+++ b/programs/pilotd/main.cpp
@@ -179,11 +179,18 @@
     for (const std::string &line : out.lines) log_line(line);
   }
 
+  /// Keeps what `story_json` tells, and nothing of the answer itself.
   void remember(const Reply &reply) {
     constexpr std::size_t stories_most = 8192;
+    Reply kept;
+    kept.errand = reply.errand;
+    kept.service = reply.service;
+    kept.rule = reply.rule;
+    kept.runner = reply.runner;
+    kept.fate = reply.fate;
+    kept.version = reply.version;
+    kept.story = reply.story;
     std::lock_guard guard(published_mutex_);
-    Reply kept = reply;
-    kept.body.clear();
     stories_[reply.errand] = std::move(kept);
     story_order_.push_back(reply.errand);
     if (story_order_.size() <= stories_most) return;
--- a/tests/misbehaving_clients/older_clients_test.cpp
+++ b/tests/misbehaving_clients/older_clients_test.cpp
@@ -126,6 +126,22 @@
   check_all_is_well(rig, at_edge);
 }
 
+TEST_GROUP(OlderAnswers) { OlderRig rig{BINARIES, 60 * kib}; };
+
+// Guards against: what a process remembers of an answered request keeps the memory of its answer.
+TEST(OlderAnswers, edge_many_repeats_answered_from_the_record) {
+  constexpr int calls = 1600;
+  call_until(
+      rig.front(), [] { return OlderRig::kept_request(); },
+      [](const HttpMessage &answer) { return answer.status == 200; }, 30);
+  int served = 0;
+  for (int call = 0; call < calls; ++call)
+    served += call_once(rig.front(), OlderRig::kept_request()).status == 200 ? 1 : 0;
+  CHECK(served > calls / 2);
+  Crowd nobody(rig.front(), 0, {});
+  check_all_is_well(rig, nobody);
+}
+
 TEST_GROUP(OlderCalm) { OlderRig rig{BINARIES, 8 * mib}; };
 
 TEST(OlderCalm, a_long_answer_to_one_slow_reader_arrives_whole) {
--- a/tests/misbehaving_clients/older_rig.cpp
+++ b/tests/misbehaving_clients/older_rig.cpp
@@ -26,9 +26,12 @@
       "short": {"image": "stand-in:ms=5", "memory_mb": 64, "slots": 16, "least": 1, "most": 4},
       "long": {"image": "stand-in:ms=5,bytes=)" +
          std::to_string(answer_bytes) + R"(", "memory_mb": 64, "slots": 16, "least": 1, "most": 4},
+      "kept": {"image": "stand-in:ms=5,bytes=)" +
+         std::to_string(answer_bytes) +
+         R"(", "memory_mb": 64, "slots": 16, "least": 1, "most": 4, "once": true},
       "slow": {"image": "stand-in:ms=6000", "memory_mb": 64, "slots": 16, "least": 1, "most": 4}},
     "rules": {"short": "* /short/** to short repeatable", "long": "* /long/** to long repeatable",
-              "slow": "* /slow/** to slow"},
+              "slow": "* /slow/** to slow", "kept": "POST /kept/** to kept"},
     "limits": {"body_most_bytes": 16777216, "wait_default_ms": 20000}})";
 }
 } // namespace
@@ -94,6 +97,14 @@
   return made;
 }
 
+HttpMessage OlderRig::kept_request() {
+  HttpMessage made = request();
+  made.method = "POST";
+  made.target = "/kept/x";
+  made.set("Idempotency-Key", "the-same-each-time");
+  return made;
+}
+
 std::string OlderRig::head_of(const std::string &method, const std::string &target, std::size_t body_bytes) {
   return method + " " + target + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + key +
          "\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n";
