--- a/tests/misbehaving_clients/deployed_clients_test.cpp
+++ b/tests/misbehaving_clients/deployed_clients_test.cpp
@@ -2,6 +2,7 @@
 // memory and the descriptors of its machine, and an ordinary request is answered while the crowd is still
 // there and after it has gone. The crowds and the bounds are those of the machine's settings; nothing here
 // depends on how fast the machine is.
+#include "misbehaving_clients/all_is_well.hpp"
 #include "misbehaving_clients/crowd.hpp"
 #include "misbehaving_clients/deployed_rig.hpp"
 #include "misbehaving_clients/process_usage.hpp"
@@ -16,31 +17,8 @@
 constexpr std::size_t kib = 1024, mib = 1024 * kib;
 /// What the configuration of these tests lets a client send.
 constexpr std::size_t body_most = 256 * kib, head_most = 16 * kib;
-/// How long a crowd presses, in seconds: longer than a request's head may take to arrive.
-constexpr double press_s = 5;
 constexpr int short_work_ms = 5, long_work_ms = 6000;
 
-/// All that holds while a crowd is there and after it.
-void check_all_is_well(DeployedRig &rig, Crowd &crowd) {
-  const bool is_served_beside = rig.serves_an_ordinary_request();
-  const bool is_operated_beside = rig.answers_the_operator();
-  const std::string broken_beside = rig.broken_bound();
-  crowd.release();
-  const bool is_served_after = rig.serves_an_ordinary_request();
-  const bool is_operated_after = rig.answers_the_operator();
-  STRCMP_EQUAL("", broken_beside.c_str());
-  STRCMP_EQUAL("", rig.broken_bound().c_str());
-  CHECK_TEXT(is_served_beside, "no ordinary request was answered beside the crowd");
-  CHECK_TEXT(is_operated_beside, "the operator was not answered beside the crowd");
-  CHECK_TEXT(is_served_after, "no ordinary request was answered after the crowd");
-  CHECK_TEXT(is_operated_after, "the operator was not answered after the crowd");
-}
-
-void press_and_check(DeployedRig &rig, Crowd &crowd) {
-  crowd.press(press_s);
-  check_all_is_well(rig, crowd);
-}
-
 /// A head whose headers are as many as its bytes allow, without its end.
 std::string head_of_tiny_headers(const std::string &first_line, std::size_t bytes) {
   std::string head = first_line + "\r\n";
--- a/tests/misbehaving_clients/older_clients_test.cpp
+++ b/tests/misbehaving_clients/older_clients_test.cpp
@@ -1,6 +1,7 @@
 // Clients that don't behave, at the doors of the older daemons, which serve a request by a thread: no process
 // ends or hangs, each stays within the memory of its machine, and an ordinary request is answered while the
 // crowd is still there and after it has gone.
+#include "misbehaving_clients/all_is_well.hpp"
 #include "misbehaving_clients/crowd.hpp"
 #include "misbehaving_clients/older_rig.hpp"
 
@@ -10,29 +11,8 @@
 
 namespace {
 constexpr std::size_t kib = 1024, mib = 1024 * kib;
-constexpr double press_s = 5;
 constexpr std::size_t long_answer = 2 * mib;
 
-void check_all_is_well(const OlderRig &rig, Crowd &crowd) {
-  const bool is_served_beside = rig.serves_an_ordinary_request();
-  const bool is_operated_beside = rig.answers_the_operator();
-  const std::string broken_beside = rig.broken_bound();
-  crowd.release();
-  const bool is_served_after = rig.serves_an_ordinary_request();
-  const bool is_operated_after = rig.answers_the_operator();
-  STRCMP_EQUAL("", broken_beside.c_str());
-  STRCMP_EQUAL("", rig.broken_bound().c_str());
-  CHECK_TEXT(is_served_beside, "no ordinary request was answered beside the crowd");
-  CHECK_TEXT(is_operated_beside, "the operator was not answered beside the crowd");
-  CHECK_TEXT(is_served_after, "no ordinary request was answered after the crowd");
-  CHECK_TEXT(is_operated_after, "the operator was not answered after the crowd");
-}
-
-void press_and_check(const OlderRig &rig, Crowd &crowd) {
-  crowd.press(press_s);
-  check_all_is_well(rig, crowd);
-}
-
 std::string head_without_length(const std::string &more) {
   const std::string head = OlderRig::head_of("POST", "/short/x", 0);
   return head.substr(0, head.find("Content-Length")) + more;
