--- a/tests/misbehaving_clients/deployed_clients_test.cpp
+++ b/tests/misbehaving_clients/deployed_clients_test.cpp
@@ -2,14 +2,13 @@
 // memory and the descriptors of its machine, and an ordinary request is answered while the crowd is still
 // there and after it has gone. The crowds and the bounds are those of the machine's settings; nothing here
 // depends on how fast the machine is.
-#include "misbehaving_clients/all_is_well.hpp"
 #include "misbehaving_clients/crowd.hpp"
 #include "misbehaving_clients/deployed_rig.hpp"
 #include "misbehaving_clients/process_usage.hpp"
 
 #include <unistd.h>
 
-#include <CppUTest/TestHarness.h>
+#include "misbehaving_clients/all_is_well.hpp"
 
 using namespace wharf;
 
--- a/tests/misbehaving_clients/older_clients_test.cpp
+++ b/tests/misbehaving_clients/older_clients_test.cpp
@@ -1,11 +1,10 @@
 // Clients that don't behave, at the doors of the older daemons, which serve a request by a thread: no process
 // ends or hangs, each stays within the memory of its machine, and an ordinary request is answered while the
 // crowd is still there and after it has gone.
-#include "misbehaving_clients/all_is_well.hpp"
 #include "misbehaving_clients/crowd.hpp"
 #include "misbehaving_clients/older_rig.hpp"
 
-#include <CppUTest/TestHarness.h>
+#include "misbehaving_clients/all_is_well.hpp"
 
 using namespace wharf;
 
